Start the workspace: domain objects, protocols and build

Cause: every later part needs the same types, protocols and checks. Conclusion: the parts can now be built side by side on fixed types.

--- /dev/null
+++ b/cicadagrade/commands.go
@@ -0,0 +1,8 @@
+package main
+
+import "github.com/spf13/cobra"
+
+// commands lists the subcommands, each in a file of its own.
+func commands() []*cobra.Command {
+	return []*cobra.Command{}
+}
--- /dev/null
+++ b/tier/outcome.go
@@ -0,0 +1,86 @@
+package tier
+
+// Outcome is the end of a request: *Answered, *Refused or *Unknown.
+type Outcome interface{ outcome() }
+
+// Answered is the end of a request that ran.
+type Answered struct {
+	snapshot Snapshot
+	coverage Coverage
+	records  []Record
+}
+
+// NewAnswered returns an answer from one snapshot.
+func NewAnswered(s Snapshot, c Coverage, records []Record) *Answered {
+	return &Answered{snapshot: s, coverage: c, records: records}
+}
+
+// Snapshot is the one state that the answer reflects.
+func (a *Answered) Snapshot() Snapshot { return a.snapshot }
+
+// Coverage says which shards it covers.
+func (a *Answered) Coverage() Coverage { return a.coverage }
+
+// Records are the rows, sorted by key, each key once.
+func (a *Answered) Records() []Record { return a.records }
+
+// RefuseReason says why a request was refused.
+type RefuseReason string
+
+// The reasons.
+const (
+	RefuseOverload    RefuseReason = "overload"
+	RefuseDeadline    RefuseReason = "deadline"
+	RefuseNoOwner     RefuseReason = "no-owner"
+	RefuseNoReplica   RefuseReason = "no-replica"
+	RefuseNoConfig    RefuseReason = "no-configuration"
+	RefuseNoStore     RefuseReason = "store-unavailable"
+	RefuseLeaving     RefuseReason = "leaving"
+	RefuseCallerGone  RefuseReason = "caller-gone"
+	RefuseByServer    RefuseReason = "refused-by-server"
+	RefuseKeyExpired  RefuseReason = "key-expired"
+	RefuseUnreachable RefuseReason = "unreachable"
+)
+
+// Refused is the end of a request that did not run and will not run.
+type Refused struct {
+	reason     RefuseReason
+	retryAfter Millis
+}
+
+// NewRefused returns a refusal; retryAfter is 0 when no time can be told.
+func NewRefused(reason RefuseReason, retryAfter Millis) *Refused {
+	return &Refused{reason: reason, retryAfter: retryAfter}
+}
+
+// Reason says why.
+func (r *Refused) Reason() RefuseReason { return r.reason }
+
+// RetryAfter is when a new try may succeed, counted from now, or 0.
+func (r *Refused) RetryAfter() Millis { return r.retryAfter }
+
+// UnknownReason says why it can't be told whether a request ran.
+type UnknownReason string
+
+// The reasons.
+const (
+	UnknownInProgress   UnknownReason = "in-progress"
+	UnknownLostReply    UnknownReason = "lost-reply"
+	UnknownDeadline     UnknownReason = "deadline"
+	UnknownHolderGone   UnknownReason = "holder-gone"
+	UnknownLowCoverage  UnknownReason = "low-coverage"
+	UnknownIncarnations UnknownReason = "other-incarnation"
+)
+
+// Unknown is the end of a request that may have run.
+type Unknown struct{ reason UnknownReason }
+
+// NewUnknown returns an unknown outcome.
+func NewUnknown(reason UnknownReason) *Unknown { return &Unknown{reason: reason} }
+
+// Reason says why.
+func (u *Unknown) Reason() UnknownReason { return u.reason }
+
+func (*Answered) outcome() {}
+func (*Refused) outcome()  {}
+func (*Unknown) outcome()  {}
--- /dev/null
+++ b/tier/rank.go
@@ -0,0 +1,72 @@
+package tier
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Rank is the urgency class of a request. A lower number is more urgent.
+type Rank int
+
+// The ranks, most urgent first.
+const (
+	Urgent Rank = iota
+	Daily
+	Reports
+)
+
+// Ranks lists all ranks, most urgent first.
+var Ranks = [...]Rank{Urgent, Daily, Reports}
+
+var rankNames = [...]string{"urgent", "daily", "reports"}
+
+// ParseRank reads the name of a rank.
+func ParseRank(s string) (Rank, error) {
+	for i, n := range rankNames {
+		if n == s {
+			return Rank(i), nil
+		}
+	}
+	return 0, errors.WithStack(&UnknownRankError{name: s})
+}
+
+// Valid reports whether r is one of the ranks.
+func (r Rank) Valid() bool { return r >= Urgent && r <= Reports }
+
+// String is the rank's name in documents and answers.
+func (r Rank) String() string {
+	if !r.Valid() {
+		return fmt.Sprintf("rank(%d)", int(r))
+	}
+	return rankNames[r]
+}
+
+// MarshalText writes the rank's name.
+func (r Rank) MarshalText() ([]byte, error) {
+	if !r.Valid() {
+		return nil, errors.WithStack(&UnknownRankError{name: r.String()})
+	}
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText reads the rank's name.
+func (r *Rank) UnmarshalText(b []byte) error {
+	v, err := ParseRank(string(b))
+	if err != nil {
+		return errors.Wrap(err, "Rank.UnmarshalText")
+	}
+	*r = v
+	return nil
+}
+
+// UnknownRankError says that a name is not that of a rank.
+type UnknownRankError struct{ name string }
+
+// Name is the name that was read.
+func (e *UnknownRankError) Name() string { return e.name }
+
+// Error names the ranks that exist.
+func (e *UnknownRankError) Error() string {
+	return fmt.Sprintf("unknown rank %q: use urgent, daily or reports", e.name)
+}
