--- a/cicadagraded/root.go
+++ b/cicadagraded/root.go
@@ -13,8 +13,8 @@
 
 // Exit codes.
 const (
-	exitOK       = 0
-	exitFailed   = 1
+	exitOK     = 0
+	exitFailed = 1
 )
 
 // execute runs the command line and returns the exit code.
