--- /dev/null
+++ b/tier/correlator/correlator.go
@@ -0,0 +1,122 @@
+// Package correlator matches replies of backend servers with the leaf calls
+// that asked for them. A reply that is late, repeated, crossed with that of
+// another call, cut short or corrupted is rejected and counted.
+package correlator
+
+import (
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/tier"
+)
+
+// Expect is what the reply of one leaf call has to echo.
+type Expect struct {
+	attempt  tier.AttemptID
+	set      string
+	shard    string
+	snapshot tier.Snapshot
+}
+
+// NewExpect returns what the reply of a search of one shard has to echo. For
+// a booking the snapshot is the zero one.
+func NewExpect(attempt tier.AttemptID, set, shard string, s tier.Snapshot) Expect {
+	return Expect{attempt: attempt, set: set, shard: shard, snapshot: s}
+}
+
+// Attempt is the id of the leaf call.
+func (e Expect) Attempt() tier.AttemptID { return e.attempt }
+
+// Set is the name of the shard set.
+func (e Expect) Set() string { return e.set }
+
+// Shard is the id of the shard.
+func (e Expect) Shard() string { return e.shard }
+
+// Snapshot is the pinned snapshot.
+func (e Expect) Snapshot() tier.Snapshot { return e.snapshot }
+
+// Reply is the reply of a backend server to a search, as it came.
+type Reply struct {
+	attempt  string
+	set      string
+	shard    string
+	snapshot tier.Snapshot
+	records  []tier.Record
+	count    int
+	digest   string
+}
+
+// NewReply returns the reply to a search. Count and digest are those that
+// the server stated, not those of the records that arrived.
+func NewReply(attempt, set, shard string, s tier.Snapshot, records []tier.Record, count int, digest string) Reply {
+	return Reply{attempt: attempt, set: set, shard: shard, snapshot: s, records: records, count: count, digest: digest}
+}
+
+// Records are the records that arrived.
+func (r Reply) Records() []tier.Record { return r.records }
+
+// Receipt is the reply of a backend server to a booking, as it came.
+type Receipt struct {
+	attempt string
+	set     string
+	shard   string
+	receipt string
+}
+
+// NewReceipt returns the reply to a booking.
+func NewReceipt(attempt, set, shard, receipt string) Receipt {
+	return Receipt{attempt: attempt, set: set, shard: shard, receipt: receipt}
+}
+
+// Text is the receipt's text.
+func (r Receipt) Text() string { return r.receipt }
+
+// Check reports whether a reply is whole and that of the call that e
+// describes. Its error is a *MismatchError.
+func Check(e Expect, r Reply) error {
+	if err := checkEcho(e, r.attempt, r.set, r.shard); err != nil {
+		return errors.Wrap(err, "Check")
+	}
+	if r.snapshot != e.snapshot {
+		return errors.Wrap(newMismatch(FieldSnapshot, e.snapshot.String(), r.snapshot.String()), "Check")
+	}
+	return errors.Wrap(CheckRecords(r.records, r.count, r.digest), "Check")
+}
+
+// CheckReceipt is Check for the reply to a booking.
+func CheckReceipt(e Expect, r Receipt) error {
+	if err := checkEcho(e, r.attempt, r.set, r.shard); err != nil {
+		return errors.Wrap(err, "CheckReceipt")
+	}
+	if r.receipt == "" {
+		return errors.Wrap(newMismatch(FieldReceipt, "a receipt", ""), "CheckReceipt")
+	}
+	return nil
+}
+
+// CheckRecords reports whether records are as many as stated and have the
+// stated digest. Its error is a *MismatchError.
+func CheckRecords(records []tier.Record, count int, digest string) error {
+	if len(records) != count {
+		return newMismatch(FieldCount, strconv.Itoa(count), strconv.Itoa(len(records)))
+	}
+	if d := tier.Digest(records); d != digest {
+		return newMismatch(FieldDigest, digest, d)
+	}
+	return nil
+}
+
+func checkEcho(e Expect, attempt, set, shard string) error {
+	if id := e.attempt.String(); attempt != id {
+		return newMismatch(FieldAttempt, id, attempt)
+	}
+	if set != e.set {
+		return newMismatch(FieldSet, e.set, set)
+	}
+	if shard != e.shard {
+		return newMismatch(FieldShard, e.shard, shard)
+	}
+	return nil
+}
--- a/tier/outcome.go
+++ b/tier/outcome.go
@@ -70,14 +70,30 @@
 	UnknownHolderGone   UnknownReason = "holder-gone"
 	UnknownLowCoverage  UnknownReason = "low-coverage"
 	UnknownIncarnations UnknownReason = "other-incarnation"
+	UnknownCallerGone   UnknownReason = "caller-gone"
 )
 
 // Unknown is the end of a request that may have run.
-type Unknown struct{ reason UnknownReason }
+type Unknown struct {
+	reason   UnknownReason
+	partial  bool
+	snapshot Snapshot
+	coverage Coverage
+}
 
 // NewUnknown returns an unknown outcome.
 func NewUnknown(reason UnknownReason) *Unknown { return &Unknown{reason: reason} }
 
+// NewUnknownPartial returns an unknown outcome of a search that covered too
+// little of a snapshot.
+func NewUnknownPartial(reason UnknownReason, s Snapshot, c Coverage) *Unknown {
+	return &Unknown{reason: reason, partial: true, snapshot: s, coverage: c}
+}
+
+// Partial is the snapshot that was searched and what was covered of it, if
+// the request is a search that got that far.
+func (u *Unknown) Partial() (Snapshot, Coverage, bool) { return u.snapshot, u.coverage, u.partial }
+
 // Reason says why.
 func (u *Unknown) Reason() UnknownReason { return u.reason }
 
--- /dev/null
+++ b/tier/planner/finish.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/merger"
+)
+
+// conclude ends the plan once nothing more can be gained or the time is up.
+func (p *Plan) conclude(now tier.Millis) []Action {
+	best := p.best()
+	if best != nil && now < p.end() && p.canGain(best) {
+		return nil
+	}
+	return p.finish(p.outcome(now, best))
+}
+
+// canGain reports whether open parts can bring a better answer, or one at
+// all.
+func (p *Plan) canGain(best *merger.Merge) bool {
+	if best.Complete() {
+		return false
+	}
+	for _, r := range p.rounds {
+		if r.open > 0 && r.potential() > best.Fraction() && r.potential() >= p.profile.MinCoverage() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) outcome(now tier.Millis, best *merger.Merge) tier.Outcome {
+	if best == nil {
+		return p.neverRun(now)
+	}
+	if best.Covered() > 0 && best.Fraction() >= p.profile.MinCoverage() {
+		return best.Answer()
+	}
+	if !p.ran && len(p.parts) == 0 {
+		return p.neverRun(now)
+	}
+	reason := tier.UnknownLowCoverage
+	if len(p.parts) > 0 && now >= p.end() {
+		reason = tier.UnknownDeadline
+	}
+	return tier.NewUnknownPartial(reason, best.Snapshot(), best.Coverage())
+}
+
+// neverRun is the refusal when no part made a leaf call.
+func (p *Plan) neverRun(now tier.Millis) tier.Outcome {
+	switch {
+	case p.refusal != nil:
+		return p.refusal
+	case now >= p.end():
+		return tier.NewRefused(tier.RefuseDeadline, 0)
+	case p.cutOff():
+		return tier.NewRefused(tier.RefuseUnreachable, 0)
+	}
+	return tier.NewRefused(tier.RefuseNoReplica, 0)
+}
+
+// cutOff reports whether a data centre of the set can't be reached.
+func (p *Plan) cutOff() bool {
+	for _, d := range p.maps[0].DataCentres() {
+		if !p.view.Reachable(d) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) callerGone() []Action {
+	if p.ran || len(p.parts) > 0 {
+		return p.finish(tier.NewUnknown(tier.UnknownCallerGone))
+	}
+	return p.finish(tier.NewRefused(tier.RefuseCallerGone, 0))
+}
+
+func (p *Plan) finish(o tier.Outcome) []Action {
+	var out []Action
+	for n := uint64(1); n <= p.lastPart; n++ {
+		if _, ok := p.parts[n]; ok {
+			out = append(out, &CancelPart{part: n})
+		}
+	}
+	p.done = true
+	return append(out, &Finish{outcome: o})
+}
