Add dispatcher, limiter, hedger and admitter

Owners of shard sets need exact slots, ranks, hedging and early refusal. The dispatcher takes events and returns calls, cancellations and the one end of each part.

--- /dev/null
+++ b/tier/dispatcher/admission.go
@@ -0,0 +1,211 @@
+package dispatcher
+
+import (
+	"cicadagrade.example/tier"
+)
+
+// Limits of admission.
+const (
+	drainWeight    = 1.0 / 16 // of the newest gap in the average
+	drainMemory    = 5 * tier.Second
+	usableDeadline = 0.8 // part of the time left that queueing and service may fill
+)
+
+// drain measures the gap between starts of a rank's calls for one shard,
+// while more of them wait.
+type drain struct {
+	gap   float64 // in milliseconds; 0 while not measured
+	last  tier.Millis
+	again bool // more waited after the last start
+}
+
+func (w *drain) start(now tier.Millis, left int) {
+	if w.again {
+		g := float64(now - w.last)
+		if w.gap == 0 {
+			w.gap = max(g, minLatency)
+		}
+		w.gap += drainWeight * (g - w.gap)
+	}
+	w.last, w.again = now, left > 0
+}
+
+// measured is the gap to expect, or 0 when it is not known.
+func (w *drain) measured(now tier.Millis) float64 {
+	idle := now - w.last
+	if idle > drainMemory && !w.again {
+		return 0
+	}
+	if w.again && float64(idle) > 2*w.gap {
+		return float64(idle)
+	}
+	return w.gap
+}
+
+func (d *Dispatcher) measureDrain(t *task) {
+	h, r := t.shard, t.rank()
+	h.drains[r].start(d.now, h.queued(r)-1)
+}
+
+// queued is how many tasks of a rank wait for their first call.
+func (h *shard) queued(r tier.Rank) int {
+	n := 0
+	for _, l := range h.lanes {
+		if l.rank == r {
+			n += len(l.tasks)
+		}
+	}
+	return n
+}
+
+// ahead is how many tasks of the part's rank would start before its own.
+func (h *shard) ahead(p *part) int {
+	n := 0
+	for _, l := range h.lanes {
+		if l.rank == p.profile.Rank() {
+			n += l.place(p)
+		}
+	}
+	return n
+}
+
+// wait estimates how long a task of a part would wait for its first call.
+func (d *Dispatcher) wait(h *shard, p *part) float64 {
+	r := p.profile.Rank()
+	ahead := h.ahead(p)
+	if ahead > 0 {
+		return float64(ahead+1) * d.gap(h, r)
+	}
+	for q := r - 1; q >= tier.Urgent; q-- {
+		if n := h.queued(q); n > 0 {
+			return float64(n+1) * d.gap(h, q)
+		}
+	}
+	return 0
+}
+
+// gap is the measured gap between starts of a rank for a shard, or what its
+// replicas' slots and latencies give.
+func (d *Dispatcher) gap(h *shard, r tier.Rank) float64 {
+	if g := h.drains[r].measured(d.now); g > 0 {
+		return g
+	}
+	rate := 0.0
+	for _, s := range h.replicas {
+		rate += float64(d.limit(s)) / s.expected(d.now) / float64(len(s.shards))
+	}
+	if rate == 0 {
+		return float64(maxBackoff)
+	}
+	return 1 / rate
+}
+
+// excess is by how much a part would miss the usable part of its deadline.
+func (d *Dispatcher) excess(p *part) float64 {
+	longest := 0.0
+	for _, t := range p.tasks {
+		if t.shard != nil {
+			longest = max(longest, d.wait(t.shard, p))
+		}
+	}
+	if longest == 0 {
+		return 0
+	}
+	if m, ok := d.hedger.Delay(); ok {
+		longest += float64(m)
+	}
+	return longest - usableDeadline*float64(p.deadline-d.now)
+}
+
+// submit accepts a part or refuses it before any leaf call.
+func (d *Dispatcher) submit(e *Submit) {
+	r := e.profile.Rank()
+	p := d.newPart(e)
+	d.pressure.arrived(r)
+	switch {
+	case d.leaving:
+		d.refuse(e.part, r, tier.RefuseLeaving, 0)
+	case d.index < 0 || d.index >= min(d.owners, MaxOwners(d.set, d.dataCentre)):
+		d.refuse(e.part, r, tier.RefuseNoOwner, 0)
+	case e.deadline <= d.now:
+		d.refuse(e.part, r, tier.RefuseDeadline, 0)
+	case d.queued.byProfile[e.profile.Name()] >= e.profile.QueueLimit() || d.queued.byRank[r] >= d.queueSize:
+		d.shed(e.part, r, d.retryAfter(r))
+	default:
+		d.admit(p)
+	}
+}
+
+func (d *Dispatcher) newPart(e *Submit) *part {
+	d.sequence++
+	p := &part{
+		id: e.part, order: d.sequence, profile: e.profile, deadline: e.deadline,
+		snapshot: e.snapshot, repeatable: e.repeatable,
+	}
+	for _, id := range e.shards {
+		p.tasks = append(p.tasks, &task{part: p, shard: d.shards[id], id: id})
+	}
+	p.open, p.unstarted = len(p.tasks), len(p.tasks)
+	return p
+}
+
+func (d *Dispatcher) admit(p *part) {
+	if x := d.excess(p); x > 0 {
+		d.shed(p.id, p.profile.Rank(), d.jitter(x))
+		return
+	}
+	d.parts[p.id] = p
+	d.queued.add(p)
+	d.counters.accepted++
+	for _, t := range p.tasks {
+		if why := t.unservable(); why != "" {
+			t.reason = why
+			d.closeTask(t)
+			continue
+		}
+		d.enqueue(t)
+	}
+	if p.open == 0 {
+		d.endPart(p)
+		return
+	}
+	d.timers.add(timer{at: p.deadline, kind: timerDeadline, part: p})
+	for _, t := range p.tasks {
+		if !t.done {
+			d.fillShard(t.shard)
+		}
+	}
+}
+
+// shed refuses a part because of the load.
+func (d *Dispatcher) shed(id uint64, r tier.Rank, after tier.Millis) {
+	d.pressure.refused(r, after)
+	d.refuse(id, r, tier.RefuseOverload, after)
+}
+
+func (d *Dispatcher) refuse(id uint64, r tier.Rank, why tier.RefuseReason, after tier.Millis) {
+	d.counters.refused[r]++
+	d.act(&PartRefused{part: id, reason: why, retryAfter: after})
+}
+
+// retryAfter is when the work of a rank that waits now will have started.
+func (d *Dispatcher) retryAfter(r tier.Rank) tier.Millis {
+	return d.jitter(float64(d.drainTime(r)))
+}
+
+// drainTime is how long the queue of a rank takes to drain.
+func (d *Dispatcher) drainTime(r tier.Rank) tier.Millis {
+	longest := 0.0
+	for _, h := range d.shards {
+		if n := h.queued(r); n > 0 {
+			longest = max(longest, float64(n)*d.gap(h, r))
+		}
+	}
+	return tier.Millis(longest)
+}
+
+// jitter lengthens a wait by up to a half, so that those refused together do
+// not return together.
+func (d *Dispatcher) jitter(wait float64) tier.Millis {
+	return tier.Millis(wait*(1+d.random.Float64()/2)) + 1
+}
