--- /dev/null
+++ b/tier/parser/encode.go
@@ -0,0 +1,147 @@
+package parser
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/tier"
+)
+
+type profilesBody struct {
+	Profiles []profileBody `json:"profiles"`
+}
+
+type profileBody struct {
+	Name        string      `json:"name"`
+	Rank        string      `json:"rank"`
+	MinCoverage float64     `json:"min-coverage"`
+	Deadline    tier.Millis `json:"deadline-ms"`
+	MaxDeadline tier.Millis `json:"max-deadline-ms"`
+	ImposedWait tier.Millis `json:"imposed-wait-ms"`
+	QueueLimit  int         `json:"queue-limit"`
+	Hedge       bool        `json:"hedge"`
+}
+
+type setBody struct {
+	Name          string       `json:"name"`
+	Epoch         tier.Epoch   `json:"epoch"`
+	Servers       []serverBody `json:"servers"`
+	Shards        []shardBody  `json:"shards"`
+	DailyFloor    float64      `json:"daily-floor"`
+	ReportsFloor  float64      `json:"reports-floor"`
+	ReportsShare  float64      `json:"reports-share"`
+	HedgeQuantile float64      `json:"hedge-quantile"`
+	HedgeBudget   float64      `json:"hedge-budget"`
+	ColdRamp      tier.Millis  `json:"cold-ramp-ms"`
+	Owners        int          `json:"owners"`
+}
+
+type serverBody struct {
+	Name           string      `json:"name"`
+	Address        string      `json:"address"`
+	DataCentre     string      `json:"data-centre"`
+	Slots          int         `json:"slots"`
+	Connections    int         `json:"connections"`
+	ConnectionCost tier.Millis `json:"connection-cost-ms"`
+}
+
+type shardBody struct {
+	ID       string   `json:"id"`
+	From     string   `json:"from"`
+	To       string   `json:"to"`
+	Replicas []string `json:"replicas"`
+}
+
+// Parse reads a document of a kind. The error is *tier.InvalidError.
+func Parse(kind Kind, body []byte) (Document, error) {
+	switch kind {
+	case KindProfiles:
+		d, err := ParseProfiles(body)
+		if err != nil {
+			return nil, err
+		}
+		return d, nil
+	case KindSet:
+		d, err := ParseSet(body)
+		if err != nil {
+			return nil, err
+		}
+		return d, nil
+	default:
+		p := tier.NewFieldProblem("kind", string(kind), "profiles or set")
+		return nil, errors.Wrap(tier.NewInvalidError("document", []tier.FieldProblem{p}), "Parse")
+	}
+}
+
+// Encode writes a document in its canonical form: compact, every field
+// present, items sorted by name or id.
+func Encode(d Document) []byte {
+	var body any
+	switch d := d.(type) {
+	case *ProfilesDocument:
+		body = encodeProfiles(d)
+	case *SetDocument:
+		body = encodeSet(d.set)
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // the bodies hold only text, numbers and booleans
+	}
+	return b
+}
+
+func encodeProfiles(d *ProfilesDocument) profilesBody {
+	body := profilesBody{Profiles: make([]profileBody, 0, len(d.profiles))}
+	for _, p := range d.profiles {
+		body.Profiles = append(body.Profiles, profileBody{
+			Name:        p.Name(),
+			Rank:        p.Rank().String(),
+			MinCoverage: p.MinCoverage(),
+			Deadline:    p.Deadline(),
+			MaxDeadline: p.MaxDeadline(),
+			ImposedWait: p.ImposedWait(),
+			QueueLimit:  p.QueueLimit(),
+			Hedge:       p.Hedge(),
+		})
+	}
+	return body
+}
+
+func encodeSet(s *tier.ShardSet) setBody {
+	body := setBody{
+		Name:          s.Name(),
+		Epoch:         s.Epoch(),
+		Servers:       make([]serverBody, 0, len(s.Servers())),
+		Shards:        make([]shardBody, 0, len(s.Shards())),
+		DailyFloor:    s.Floor(tier.Daily),
+		ReportsFloor:  s.Floor(tier.Reports),
+		ReportsShare:  s.ReportsShare(),
+		HedgeQuantile: s.HedgeQuantile(),
+		HedgeBudget:   s.HedgeBudget(),
+		ColdRamp:      s.ColdRamp(),
+		Owners:        s.Owners(),
+	}
+	for _, b := range s.Servers() {
+		body.Servers = append(body.Servers, serverBody{
+			Name:           b.Name(),
+			Address:        b.Address(),
+			DataCentre:     b.DataCentre(),
+			Slots:          b.Slots(),
+			Connections:    b.Connections(),
+			ConnectionCost: b.ConnectionCost(),
+		})
+	}
+	for _, h := range s.Shards() {
+		body.Shards = append(body.Shards, shardBody{
+			ID:       h.ID(),
+			From:     hashText(h.From()),
+			To:       hashText(h.To()),
+			Replicas: h.Replicas(),
+		})
+	}
+	sort.Slice(body.Servers, func(i, j int) bool { return body.Servers[i].Name < body.Servers[j].Name })
+	sort.Slice(body.Shards, func(i, j int) bool { return body.Shards[i].ID < body.Shards[j].ID })
+	return body
+}
