--- a/tier/coverage.go
+++ b/tier/coverage.go
@@ -13,6 +13,7 @@
 	MissWrongSnapshot MissReason = "wrong-snapshot"
 	MissCutOff        MissReason = "cut-off"
 	MissBadReply      MissReason = "bad-reply"
+	MissCancelled     MissReason = "cancelled" // given up before the deadline
 )
 
 // Miss is a shard that an answer does not cover.
--- a/tier/planner/finish.go
+++ b/tier/planner/finish.go
@@ -11,9 +11,21 @@
 	if best != nil && now < p.end() && p.canGain(best) {
 		return nil
 	}
+	if now < p.end() {
+		p.giveUpOpen()
+	}
 	return p.finish(p.outcome(now, best))
 }
 
+// giveUpOpen notes that the open parts were not waited for.
+func (p *Plan) giveUpOpen() {
+	for _, t := range p.parts {
+		for _, id := range t.shards {
+			t.round.merge.Miss(id, tier.MissCancelled)
+		}
+	}
+}
+
 // canGain reports whether open parts can bring a better answer, or one at
 // all.
 func (p *Plan) canGain(best *merger.Merge) bool {
--- a/tier/planner/round.go
+++ b/tier/planner/round.go
@@ -28,8 +28,10 @@
 }
 
 // potential is the coverage that the round can still reach.
-func (r *round) potential() float64 {
-	return float64(r.merge.Covered()+r.open) / float64(len(r.set.Shards()))
+func (r *round) potential() float64 { return r.fraction(r.merge.Covered() + r.open) }
+
+func (r *round) fraction(shards int) float64 {
+	return float64(shards) / float64(len(r.set.Shards()))
 }
 
 func (r *round) miss(shard string, reason tier.MissReason) {
@@ -143,27 +145,44 @@
 // load.
 func (p *Plan) settle(now tier.Millis, t *part, missed map[string]tier.MissReason, costly bool) []Action {
 	delete(p.parts, t.number)
-	t.round.open -= len(t.shards)
-	var again []tier.Shard
-	for _, h := range t.round.set.Shards() {
-		reason, ok := missed[h.ID()]
-		if !ok {
+	r := t.round
+	r.open -= len(t.shards)
+	again := p.again(now, r, missed)
+	if !p.worthTrying(r, len(again), costly) {
+		again = nil
+	}
+	for id, reason := range missed {
+		r.miss(id, reason)
+	}
+	for _, h := range again {
+		delete(r.lost, h.ID())
+	}
+	return p.send(p.place(now, r, missed, again))
+}
+
+// again lists the missed shards that another data centre may be asked for.
+// Only the newest round tries again.
+func (p *Plan) again(now tier.Millis, r *round, missed map[string]tier.MissReason) []tier.Shard {
+	if r != p.round || len(missed) == 0 {
+		return nil
+	}
+	var out []tier.Shard
+	for _, h := range r.set.Shards() {
+		if _, ok := missed[h.ID()]; !ok {
 			continue
 		}
-		t.round.merge.Miss(h.ID(), reason)
-		if t.round != p.round || !p.canTry(now, t.round, h, costly) {
-			t.round.miss(h.ID(), reason)
-			continue
+		if _, reason := p.pick(now, r, h); reason == "" {
+			out = append(out, h)
 		}
-		again = append(again, h)
 	}
-	return p.send(p.place(now, t.round, missed, again))
+	return out
 }
 
-// canTry reports whether another data centre may be asked for a shard.
-func (p *Plan) canTry(now tier.Millis, r *round, h tier.Shard, costly bool) bool {
-	if _, reason := p.pick(now, r, h); reason != "" {
+// worthTrying reports whether more shards can lift the round to the
+// profile's coverage, and whether the budget allows to ask again.
+func (p *Plan) worthTrying(r *round, shards int, costly bool) bool {
+	if shards == 0 || r.fraction(r.merge.Covered()+r.open+shards) < p.profile.MinCoverage() {
 		return false
 	}
-	return !costly || p.budget.spend(1)
+	return !costly || p.budget.spend(shards)
 }
