Play backend servers and describe both deployments

The deployments of both users are committed data files; a test compares them with what standin deployment write writes, and loads them through the domain objects' checks.

--- /dev/null
+++ b/standin/deployer/files_test.go
@@ -0,0 +1,68 @@
+package deployer
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+const committed = "../deployment"
+
+func TestCommittedFilesAreWhatWriteWrites(t *testing.T) {
+	dir := t.TempDir()
+	if err := Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range users() {
+		for name := range u.documents() {
+			want, err := os.ReadFile(filepath.Join(dir, name))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := os.ReadFile(filepath.Join(committed, name))
+			if err != nil || string(got) != string(want) {
+				t.Errorf("%s differs from the generator's (%v): run standin deployment write", name, err)
+			}
+		}
+	}
+}
+
+func TestDeploymentsHaveTheUsersSizes(t *testing.T) {
+	servers := map[string]map[string]int{
+		"associacao": {"portao": 40, "agenda": 60, "contas": 7, "frota": 3},
+		"zorin":      {"pec-recepture": 40, "lomni-dnevnik": 60, "narocila": 3, "odprema": 3},
+	}
+	for name, sets := range servers {
+		d, err := Read(filepath.Join(committed, name+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(d.VMs()) != 7 || len(d.DataCentres()) != 3 || len(d.Sets()) != len(sets) {
+			t.Errorf("%s: %d VMs, %d data centres, %d sets", name, len(d.VMs()), len(d.DataCentres()), len(d.Sets()))
+		}
+		for _, s := range d.Sets() {
+			if len(s.Servers()) != sets[s.Name()] {
+				t.Errorf("%s has %d servers", s.Name(), len(s.Servers()))
+			}
+		}
+	}
+}
+
+// TestSharedReplicasLieApart checks that the loss of one data centre leaves
+// each shard of the shared sets a replica.
+func TestSharedReplicasLieApart(t *testing.T) {
+	for set, name := range map[string]string{"contas": "associacao", "frota": "associacao", "narocila": "zorin", "odprema": "zorin"} {
+		d, err := Read(filepath.Join(committed, name+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, _ := d.Set(set)
+		for _, shard := range s.Shards() {
+			a, _ := s.Server(shard.Replicas()[0])
+			b, _ := s.Server(shard.Replicas()[1])
+			if a.DataCentre() == b.DataCentre() {
+				t.Errorf("%s: both replicas in %s", shard.ID(), a.DataCentre())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/leafserver/journal.go
@@ -0,0 +1,93 @@
+package leafserver
+
+import (
+	"sync"
+
+	"cicadagrade.example/tier"
+)
+
+// maxJournal bounds the entries kept of each kind; later ones are counted
+// only.
+const maxJournal = 1 << 20
+
+// Served is a search call that ran to its end.
+type Served struct {
+	At      tier.Millis  `json:"at-ms"`
+	Server  string       `json:"server"`
+	Attempt string       `json:"attempt"`
+	Set     string       `json:"set"`
+	Shard   string       `json:"shard"`
+	Term    string       `json:"term"`
+	Epoch   tier.Epoch   `json:"epoch"`
+	Version tier.Version `json:"version"`
+}
+
+// Booked is a booking that took effect.
+type Booked struct {
+	At        tier.Millis `json:"at-ms"`
+	Server    string      `json:"server"`
+	Attempt   string      `json:"attempt"`
+	Set       string      `json:"set"`
+	Shard     string      `json:"shard"`
+	RecordKey string      `json:"record-key"`
+	Body      string      `json:"body"`
+	Receipt   string      `json:"receipt"`
+}
+
+// Journal records what servers really ran. It is safe for concurrent use.
+type Journal struct {
+	mu      sync.Mutex
+	served  []Served
+	booked  []Booked
+	skipped int
+}
+
+// NewJournal returns an empty journal.
+func NewJournal() *Journal { return &Journal{} }
+
+// Served lists the searches that ran, from the given entry on.
+func (j *Journal) Served(from int) []Served {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return tail(j.served, from)
+}
+
+// Booked lists the bookings that took effect, from the given entry on.
+func (j *Journal) Booked(from int) []Booked {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return tail(j.booked, from)
+}
+
+// Skipped is how many entries found no room.
+func (j *Journal) Skipped() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.skipped
+}
+
+func (j *Journal) addServed(s Served) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.served) >= maxJournal {
+		j.skipped++
+		return
+	}
+	j.served = append(j.served, s)
+}
+
+func (j *Journal) addBooked(b Booked) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.booked) >= maxJournal {
+		j.skipped++
+		return
+	}
+	j.booked = append(j.booked, b)
+}
+
+// tail copies list from an index on; it is never nil.
+func tail[T any](list []T, from int) []T {
+	from = min(max(from, 0), len(list))
+	return append([]T{}, list[from:]...)
+}
