Keep members alike by gossip and judge backend servers

The daemon needs the list of VMs, what each publishes, the owners of a set and the state of each backend server. gossiper, prober and picker are state machines; exchanging is the shell of the gossip over Connect.

--- /dev/null
+++ b/tier/gossiper/rumour.go
@@ -0,0 +1,62 @@
+package gossiper
+
+import (
+	"math/bits"
+	"slices"
+
+	"cicadagrade.example/tier"
+)
+
+type rumourKey struct{ origin, key string }
+
+// rumour is news that is still pushed to peers.
+type rumour struct {
+	rumourKey
+	left int
+}
+
+// rumours are pushed a few times each, those sent least first.
+type rumours struct{ list []rumour }
+
+// add starts or restarts a rumour that is sent n times.
+func (l *rumours) add(origin, key string, n int) {
+	k := rumourKey{origin: origin, key: key}
+	l.drop(k)
+	if n <= 0 {
+		return
+	}
+	l.list = append(l.list, rumour{rumourKey: k, left: n})
+}
+
+func (l *rumours) drop(k rumourKey) {
+	l.list = slices.DeleteFunc(l.list, func(r rumour) bool { return r.rumourKey == k })
+}
+
+// order puts the rumours sent least first, of those the newest.
+func (l *rumours) order() {
+	slices.SortStableFunc(l.list, func(a, b rumour) int { return b.left - a.left })
+}
+
+// pulledCopies is how often news is pushed that peers mostly know.
+const pulledCopies = 2
+
+// spread is how often a rumour is sent among n members.
+func spread(n int) int { return bits.Len(uint(n)) + 3 }
+
+// bucket bounds the bytes sent by a rate and a burst.
+type bucket struct {
+	tokens float64
+	rate   float64
+	burst  float64
+	filled tier.Millis
+}
+
+func (b *bucket) fill(now tier.Millis) {
+	b.tokens = min(b.burst, b.tokens+b.rate*float64(now-b.filled)/float64(tier.Second))
+	b.filled = now
+}
+
+// room is the size in bytes that a message may have.
+func (b *bucket) room() int { return min(maxMessage, max(0, int(b.tokens))) }
+
+func (b *bucket) spend(n int) { b.tokens -= float64(n) }
--- /dev/null
+++ b/tier/gossiper/table.go
@@ -0,0 +1,229 @@
+package gossiper
+
+import (
+	"hash/crc32"
+	"slices"
+	"strings"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/picker"
+)
+
+// record finds or adds the record of a VM.
+func (g *Gossiper) record(name string, i tier.Incarnation) *record {
+	if r, ok := g.records[name]; ok {
+		return r
+	}
+	r := newRecord(name, i)
+	g.records[name] = r
+	at, _ := slices.BinarySearch(g.names, name)
+	g.names = slices.Insert(g.names, at, name)
+	return r
+}
+
+func (g *Gossiper) forgetRecord(name string) {
+	delete(g.records, name)
+	g.names = slices.DeleteFunc(g.names, func(n string) bool { return n == name })
+}
+
+// apply takes one entry from a peer; news is sent on n times.
+func (g *Gossiper) apply(e Entry, n int) {
+	if !valid(e) {
+		return
+	}
+	switch {
+	case e.origin == "":
+		g.takeShared(e, n)
+	case e.origin == g.name:
+		g.hearSelf(e)
+	case e.key == statusSuspect || e.key == statusDead:
+		g.hearStatus(e)
+	default:
+		g.takeEntry(e, n)
+	}
+}
+
+// valid bounds what is taken from outside.
+func valid(e Entry) bool {
+	if e.incarnation > maxNumber || e.version > maxNumber || len(e.key) > MaxKey || len(e.value) > MaxValue {
+		return false
+	}
+	return e.version > 0 && (e.origin == "" || tier.ValidName(e.origin))
+}
+
+// hearSelf takes what peers say of this VM: another life, a suspicion, or
+// writes that it does not know.
+func (g *Gossiper) hearSelf(e Entry) {
+	switch {
+	case e.incarnation < g.own.incarnation:
+	case e.incarnation > g.own.incarnation:
+		g.renew(e.incarnation)
+	case e.key == statusDead:
+		g.renew(e.incarnation)
+	case e.key == statusSuspect:
+		g.refute(e.version)
+	case e.version > g.own.highest:
+		g.renew(e.incarnation)
+	}
+}
+
+func (g *Gossiper) takeEntry(e Entry, n int) {
+	r, ok := g.records[e.origin]
+	if !ok && len(g.records) >= maxRecords {
+		return
+	}
+	if !ok {
+		r = g.record(e.origin, e.incarnation)
+	}
+	if e.incarnation < r.incarnation {
+		return
+	}
+	if e.incarnation > r.incarnation {
+		g.newLife(r, e.incarnation)
+	}
+	if !r.take(e) {
+		return
+	}
+	if e.version > r.suspectAt {
+		r.suspectAt = 0
+		r.dead = false
+	}
+	g.news.add(e.origin, e.key, n)
+	g.hurry()
+	if e.key == keyVM {
+		g.takeVM(r, e)
+	} else {
+		g.changed(e.origin, e.key, e.value)
+	}
+	g.show(r)
+}
+
+// newLife voids what a VM's former life published.
+func (g *Gossiper) newLife(r *record, i tier.Incarnation) {
+	old := r.entries
+	r.reset(i)
+	for _, k := range sortedKeys(old) {
+		if k != keyVM {
+			g.changed(r.vm.Name(), k, nil)
+		}
+	}
+}
+
+func (g *Gossiper) takeVM(r *record, e Entry) {
+	v, err := decodeVM(e.origin, e.incarnation, e.value)
+	if err != nil {
+		return
+	}
+	moved := v.Address() != r.vm.Address()
+	r.vm = v
+	r.known = true
+	if moved {
+		g.settleAddress(r)
+	}
+	if v.DataCentre() != g.home {
+		g.trim(v.DataCentre())
+	}
+}
+
+// settleAddress declares dead whoever had the address before.
+func (g *Gossiper) settleAddress(r *record) {
+	for _, name := range g.names {
+		o := g.records[name]
+		if o == r || o.dead || !o.known || o.vm.Address() != r.vm.Address() {
+			continue
+		}
+		switch {
+		case o.incarnation < r.incarnation && o != g.own:
+			g.bury(o)
+		case o.incarnation > r.incarnation:
+			g.bury(r)
+		}
+	}
+}
+
+// trim keeps the few VMs of another data centre that are its contacts or next
+// to become so.
+func (g *Gossiper) trim(dataCentre string) {
+	kept := g.ranked(dataCentre)
+	for _, r := range kept[min(len(kept), g.remoteKept):] {
+		r.dead = true
+		g.show(r)
+		g.forgetRecord(r.vm.Name())
+	}
+}
+
+// ranked lists the members of a data centre that are not dead, contacts
+// first.
+func (g *Gossiper) ranked(dataCentre string) []*record {
+	type scored struct {
+		*record
+		score uint64
+	}
+	var list []scored
+	for _, name := range g.names {
+		r := g.records[name]
+		if r.known && !r.dead && r.vm.DataCentre() == dataCentre {
+			list = append(list, scored{record: r, score: picker.Score("contact", dataCentre, name)})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b scored) int {
+		if a.score > b.score {
+			return -1
+		}
+		return 1
+	})
+	out := make([]*record, len(list))
+	for i, s := range list {
+		out[i] = s.record
+	}
+	return out
+}
+
+// takeShared keeps the highest shared value of a key.
+func (g *Gossiper) takeShared(e Entry, n int) {
+	held, ok := g.shared[e.key]
+	if ok && !newer(e, held) {
+		return
+	}
+	if !ok && len(g.shared) >= maxKeys {
+		return
+	}
+	g.shared[e.key] = e
+	g.news.add("", e.key, n)
+	g.hurry()
+	g.changed("", e.key, e.value)
+}
+
+func newer(a, b Entry) bool {
+	if a.incarnation != b.incarnation {
+		return a.incarnation > b.incarnation
+	}
+	return a.version > b.version
+}
+
+// sharedSum is alike on two VMs that hold the same shared values.
+func (g *Gossiper) sharedSum() uint64 {
+	var sum uint32
+	var b []byte
+	for k, e := range g.shared {
+		b = append(b[:0], k...)
+		for shift := 0; shift < 64; shift += 8 {
+			b = append(b, byte(e.incarnation>>shift), byte(e.version>>shift))
+		}
+		sum ^= crc32.ChecksumIEEE(b)
+	}
+	return uint64(sum)
+}
+
+func reserved(key string) bool {
+	return key == keyVM || strings.HasPrefix(key, keyLink) || strings.HasPrefix(key, "~")
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
