--- a/tier/gossiper/network_test.go
+++ b/tier/gossiper/network_test.go
@@ -18,10 +18,12 @@
 
 type parcels []parcel
 
-func (p parcels) Len() int           { return len(p) }
-func (p parcels) Less(i, j int) bool { return p[i].at < p[j].at || p[i].at == p[j].at && p[i].order < p[j].order }
-func (p parcels) Swap(i, j int)      { p[i], p[j] = p[j], p[i] }
-func (p *parcels) Push(x any)        { *p = append(*p, x.(parcel)) }
+func (p parcels) Len() int { return len(p) }
+func (p parcels) Less(i, j int) bool {
+	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].order < p[j].order
+}
+func (p parcels) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
+func (p *parcels) Push(x any)   { *p = append(*p, x.(parcel)) }
 func (p *parcels) Pop() any {
 	last := (*p)[len(*p)-1]
 	*p = (*p)[:len(*p)-1]
