--- a/standin/commands.go
+++ b/standin/commands.go
@@ -7,5 +7,6 @@
 	return []*cobra.Command{
 		backendsCommand(),
 		deploymentCommand(),
+		storeCommand(),
 	}
 }
