Read and write the deployments through the parser

The deployment files had wire types of their own, beside those of the operators' documents. They are now written with parser.Encode and read with parser.ParseProfiles and parser.ParseSet, so the format stands once. A learned shard map on the control port is parsed the same way.

--- a/standin/deployer/files.go
+++ b/standin/deployer/files.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/parser"
 )
 
 // Read reads a deployment's file and the documents it names, whose paths
@@ -32,19 +33,17 @@
 }
 
 func (d *Deployment) readConfiguration(dir string, doc deploymentDocument) error {
-	var profiles profilesDocument
-	if err := readDocument(filepath.Join(dir, doc.Profiles), &profiles); err != nil {
+	b, err := os.ReadFile(filepath.Join(dir, doc.Profiles))
+	if err != nil {
 		return err
 	}
-	for _, p := range profiles.Profiles {
-		profile, err := p.profile()
-		if err != nil {
-			return err
-		}
-		d.profiles = append(d.profiles, profile)
+	profiles, err := parser.ParseProfiles(b)
+	if err != nil {
+		return errors.Wrap(err, doc.Profiles)
 	}
+	d.profiles = profiles.Profiles()
 	for _, name := range doc.Sets {
-		set, err := readSet(filepath.Join(dir, name))
+		set, err := ReadSet(filepath.Join(dir, name))
 		if err != nil {
 			return err
 		}
@@ -53,23 +52,17 @@
 	return nil
 }
 
-func readSet(path string) (*tier.ShardSet, error) {
+// ReadSet reads a set's configuration document.
+func ReadSet(path string) (*tier.ShardSet, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "ReadSet")
 	}
-	set, err := ParseSet(b)
-	return set, errors.Wrap(err, path)
-}
-
-// ParseSet reads a set's configuration document.
-func ParseSet(b []byte) (*tier.ShardSet, error) {
-	var doc setDocument
-	if err := decode(b, &doc); err != nil {
-		return nil, errors.Wrap(err, "ParseSet")
+	d, err := parser.ParseSet(b)
+	if err != nil {
+		return nil, errors.Wrap(err, "ReadSet "+path)
 	}
-	set, err := doc.set()
-	return set, errors.Wrap(err, "ParseSet")
+	return d.Set(), nil
 }
 
 func readDocument(path string, into any) error {
@@ -89,8 +82,12 @@
 // Write writes the files of both users' deployments under dir.
 func Write(dir string) error {
 	for _, u := range users() {
-		for name, doc := range u.documents() {
-			if err := writeDocument(filepath.Join(dir, name), doc); err != nil {
+		files, err := u.files()
+		if err != nil {
+			return errors.Wrap(err, "Write")
+		}
+		for name, b := range files {
+			if err := writeFile(filepath.Join(dir, name), b); err != nil {
 				return errors.Wrap(err, "Write")
 			}
 		}
@@ -98,13 +95,15 @@
 	return nil
 }
 
-func writeDocument(path string, doc any) error {
-	b, err := json.MarshalIndent(doc, "", "  ")
-	if err != nil {
+// writeFile writes a JSON document indented.
+func writeFile(path string, document []byte) error {
+	var b bytes.Buffer
+	if err := json.Indent(&b, document, "", "  "); err != nil {
 		return err
 	}
+	b.WriteByte('\n')
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
-	return os.WriteFile(path, append(b, '\n'), 0o644)
+	return os.WriteFile(path, b.Bytes(), 0o644)
 }
--- a/standin/deployer/files_test.go
+++ b/standin/deployer/files_test.go
@@ -14,7 +14,11 @@
 		t.Fatal(err)
 	}
 	for _, u := range users() {
-		for name := range u.documents() {
+		files, err := u.files()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name := range files {
 			want, err := os.ReadFile(filepath.Join(dir, name))
 			if err != nil {
 				t.Fatal(err)
--- a/standin/deployer/users.go
+++ b/standin/deployer/users.go
@@ -1,10 +1,14 @@
 package deployer
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/bits"
 
+	"github.com/pkg/errors"
+
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/parser"
 )
 
 const recordSeed = 20261204
@@ -15,10 +19,20 @@
 	portBase    int
 	dataCentres []dataCentreDocument
 	vmCounts    []int
-	profiles    []profileDocument
+	profiles    []profilePlan
 	sets        []setPlan
 }
 
+// profilePlan is what sets a profile apart from the defaults.
+type profilePlan struct {
+	name        string
+	rank        tier.Rank
+	minCoverage float64
+	deadline    tier.Millis
+	maxDeadline tier.Millis
+	imposedWait tier.Millis
+}
+
 // setPlan is a set of paired servers (each shard has two of its own) or of
 // shared ones (each holds many shards).
 type setPlan struct {
@@ -43,11 +57,11 @@
 			{Name: "oeste-chapeco", Region: "oeste"},
 		},
 		vmCounts: []int{3, 2, 2},
-		profiles: []profileDocument{
-			profile("gate", tier.Urgent, 1, 400, 2*tier.Second, 500),
-			profile("certificate", tier.Urgent, 1, 2*tier.Second, 5*tier.Second, 500),
-			profile("daily", tier.Daily, 0.9, 1*tier.Second, 10*tier.Second, 100),
-			profile("reports", tier.Reports, 0.95, 10*tier.Second, tier.Minute, 20),
+		profiles: []profilePlan{
+			{"gate", tier.Urgent, 1, 400, 2 * tier.Second, 500},
+			{"certificate", tier.Urgent, 1, 2 * tier.Second, 5 * tier.Second, 500},
+			{"daily", tier.Daily, 0.9, 1 * tier.Second, 10 * tier.Second, 100},
+			{"reports", tier.Reports, 0.95, 10 * tier.Second, tier.Minute, 20},
 		},
 		sets: []setPlan{
 			pairedPlan("portao", 20, 0, 0),
@@ -68,12 +82,12 @@
 			{Name: "ravne-c", Region: "ravne"},
 		},
 		vmCounts: []int{3, 2, 2},
-		profiles: []profileDocument{
-			profile("bench", tier.Urgent, 1, 400, 2*tier.Second, 500),
-			profile("colour", tier.Urgent, 1, 600, 2*tier.Second, 500),
-			profile("dispatch", tier.Daily, 1, 1*tier.Second, 10*tier.Second, 100),
-			profile("order", tier.Daily, 1, 2*tier.Second, 10*tier.Second, 100),
-			profile("reports", tier.Reports, 1, 10*tier.Second, tier.Minute, 20),
+		profiles: []profilePlan{
+			{"bench", tier.Urgent, 1, 400, 2 * tier.Second, 500},
+			{"colour", tier.Urgent, 1, 600, 2 * tier.Second, 500},
+			{"dispatch", tier.Daily, 1, 1 * tier.Second, 10 * tier.Second, 100},
+			{"order", tier.Daily, 1, 2 * tier.Second, 10 * tier.Second, 100},
+			{"reports", tier.Reports, 1, 10 * tier.Second, tier.Minute, 20},
 		},
 		sets: []setPlan{
 			pairedPlan("pec-recepture", 20, 0, 0),
@@ -84,20 +98,6 @@
 	}
 }
 
-// profile leaves hedging off for reports, which may wait.
-func profile(name string, r tier.Rank, coverage float64, deadline, maxDeadline, wait tier.Millis) profileDocument {
-	return profileDocument{
-		Name:        name,
-		Rank:        r,
-		MinCoverage: coverage,
-		Deadline:    deadline,
-		MaxDeadline: maxDeadline,
-		ImposedWait: wait,
-		QueueLimit:  tier.DefaultQueueLimit,
-		Hedge:       r != tier.Reports,
-	}
-}
-
 func pairedPlan(name string, perCentre ...int) setPlan {
 	p := setPlan{name: name, perCentre: perCentre, paired: true, slots: 2, connections: 25, cost: 6}
 	for _, n := range perCentre {
@@ -110,8 +110,8 @@
 	return setPlan{name: name, shards: shards, perCentre: perCentre, slots: slots, connections: connections, cost: 1}
 }
 
-// documents gives each of the user's files by its path.
-func (u user) documents() map[string]any {
+// files gives the content of each of the user's files by its path.
+func (u user) files() (map[string][]byte, error) {
 	d := deploymentDocument{
 		Name:        u.name,
 		Seed:        recordSeed,
@@ -121,14 +121,43 @@
 		VMs:         u.vms(),
 		Profiles:    u.name + "/profiles.json",
 	}
-	out := map[string]any{d.Profiles: profilesDocument{Profiles: u.profiles}}
+	profiles, err := u.profilesDocument()
+	if err != nil {
+		return nil, errors.Wrap(err, "user.files")
+	}
+	out := map[string][]byte{d.Profiles: parser.Encode(profiles)}
 	for i, p := range u.sets {
+		set, err := p.set(u.dataCentres, u.portBase+1000+100*i)
+		if err != nil {
+			return nil, errors.Wrap(err, "user.files")
+		}
 		path := u.name + "/set-" + p.name + ".json"
 		d.Sets = append(d.Sets, path)
-		out[path] = p.document(u.dataCentres, u.portBase+1000+100*i)
+		out[path] = parser.Encode(parser.NewSetDocument(set))
 	}
-	out[u.name+".json"] = d
-	return out
+	out[u.name+".json"], err = json.Marshal(d)
+	return out, err
+}
+
+// profilesDocument leaves hedging off for reports, which may wait.
+func (u user) profilesDocument() (*parser.ProfilesDocument, error) {
+	var list []*tier.Profile
+	for _, p := range u.profiles {
+		profile, err := tier.NewProfile(
+			p.name,
+			tier.WithRank(p.rank),
+			tier.WithMinCoverage(p.minCoverage),
+			tier.WithDeadline(p.deadline),
+			tier.WithMaxDeadline(p.maxDeadline),
+			tier.WithImposedWait(p.imposedWait),
+			tier.WithHedge(p.rank != tier.Reports),
+		)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, profile)
+	}
+	return parser.NewProfilesDocument(list...), nil
 }
 
 func (u user) vms() []vmDocument {
@@ -146,77 +175,65 @@
 	return out
 }
 
-func (p setPlan) document(centres []dataCentreDocument, port int) setDocument {
-	d := setDocument{
-		Name:          p.name,
-		Epoch:         1,
-		DailyFloor:    tier.DefaultDailyFloor,
-		ReportsFloor:  tier.DefaultReportsFloor,
-		ReportsShare:  tier.DefaultReportsShare,
-		HedgeQuantile: tier.DefaultHedgeQuantile,
-		HedgeBudget:   tier.DefaultHedgeBudget,
-		ColdRamp:      tier.DefaultColdRamp,
-		Owners:        tier.DefaultOwners,
-	}
+// set numbers the servers' ports from port on.
+func (p setPlan) set(centres []dataCentreDocument, port int) (*tier.ShardSet, error) {
+	var servers []tier.Backend
 	for i, c := range centres {
 		for range p.perCentre[i] {
-			p.addServers(&d, c.Name, port)
+			servers = p.addServers(servers, c.Name, port)
 		}
 	}
+	var shards []tier.Shard
 	for i := range p.shards {
-		d.Shards = append(d.Shards, p.shard(i, d.Servers))
+		shards = append(shards, p.shard(i, servers))
 	}
-	return d
+	return tier.NewShardSet(p.name, tier.WithServers(servers...), tier.WithShards(shards...))
 }
 
 // addServers adds the two servers of a paired shard, or one shared server.
-func (p setPlan) addServers(d *setDocument, centre string, port int) {
+func (p setPlan) addServers(servers []tier.Backend, centre string, port int) []tier.Backend {
 	if !p.paired {
-		d.Servers = append(d.Servers, p.server(fmt.Sprintf("%s-%d", p.name, len(d.Servers)+1), centre, port+len(d.Servers)))
-		return
+		name := fmt.Sprintf("%s-%d", p.name, len(servers)+1)
+		return append(servers, p.server(name, centre, port+len(servers)))
 	}
-	shard := len(d.Servers)/2 + 1
+	shard := len(servers)/2 + 1
 	for _, letter := range []string{"a", "b"} {
-		d.Servers = append(d.Servers, p.server(fmt.Sprintf("%s-%02d-%s", p.name, shard, letter), centre, port+len(d.Servers)))
+		name := fmt.Sprintf("%s-%02d-%s", p.name, shard, letter)
+		servers = append(servers, p.server(name, centre, port+len(servers)))
 	}
+	return servers
 }
 
-func (p setPlan) server(name, centre string, port int) serverDocument {
-	return serverDocument{
-		Name:           name,
-		Address:        address(port),
-		DataCentre:     centre,
-		Slots:          p.slots,
-		Connections:    p.connections,
-		ConnectionCost: p.cost,
-	}
+func (p setPlan) server(name, centre string, port int) tier.Backend {
+	return tier.NewBackend(
+		name, address(port), centre,
+		tier.WithSlots(p.slots),
+		tier.WithConnections(p.connections),
+		tier.WithConnectionCost(p.cost),
+	)
 }
 
 // shard takes the i-th of equal parts of the hash ring.
-func (p setPlan) shard(i int, servers []serverDocument) shardDocument {
+func (p setPlan) shard(i int, servers []tier.Backend) tier.Shard {
 	last := ^uint64(0)
 	if i+1 < p.shards {
 		last = part(i+1, p.shards) - 1
 	}
-	return shardDocument{
-		ID:       fmt.Sprintf("%s-%02d", p.name, i+1),
-		From:     hashText(part(i, p.shards)),
-		To:       hashText(last),
-		Replicas: p.replicas(i, servers),
-	}
+	id := fmt.Sprintf("%s-%02d", p.name, i+1)
+	return tier.NewShard(id, part(i, p.shards), last, p.replicas(i, servers)...)
 }
 
 // replicas of a shared set lie in two data centres; the second replica moves
 // on by one server in each round, so that no pair of servers shares more
 // shards than another.
-func (p setPlan) replicas(i int, servers []serverDocument) []string {
+func (p setPlan) replicas(i int, servers []tier.Backend) []string {
 	if p.paired {
-		return []string{servers[2*i].Name, servers[2*i+1].Name}
+		return []string{servers[2*i].Name(), servers[2*i+1].Name()}
 	}
 	first := servers[i%len(servers)]
 	step := p.perCentre[0] + i/len(servers)
 	second := servers[(i+step)%len(servers)]
-	return []string{first.Name, second.Name}
+	return []string{first.Name(), second.Name()}
 }
 
 // part is the i-th of n equal parts of 2^64.
--- a/standin/leafserver/control.go
+++ b/standin/leafserver/control.go
@@ -8,8 +8,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
-	"cicadagrade.example/standin/deployer"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/parser"
 )
 
 // faultOrder changes servers: those named by server, set and data centre,
@@ -153,11 +153,11 @@
 	}
 	var learned *tier.ShardSet
 	if len(o.Learn) > 0 {
-		set, err := deployer.ParseSet(o.Learn)
+		d, err := parser.ParseSet(o.Learn)
 		if err != nil {
 			return 0, errors.Wrap(err, "Fleet.apply")
 		}
-		learned = set
+		learned = d.Set()
 	}
 	changed := 0
 	for _, s := range f.servers {
