Relay connections over links that can be cut

Cut-off data centres, slow links and lost answers have to be caused from outside the processes. standin link relays TCP between fixed addresses; over its control port a link stalls as in a partition, resets, delays one way, or throws answers away after the request had its effect. Each deployment has a file of links from each data centre to the store and to the VMs of the other data centres.

--- a/standin/commands.go
+++ b/standin/commands.go
@@ -8,5 +8,6 @@
 		backendsCommand(),
 		deploymentCommand(),
 		storeCommand(),
+		linkCommand(),
 	}
 }
--- a/standin/deployer/users.go
+++ b/standin/deployer/users.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadagrade.example/standin/relay"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/parser"
 )
@@ -135,6 +136,9 @@
 		d.Sets = append(d.Sets, path)
 		out[path] = parser.Encode(parser.NewSetDocument(set))
 	}
+	if out[u.name+"/links.json"], err = relay.Encode(u.links(d)); err != nil {
+		return nil, errors.Wrap(err, "user.files")
+	}
 	out[u.name+".json"], err = json.Marshal(d)
 	return out, err
 }
