--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -41,6 +41,7 @@
 	sequence uint64
 	timers   timerHeap
 	hedger   *hedger.Hedger
+	budgeted bool // the budget allowed an extra call after the last Step
 	pressure pressure
 	queued   queueCounts
 	counters Counters
@@ -124,6 +125,7 @@
 	case *Tick:
 		d.fillAll()
 	}
+	d.fillExtras()
 	d.pressure.roll(d.now)
 	return d.actions
 }
--- a/tier/dispatcher/picker.go
+++ b/tier/dispatcher/picker.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// fillAround starts calls on a server whose slots or latency changed, and on
+// servers with free slots that share its shards.
+func (d *Dispatcher) fillAround(s *server) {
+	d.fill(s)
+	for _, h := range s.shards {
+		if !h.waiting() {
+			continue
+		}
+		for _, o := range h.replicas {
+			if o != s {
+				d.fill(o)
+			}
+		}
+	}
+}
+
 func (h *shard) waiting() bool {
 	if len(h.extras) > 0 {
 		return true
@@ -108,18 +124,29 @@
 // wait for another replica.
 func (d *Dispatcher) startable(t *task, s *server) bool {
 	r := t.rank()
-	if !d.free(s, r) || !t.eligible(s) {
+	if d.now >= t.part.deadline || !d.free(s, r) || !t.eligible(s) {
 		return false
 	}
 	mine := d.cost(s, r)
 	for _, o := range t.shard.replicas {
 		if o != s && d.limit(o) > 0 && t.eligible(o) && d.cost(o, r) < mine {
+			d.reconsider(s, d.cost(o, r))
 			return false
 		}
 	}
 	return true
 }
 
+// reconsider sets a timer for a server that was left idle for a cheaper one,
+// in case that one does not answer.
+func (d *Dispatcher) reconsider(s *server, after float64) {
+	if s.reconsidered > d.now {
+		return
+	}
+	s.reconsidered = d.now + max(1, tier.Millis(after))
+	d.timers.add(timer{at: s.reconsidered, kind: timerServer, server: s})
+}
+
 func (t *task) rank() tier.Rank { return t.part.profile.Rank() }
 
 // before orders waiting tasks: by rank, then by deadline.
--- a/tier/dispatcher/queue.go
+++ b/tier/dispatcher/queue.go
@@ -183,3 +183,17 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].order < out[j].order })
 	return out
 }
+
+// fillExtras starts hedges and retries that waited for the budget.
+func (d *Dispatcher) fillExtras() {
+	available := d.hedger.Available(tier.Urgent)
+	if available && !d.budgeted {
+		for _, m := range d.set.Shards() {
+			if h := d.shards[m.ID()]; len(h.extras) > 0 {
+				d.fillShard(h)
+			}
+		}
+		available = d.hedger.Available(tier.Urgent)
+	}
+	d.budgeted = available
+}
--- a/tier/dispatcher/reply.go
+++ b/tier/dispatcher/reply.go
@@ -24,7 +24,7 @@
 		c.task.dropRunning(c)
 		d.settle(c, e.result)
 	}
-	d.fillShardsOf(c.server)
+	d.fillAround(c.server)
 }
 
 func (d *Dispatcher) release(c *call, took tier.Millis) {
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -70,7 +70,9 @@
 	latency  float64
 	measured tier.Millis
 	failures int
-	holdings map[string]versions
+
+	reconsidered tier.Millis // when an idle slot is looked at again
+	holdings     map[string]versions
 }
 
 func newServer(b tier.Backend, r *rand.Rand) *server {
--- a/tier/dispatcher/timers.go
+++ b/tier/dispatcher/timers.go
@@ -112,7 +112,7 @@
 		case timerRetry:
 			d.wantRetry(t.task)
 		case timerServer:
-			d.fillShardsOf(t.server)
+			d.fillAround(t.server)
 		case timerTakeover:
 			d.applyShares()
 			d.fillAll()
