--- a/standin/commands.go
+++ b/standin/commands.go
@@ -6,6 +6,8 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		backendsCommand(),
+		faultCommand(),
+		bookedCommand(),
 		deploymentCommand(),
 		storeCommand(),
 		linkCommand(),
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"cicadagrade.example/standin/leafserver"
+)
+
+func faultCommand() *cobra.Command {
+	var control string
+	c := &cobra.Command{
+		Use:   "fault ORDER",
+		Short: "Change running backend servers by a JSON order (see backends --help)",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			n, err := leafserver.NewClient(control).Order(c.Context(), []byte(args[0]))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "event=fault servers=%d\n", n)
+			return nil
+		},
+	}
+	controlFlag(c, &control)
+	return c
+}
+
+func bookedCommand() *cobra.Command {
+	var control, count string
+	c := &cobra.Command{
+		Use:   "booked",
+		Short: "List the bookings that took effect on the backend servers",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			list, err := leafserver.NewClient(control).Booked(c.Context(), 0)
+			if err != nil {
+				return err
+			}
+			printBooked(c, list, count)
+			return nil
+		},
+	}
+	controlFlag(c, &control)
+	c.Flags().StringVar(&count, "count", "", "print only how many bookings this record key has")
+	return c
+}
+
+func printBooked(c *cobra.Command, list []leafserver.Booked, count string) {
+	n := 0
+	for _, b := range list {
+		if count == "" {
+			fmt.Fprintf(c.OutOrStdout(), "server=%s record-key=%s attempt=%s receipt=%s body=%q\n", b.Server, b.RecordKey, b.Attempt, b.Receipt, b.Body)
+		}
+		if b.RecordKey == count {
+			n++
+		}
+	}
+	if count != "" {
+		fmt.Fprintln(c.OutOrStdout(), n)
+	}
+}
+
+func controlFlag(c *cobra.Command, control *string) {
+	c.Flags().StringVar(control, "control", "127.0.0.1:21200", "control port of the backend servers")
+}
--- /dev/null
+++ b/standin/leafserver/client.go
@@ -0,0 +1,81 @@
+package leafserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Client speaks to the control port of a fleet.
+type Client struct {
+	address string
+	client  *http.Client
+}
+
+// NewClient returns a client of a control port, an IP number and port.
+func NewClient(address string) *Client {
+	return &Client{address: address, client: &http.Client{}}
+}
+
+// Order posts a fault order, a JSON object, and returns how many servers it
+// changed.
+func (c *Client) Order(ctx context.Context, order []byte) (int, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/faults", bytes.NewReader(order))
+	if err != nil {
+		return 0, errors.Wrap(err, "Client.Order")
+	}
+	var reply faultReply
+	if err := c.do(q, &reply); err != nil {
+		return 0, errors.Wrap(err, "Client.Order")
+	}
+	return reply.Changed, nil
+}
+
+// Counters reads the counters of every server.
+func (c *Client) Counters(ctx context.Context) ([]Counters, error) {
+	var reply countersReply
+	err := c.get(ctx, "/counters", &reply)
+	return reply.Servers, errors.Wrap(err, "Client.Counters")
+}
+
+// Booked lists the bookings that took effect, from the given entry on. It
+// fails when some found no room in the journal.
+func (c *Client) Booked(ctx context.Context, from int) ([]Booked, error) {
+	var reply bookedReply
+	if err := c.get(ctx, fmt.Sprintf("/booked?from=%d", from), &reply); err != nil {
+		return nil, errors.Wrap(err, "Client.Booked")
+	}
+	if reply.Skipped > 0 {
+		return nil, errors.Errorf("Client.Booked: the journal lacks %d entries", reply.Skipped)
+	}
+	return reply.Booked, nil
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
+	if err != nil {
+		return err
+	}
+	return c.do(q, into)
+}
+
+func (c *Client) do(q *http.Request, into any) error {
+	r, err := c.client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	if r.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: %s", r.Status, bytes.TrimSpace(b))
+	}
+	return json.Unmarshal(b, into)
+}
--- a/standin/leafserver/control.go
+++ b/standin/leafserver/control.go
@@ -114,10 +114,10 @@
 	e := echo.New()
 	e.POST("/faults", f.postFaults)
 	e.GET("/served", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, servedReply{Served: f.journal.Served(from(c)), Skipped: f.journal.Skipped()})
+		return c.JSON(http.StatusOK, servedReply{Served: f.journal.Served(from(c)), Skipped: f.journal.skips().served})
 	})
 	e.GET("/booked", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, bookedReply{Booked: f.journal.Booked(from(c)), Skipped: f.journal.Skipped()})
+		return c.JSON(http.StatusOK, bookedReply{Booked: f.journal.Booked(from(c)), Skipped: f.journal.skips().booked})
 	})
 	e.GET("/counters", f.getCounters)
 	return e
--- a/standin/leafserver/journal.go
+++ b/standin/leafserver/journal.go
@@ -39,9 +39,12 @@
 	mu      sync.Mutex
 	served  []Served
 	booked  []Booked
-	skipped int
+	skipped skips
 }
 
+// skips counts entries of each kind that found no room.
+type skips struct{ served, booked int }
+
 // NewJournal returns an empty journal.
 func NewJournal() *Journal { return &Journal{} }
 
@@ -59,8 +62,7 @@
 	return tail(j.booked, from)
 }
 
-// Skipped is how many entries found no room.
-func (j *Journal) Skipped() int {
+func (j *Journal) skips() skips {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.skipped
@@ -70,7 +72,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.served) >= maxJournal {
-		j.skipped++
+		j.skipped.served++
 		return
 	}
 	j.served = append(j.served, s)
@@ -80,7 +82,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.booked) >= maxJournal {
-		j.skipped++
+		j.skipped.booked++
 		return
 	}
 	j.booked = append(j.booked, b)
--- a/standin/leafserver/server_test.go
+++ b/standin/leafserver/server_test.go
@@ -66,7 +66,7 @@
 }
 
 func (b *bench) search(ctx context.Context, v uint64) (*backendv1.SearchReply, connect.Code) {
-	q := &backendv1.SearchRequest{Attempt: "caxias-1/1/1", Set: "portao", Shard: "portao-01", Snapshot: &backendv1.Snapshot{Epoch: 1, Version: v}, Term: "grower-007"}
+	q := &backendv1.SearchRequest{Attempt: "caxias-1/1/1", Set: "portao", Shard: "portao-01", Snapshot: &backendv1.Snapshot{Epoch: 1, Version: v}, Term: "grower-7"}
 	r, err := b.client.Search(ctx, connect.NewRequest(q))
 	if err != nil {
 		return nil, connect.CodeOf(err)
--- a/standin/recorder/recorder.go
+++ b/standin/recorder/recorder.go
@@ -167,7 +167,7 @@
 	return b.String()
 }
 
-func groupName(k kind, g int) string { return fmt.Sprintf("%s-%03d", k.group, g) }
+func groupName(k kind, g int) string { return fmt.Sprintf("%s-%d", k.group, g) }
 
 // kinds falls back to crate histories for a set of a test.
 func kinds(set string) []kind {
