--- a/standin/leafserver/client.go
+++ b/standin/leafserver/client.go
@@ -25,15 +25,25 @@
 // Order posts a fault order, a JSON object, and returns how many servers it
 // changed.
 func (c *Client) Order(ctx context.Context, order []byte) (int, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/faults", bytes.NewReader(order))
+	var reply faultReply
+	err := c.post(ctx, "/faults", order, &reply)
+	return reply.Changed, errors.Wrap(err, "Client.Order")
+}
+
+// Started picks out the tags of which a search began to run.
+func (c *Client) Started(ctx context.Context, tags []string) ([]string, error) {
+	b, err := json.Marshal(startedQuery{Tags: tags})
 	if err != nil {
-		return 0, errors.Wrap(err, "Client.Order")
+		return nil, errors.Wrap(err, "Client.Started")
 	}
-	var reply faultReply
-	if err := c.do(q, &reply); err != nil {
-		return 0, errors.Wrap(err, "Client.Order")
+	var reply startedReply
+	if err := c.post(ctx, "/started", b, &reply); err != nil {
+		return nil, errors.Wrap(err, "Client.Started")
+	}
+	if reply.Skipped > 0 {
+		return nil, errors.Errorf("Client.Started: the journal lacks %d entries", reply.Skipped)
 	}
-	return reply.Changed, nil
+	return reply.Started, nil
 }
 
 // Counters reads the counters of every server.
@@ -56,6 +66,14 @@
 	return reply.Booked, nil
 }
 
+func (c *Client) post(ctx context.Context, path string, body []byte, into any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return c.do(q, into)
+}
+
 func (c *Client) get(ctx context.Context, path string, into any) error {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
 	if err != nil {
--- a/standin/leafserver/control.go
+++ b/standin/leafserver/control.go
@@ -53,6 +53,16 @@
 	Skipped int      `json:"skipped"`
 }
 
+// startedQuery asks which of the tags of searches began to run.
+type startedQuery struct {
+	Tags []string `json:"tags"`
+}
+
+type startedReply struct {
+	Started []string `json:"started"`
+	Skipped int      `json:"skipped"`
+}
+
 type countersReply struct {
 	Servers []Counters `json:"servers"`
 }
@@ -109,7 +119,7 @@
 }
 
 // Control is the handler of the control port: POST /faults, GET /served,
-// /booked (both ?from=N, the first entry wanted) and /counters.
+// /booked (both ?from=N, the first entry wanted) and /counters, POST /started.
 func (f *Fleet) Control() http.Handler {
 	e := echo.New()
 	e.POST("/faults", f.postFaults)
@@ -120,6 +130,7 @@
 		return c.JSON(http.StatusOK, bookedReply{Booked: f.journal.Booked(from(c)), Skipped: f.journal.skips().booked})
 	})
 	e.GET("/counters", f.getCounters)
+	e.POST("/started", f.postStarted)
 	return e
 }
 
@@ -131,6 +142,14 @@
 	return c.JSON(http.StatusOK, out)
 }
 
+func (f *Fleet) postStarted(c echo.Context) error {
+	var q startedQuery
+	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
+		return c.JSON(http.StatusBadRequest, errorReply{Error: err.Error()})
+	}
+	return c.JSON(http.StatusOK, startedReply{Started: f.journal.Started(q.Tags), Skipped: f.journal.skips().started})
+}
+
 func (f *Fleet) postFaults(c echo.Context) error {
 	var o faultOrder
 	d := json.NewDecoder(c.Request().Body)
--- a/standin/leafserver/journal.go
+++ b/standin/leafserver/journal.go
@@ -39,14 +39,15 @@
 	mu      sync.Mutex
 	served  []Served
 	booked  []Booked
+	started map[string]int
 	skipped skips
 }
 
 // skips counts entries of each kind that found no room.
-type skips struct{ served, booked int }
+type skips struct{ served, booked, started int }
 
 // NewJournal returns an empty journal.
-func NewJournal() *Journal { return &Journal{} }
+func NewJournal() *Journal { return &Journal{started: map[string]int{}} }
 
 // Served lists the searches that ran, from the given entry on.
 func (j *Journal) Served(from int) []Served {
@@ -88,6 +89,33 @@
 	j.booked = append(j.booked, b)
 }
 
+// addStarted notes that a search with this tag began to run.
+func (j *Journal) addStarted(tag string) {
+	if tag == "" {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, ok := j.started[tag]; !ok && len(j.started) >= maxJournal {
+		j.skipped.started++
+		return
+	}
+	j.started[tag]++
+}
+
+// Started picks out the tags of which a search began to run.
+func (j *Journal) Started(tags []string) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := []string{}
+	for _, t := range tags {
+		if j.started[t] > 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // tail copies list from an index on; it is never nil.
 func tail[T any](list []T, from int) []T {
 	from = min(max(from, 0), len(list))
--- a/standin/leafserver/service.go
+++ b/standin/leafserver/service.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	backendv1 "cicadagrade.example/api/backend/v1"
-
+	"cicadagrade.example/standin/recorder"
 	"cicadagrade.example/tier"
 )
 
@@ -31,6 +31,8 @@
 	if err != nil {
 		return nil, err
 	}
+	_, tag := recorder.SplitTerm(q.Msg.GetTerm())
+	v.s.journal.addStarted(tag)
 	if err := v.s.work(ctx, v.s.serviceTime()); err != nil {
 		return nil, err
 	}
--- a/standin/recorder/recorder.go
+++ b/standin/recorder/recorder.go
@@ -99,6 +99,7 @@
 // Shard is the part of the answer whose key hashes lie in [from, to].
 func (r *Recorder) Shard(set string, v tier.Version, term string, from, to uint64) []tier.Record {
 	c := r.content(set, v)
+	term, _ = SplitTerm(term)
 	var out []tier.Record
 	for _, p := range c[term] {
 		if p.hash >= from && p.hash <= to {
@@ -108,6 +109,19 @@
 	return out
 }
 
+// tagMark separates a term from a tag, which does not take part in the search.
+const tagMark = "#"
+
+// TagTerm adds a tag to a term, so that the backend servers' journal shows
+// which request a call belongs to.
+func TagTerm(term, tag string) string { return term + tagMark + tag }
+
+// SplitTerm takes the tag off a term; it is empty when there is none.
+func SplitTerm(s string) (term, tag string) {
+	term, tag, _ = strings.Cut(s, tagMark)
+	return term, tag
+}
+
 // VersionOf reads the index version that a record's value shows.
 func VersionOf(value string) (tier.Version, bool) {
 	head, _, _ := strings.Cut(value, " ")
