Keep and change configuration documents

Cause: an accepted configuration must be in force everywhere and never revert, whatever the store answers, and its audit trail must lose nothing. Conclusion: a delta names the change that it starts from, because two forks may share a revision.

--- /dev/null
+++ b/tier/keeper/keeper_test.go
@@ -0,0 +1,161 @@
+package keeper_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/parser"
+	"cicadagrade.example/tier/storer"
+)
+
+// line is a document's history: each state a change of the one before.
+func line(base *keeper.State, mark string, n int) []*keeper.State {
+	var out []*keeper.State
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", mark, i)
+		p, err := tier.NewProfile("gate", tier.WithQueueLimit(100*len(mark)+i+1))
+		if err != nil {
+			panic(err)
+		}
+		base, _ = keeper.Next(base, parser.NewProfilesDocument(p), keeper.NewAuthor("op", id, "", 0))
+		out = append(out, base)
+	}
+	return out
+}
+
+func value(s *keeper.State, revision int64) storer.Value {
+	return storer.NewValue(s.Ref().Key(), s.Encode(), revision)
+}
+
+// reverts finds a step of what came into force that goes back or aside.
+func reverts(took []*keeper.State) error {
+	for i := 1; i < len(took); i++ {
+		before, after := took[i-1], took[i]
+		if !after.Ref().Above(before.Ref()) {
+			return fmt.Errorf("%v came after %v", after.Ref(), before.Ref())
+		}
+		if after.Ref().Epoch() == before.Ref().Epoch() && !after.Descends(before) {
+			return fmt.Errorf("%v does not descend from %v", after.Ref(), before.Ref())
+		}
+	}
+	return nil
+}
+
+func taken(actions []keeper.Action) []*keeper.State {
+	var out []*keeper.State
+	for _, a := range actions {
+		if t, ok := a.(*keeper.Took); ok {
+			out = append(out, t.State())
+		}
+	}
+	return out
+}
+
+// delivery draws one way in which one state reaches the keeper.
+func delivery(t *rapid.T, s, base *keeper.State) keeper.Event {
+	switch rapid.SampledFrom([]string{"list", "watch", "whole", "delta", "gone"}).Draw(t, "way") {
+	case "list":
+		return keeper.NewListed([]storer.Value{value(s, 1)})
+	case "watch":
+		return keeper.NewChanged(value(s, 1))
+	case "whole":
+		return keeper.NewFetched("peer", update(s, keeper.Ref{}))
+	case "delta":
+		return keeper.NewFetched("peer", update(s, base.Ref(), base))
+	default:
+		return keeper.NewListed(nil)
+	}
+}
+
+// update has a peer that holds s, and the bases before it, answer.
+func update(s *keeper.State, have keeper.Ref, bases ...*keeper.State) []keeper.Update {
+	p := keeper.New("peer")
+	for _, b := range append(bases, s) {
+		p.Step(0, keeper.NewChanged(value(b, 1)))
+	}
+	return p.Answer([]keeper.Ref{keeper.NewRef(s.Ref().Key(), have.Epoch(), have.Revision(), have.Digest())}, false)
+}
+
+// TestNeverReverts: whatever order states of the store's line, of a copy
+// restored in between and of a reconciliation come in, nothing reverts, and
+// the reconciled state ends in force.
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		main := line(nil, "main", 12)
+		fork := line(main[4], "fork", 10)
+		last := keeper.Reconcile(main[11], fork[9], keeper.NewAuthor("op", "reconcile", "", 0))
+		all := append(append(append([]*keeper.State(nil), main...), fork...), last)
+		k := keeper.New("a")
+		var took []*keeper.State
+		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
+			s := rapid.SampledFrom(all).Draw(t, "state")
+			base := rapid.SampledFrom(all).Draw(t, "base")
+			took = append(took, taken(k.Step(0, delivery(t, s, base)))...)
+		}
+		took = append(took, taken(k.Step(0, keeper.NewChanged(value(last, 1))))...)
+		if err := reverts(took); err != nil {
+			t.Fatal(err)
+		}
+		if d, _ := k.Document(last.Ref().Key()); d.Ref() != last.Ref() {
+			t.Fatalf("%v in force, not %v", d.Ref(), last.Ref())
+		}
+	})
+}
+
+// TestCheckObjectsToForgetting: a keeper that is replaced by an empty one
+// takes an old copy, and the check sees it.
+func TestCheckObjectsToForgetting(t *testing.T) {
+	main := line(nil, "main", 3)
+	took := taken(keeper.New("a").Step(0, keeper.NewChanged(value(main[2], 1))))
+	took = append(took, taken(keeper.New("a").Step(0, keeper.NewChanged(value(main[0], 1))))...)
+	if reverts(took) == nil {
+		t.Error("the check accepts a revert")
+	}
+}
+
+// TestForkIsRefused: a restored copy that was changed past the served
+// revision is not taken, and is flagged until the line is reconciled.
+func TestForkIsRefused(t *testing.T) {
+	main := line(nil, "main", 4)
+	fork := line(main[0], "fork", 9)
+	k := keeper.New("a")
+	k.Step(0, keeper.NewChanged(value(main[3], 1)))
+	if got := taken(k.Step(0, keeper.NewChanged(value(fork[8], 1)))); len(got) != 0 {
+		t.Errorf("took %v", got[0].Ref())
+	}
+	if f := k.Flags(); len(f) != 1 || f[0].Trouble() != keeper.Forked {
+		t.Errorf("flags %v", f)
+	}
+	last := keeper.Reconcile(main[3], fork[8], keeper.NewAuthor("op", "r", "", 0))
+	if got := taken(k.Step(0, keeper.NewChanged(value(last, 1)))); len(got) != 1 || len(k.Flags()) != 0 {
+		t.Errorf("took %d, flags %v", len(got), k.Flags())
+	}
+}
+
+// TestDeltaFitsItsBaseAlone: a peer that holds the base gets a delta that
+// leads to the digest; one that holds another state gets the whole.
+func TestDeltaFitsItsBaseAlone(t *testing.T) {
+	main := line(nil, "main", 5)
+	u := update(main[4], main[2].Ref(), main[2], main[3])
+	if len(u) != 1 || u[0].Delta() == nil || u[0].Whole() != nil {
+		t.Fatalf("no delta in %v", u)
+	}
+	k := keeper.New("a")
+	k.Step(0, keeper.NewChanged(value(main[2], 1)))
+	if got := taken(k.Step(0, keeper.NewFetched("peer", u))); len(got) != 1 || got[0].Ref() != main[4].Ref() {
+		t.Errorf("took %v", got)
+	}
+	if whole := update(main[4], main[1].Ref(), main[2], main[3]); whole[0].Whole() == nil {
+		t.Error("no whole document for another base")
+	}
+	fork := line(main[1], "fork", 1)
+	other := keeper.New("b")
+	other.Step(0, keeper.NewChanged(value(fork[0], 1)))
+	if got := taken(other.Step(0, keeper.NewFetched("peer", u))); len(got) != 0 {
+		t.Errorf("a delta on another base was taken: %v", got[0].Ref())
+	}
+}
--- /dev/null
+++ b/tier/keeper/plan.go
@@ -0,0 +1,130 @@
+package keeper
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cicadagrade.example/tier"
+)
+
+// setMembers takes the live VMs and forgets what the others announced.
+func (k *Keeper) setMembers(e *Members) {
+	k.members = e.local
+	k.fleet = max(k.fleet, len(e.local)+len(e.remote))
+	k.local = map[string]bool{}
+	live := map[string]bool{}
+	for _, vm := range e.local {
+		k.local[vm] = true
+		live[vm] = true
+	}
+	for _, vm := range e.remote {
+		live[vm] = true
+	}
+	for vm := range k.announced {
+		if !live[vm] {
+			delete(k.announced, vm)
+			delete(k.badPeers, vm)
+		}
+	}
+	for key, f := range k.flags {
+		if f.source != storeSource && !live[f.source] {
+			delete(k.flags, key)
+		}
+	}
+}
+
+// picked reports whether rendezvous hashing makes this VM a watcher. Alone
+// or untold, it is one.
+func (k *Keeper) picked() bool {
+	mine := xxhash.Sum64String(k.name)
+	above := 0
+	for _, vm := range k.members {
+		if vm != k.name && xxhash.Sum64String(vm) > mine {
+			above++
+		}
+	}
+	return above < k.watchers
+}
+
+// planStore starts and ends the watch and reads when it is time.
+func (k *Keeper) planStore(now tier.Millis, out *actions) {
+	if now < k.settleAt {
+		return
+	}
+	if picked := k.picked(); !k.settled || picked != k.watcher {
+		k.settled, k.watcher = true, picked
+		k.changeRole(now, out)
+	}
+	if k.listing || now < k.listAt {
+		return
+	}
+	k.listing = true
+	k.counts.lists++
+	k.lastList = now
+	out.add(&List{})
+}
+
+// changeRole sets the time of the next read. A watcher reads soon, then
+// watches; the others leave peers the time to announce what they hold.
+func (k *Keeper) changeRole(now tier.Millis, out *actions) {
+	if k.watching && !k.watcher {
+		k.watching = false
+		out.add(&EndWatch{})
+	}
+	spread := max(minReadSpread, tier.Millis(k.fleet)*readSpreadPerVM)
+	switch {
+	case k.watcher:
+		k.readAt(now + k.random64(spread))
+	case len(k.documents) == 0:
+		k.readAt(now + peersFirst + k.random64(spread))
+	default:
+		k.readAt(now + k.jitter(otherReadPeriod))
+	}
+}
+
+func (k *Keeper) random64(m tier.Millis) tier.Millis { return tier.Millis(k.random.Int64N(int64(m))) }
+
+// readAt sets the time of the next read, at least minReadGap after the last.
+func (k *Keeper) readAt(at tier.Millis) { k.listAt = max(at, k.lastList+minReadGap) }
+
+// retryStore sets the time of the next read after a failure.
+func (k *Keeper) retryStore(now tier.Millis) {
+	limit := maxBackoff
+	if !k.watcher {
+		limit = max(maxBackoff, tier.Millis(k.fleet)*retrySpreadPerVM)
+	}
+	k.failures = min(k.failures+1, maxFailures)
+	k.readAt(now + k.jitter(min(limit, minBackoff<<(k.failures-1))))
+}
+
+// watchEnded has the store read again; a watch that lasted resets the
+// backoff.
+func (k *Keeper) watchEnded(now tier.Millis) {
+	if !k.watching {
+		return
+	}
+	k.watching = false
+	if now-k.watchedAt >= steadyWatch {
+		k.failures = 0
+	}
+	k.retryStore(now)
+}
+
+func (k *Keeper) readPeriod() tier.Millis {
+	switch {
+	case !k.watcher:
+		return otherReadPeriod
+	case k.storeDiffers():
+		return differsReadPeriod
+	default:
+		return watcherReadPeriod
+	}
+}
+
+func (k *Keeper) storeDiffers() bool {
+	for _, f := range k.flags {
+		if f.source == storeSource {
+			return true
+		}
+	}
+	return false
+}
