Add the daemon's packages: front, owners, links, API

Cause: the decisions of planner, dispatcher and prober had no shell, so nothing reached a backend server. A VM that can't rule out an earlier sending of a booking's key says unknown (earlier-sending) in place of a refusal, unless the caller vouches.

--- a/cicadagrade/commands.go
+++ b/cicadagrade/commands.go
@@ -4,5 +4,5 @@
 
 // commands lists the subcommands, each in a file of its own.
 func commands() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{searchCommand(), bookCommand(), statusCommand()}
 }
--- a/cicadagrade/root.go
+++ b/cicadagrade/root.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -22,7 +23,22 @@
 	root.AddCommand(commands()...)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cicadagrade:", err)
-		return 1
+		return exitCode(err)
 	}
 	return 0
 }
+
+// exitCoder is an error that sets the exit code.
+type exitCoder interface {
+	error
+	ExitCode() int
+}
+
+// exitCode is the code of an error that sets one, and 1 otherwise.
+func exitCode(err error) int {
+	var c exitCoder
+	if errors.As(err, &c) {
+		return c.ExitCode()
+	}
+	return 1
+}
--- /dev/null
+++ b/cicadagraded/asker/front.go
@@ -0,0 +1,84 @@
+package asker
+
+import (
+	"context"
+	"sync/atomic"
+
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/planner"
+)
+
+// Directory is what the front reads of members, owners and servers.
+type Directory interface {
+	planner.View
+	// Owners lists the VMs that may run a set's parts in a data centre, the
+	// preferred one first. Turn spreads requests over several owners.
+	Owners(set, dataCentre string, turn uint64) []tier.VM
+	// Admit reports whether owners' published thresholds let a request of
+	// this rank in; otherwise when to come back.
+	Admit(set string, rank tier.Rank) (retryAfter tier.Millis, ok bool)
+}
+
+// Messenger carries parts to owners on other VMs and on this one. Its errors
+// are *NotSentError when the part never reached the VM, or any other when it
+// may have.
+type Messenger interface {
+	Ask(ctx context.Context, vm tier.VM, set string, s owner.Search) (owner.End, error)
+	Book(ctx context.Context, vm tier.VM, b Forwarded) (Receipt, error)
+}
+
+// Forwarded is a booking on its way to the owner of its shard.
+type Forwarded struct {
+	Booking
+	shard  string
+	minted bool
+}
+
+// NewForwarded returns a booking for the owner of a shard; minted says that
+// the front minted its key.
+func NewForwarded(b Booking, shard string, minted bool) Forwarded {
+	return Forwarded{Booking: b, shard: shard, minted: minted}
+}
+
+// Shard is the id of the shard that the booking runs on.
+func (f Forwarded) Shard() string { return f.shard }
+
+// Minted reports whether the front minted the idempotency key.
+func (f Forwarded) Minted() bool { return f.minted }
+
+// NotSentError says that a part never reached the VM it was meant for.
+type NotSentError struct{ cause error }
+
+// NewNotSentError returns an error for a part that was not sent.
+func NewNotSentError(cause error) *NotSentError { return &NotSentError{cause: cause} }
+
+// Unwrap is the cause.
+func (e *NotSentError) Unwrap() error { return e.cause }
+
+// Error names the cause.
+func (e *NotSentError) Error() string { return "not sent: " + e.cause.Error() }
+
+// Front asks the owners on behalf of callers.
+type Front struct {
+	dataCentre string
+	clock      *tier.Clock
+	directory  Directory
+	messenger  Messenger
+	mint       func() string
+	budgets    budgets
+	turn       atomic.Uint64
+}
+
+// New returns the front of a VM in a data centre. mint returns a fresh
+// idempotency key.
+func New(dataCentre string, clock *tier.Clock, d Directory, m Messenger, mint func() string) *Front {
+	return &Front{dataCentre: dataCentre, clock: clock, directory: d, messenger: m, mint: mint}
+}
+
+// The retry-after of requests that found nobody to run them.
+const noOwnerRetryAfter = 1 * tier.Second
+
+func refused(r tier.RefuseReason, retryAfter tier.Millis) Answer {
+	return Answer{outcome: tier.NewRefused(r, retryAfter)}
+}
--- /dev/null
+++ b/cicadagraded/asker/search.go
@@ -0,0 +1,170 @@
+package asker
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/planner"
+	"cicadagrade.example/tier/ring"
+)
+
+// partEvents bounds the events of one search that wait for its plan.
+const partEvents = 64
+
+// run is one search while it runs.
+type run struct {
+	front   *Front
+	search  Search
+	set     *tier.ShardSet
+	plan    *planner.Plan
+	events  *ring.Ring[planner.Event]
+	group   *errgroup.Group
+	ctx     context.Context
+	cancels map[uint64]context.CancelFunc
+	answer  Answer
+	calls   atomic.Int64
+	extra   atomic.Int64
+}
+
+// Search runs a search and returns its answer at once when it is settled.
+func (f *Front) Search(ctx context.Context, s Search) Answer {
+	set, ok := f.directory.Set(s.set)
+	if !ok {
+		return refused(tier.RefuseNoConfig, 0)
+	}
+	if wait, ok := f.directory.Admit(s.set, s.profile.Rank()); !ok {
+		return refused(tier.RefuseOverload, wait)
+	}
+	group, inner := errgroup.WithContext(ctx)
+	inner, cancel := context.WithCancel(inner)
+	defer cancel()
+	r := &run{
+		front:   f,
+		search:  s,
+		set:     set,
+		events:  ring.New[planner.Event](partEvents),
+		group:   group,
+		ctx:     inner,
+		cancels: map[uint64]context.CancelFunc{},
+	}
+	now := f.clock.Now()
+	r.plan = planner.New(now, f.dataCentre, s.profile, set, f.directory, s.deadline, planner.WithBudget(f.budgets.of(set)))
+	r.drive()
+	r.answer.leafCalls = int(r.calls.Load())
+	r.answer.extraCalls = int(r.extra.Load())
+	return r.answer
+}
+
+// drive steps the plan until it finishes.
+func (r *run) drive() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	r.step(&planner.Tick{})
+	for r.answer.outcome == nil {
+		if next, ok := r.plan.Next(); ok {
+			timer.Reset(max(next-r.front.clock.Now(), 0).Duration())
+		}
+		select {
+		case e := <-r.events.Out():
+			r.step(e)
+		case <-timer.C:
+			r.step(&planner.Tick{})
+		case <-r.ctx.Done():
+			r.step(&planner.CallerGone{})
+			r.endGone()
+		}
+	}
+}
+
+// endGone makes sure that a search whose caller has gone ends.
+func (r *run) endGone() {
+	if r.answer.outcome == nil {
+		r.answer.outcome = tier.NewUnknown(tier.UnknownDeadline)
+	}
+}
+
+func (r *run) step(e planner.Event) {
+	for _, a := range r.plan.Step(r.front.clock.Now(), e) {
+		switch a := a.(type) {
+		case *planner.SendPart:
+			r.send(a)
+		case *planner.CancelPart:
+			r.cancel(a.Part())
+		case *planner.Finish:
+			r.answer.outcome = a.Outcome()
+		}
+	}
+}
+
+func (r *run) cancel(part uint64) {
+	if c, ok := r.cancels[part]; ok {
+		c()
+	}
+}
+
+// send has the owner in a data centre run a part.
+func (r *run) send(a *planner.SendPart) {
+	left := a.Deadline() - r.front.clock.Now()
+	ctx, cancel := context.WithTimeout(r.ctx, max(left, 0).Duration())
+	r.cancels[a.Part()] = cancel
+	s := owner.NewSearch(r.search.profile, a.Snapshot(), a.Shards(), r.search.term, a.Deadline())
+	r.group.Go(func() error {
+		defer cancel()
+		e := r.ask(ctx, a, s)
+		_ = r.events.Push(r.ctx, e)
+		return nil
+	})
+}
+
+// ask tries the owners of a data centre in turn. The next one is tried only
+// when the part was not sent, or when the VM was lost: searches are
+// repeatable.
+func (r *run) ask(ctx context.Context, a *planner.SendPart, s owner.Search) planner.Event {
+	vms := r.front.directory.Owners(r.set.Name(), a.DataCentre(), r.front.turn.Add(1))
+	for i, vm := range vms {
+		end, err := r.front.messenger.Ask(ctx, vm, r.set.Name(), s)
+		if err == nil {
+			return r.ended(a, end)
+		}
+		if ctx.Err() != nil {
+			return planner.NewPartFailed(a.Part(), tier.MissDeadline)
+		}
+		if i+1 >= maxOwnersTried {
+			break
+		}
+	}
+	return planner.NewPartFailed(a.Part(), tier.MissCutOff)
+}
+
+// maxOwnersTried bounds the owners that are tried for one part.
+const maxOwnersTried = 2
+
+// ended turns an owner's end of a part into the plan's event.
+func (r *run) ended(a *planner.SendPart, e owner.End) planner.Event {
+	switch e := e.(type) {
+	case *owner.Done:
+		r.calls.Add(int64(e.Calls()))
+		r.extra.Add(int64(e.ExtraCalls()))
+		held := make([]planner.Held, 0, len(e.Held()))
+		for _, h := range e.Held() {
+			held = append(held, planner.NewHeld(h.Shard(), h.Epoch(), h.Versions()))
+		}
+		return planner.NewPartReplied(a.Part(), a.Snapshot(), e.Results(), held, e.Calls())
+	case *owner.NotRun:
+		return planner.NewPartRefused(a.Part(), e.Reason(), e.RetryAfter())
+	default:
+		return planner.NewPartFailed(a.Part(), tier.MissDeadline)
+	}
+}
+
+// errorsAsNotSent reports whether a part never reached its VM.
+func errorsAsNotSent(err error) bool {
+	var n *NotSentError
+	return errors.As(err, &n)
+}
--- /dev/null
+++ b/cicadagraded/locator/locator.go
@@ -0,0 +1,222 @@
+// Package locator knows, from gossip and configuration, where requests go:
+// the shard sets in force, the owners in each data centre, what their
+// backend servers hold and what they admit.
+package locator
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
+	"cicadagrade.example/tier/picker"
+)
+
+// Locator is read by every request without waiting and changed as news come.
+type Locator struct {
+	clock   *tier.Clock
+	current atomic.Pointer[view]
+
+	mu        sync.Mutex
+	members   []tier.VM
+	sets      map[string]*tier.ShardSet
+	reports   map[reportKey]heardReport
+	admitters map[string]*admitter.Admitter
+	reachable map[string]bool
+}
+
+// reportKey names the report of an owner on its set.
+type reportKey struct{ set, vm string }
+
+// heardReport is a report with the time at which this VM heard it.
+type heardReport struct {
+	report owner.Report
+	heard  tier.Millis
+}
+
+// view is one consistent state; it never changes.
+type view struct {
+	sets      map[string]*tier.ShardSet
+	places    map[placeKey]*place
+	reachable map[string]bool
+}
+
+// placeKey names a set in a data centre.
+type placeKey struct{ set, dataCentre string }
+
+// place is what is known of a set in a data centre.
+type place struct {
+	candidates []tier.VM
+	epoch      tier.Epoch
+	versions   map[string][]tier.Version
+	thresholds []admitter.Published
+}
+
+// maxCandidates bounds the VMs listed for a set in a data centre.
+const maxCandidates = 4
+
+// New returns a locator that knows nothing.
+func New(clock *tier.Clock) *Locator {
+	l := &Locator{
+		clock:     clock,
+		sets:      map[string]*tier.ShardSet{},
+		reports:   map[reportKey]heardReport{},
+		admitters: map[string]*admitter.Admitter{},
+		reachable: map[string]bool{},
+	}
+	l.rebuild()
+	return l
+}
+
+// Update replaces the sets in force, the members and what is reachable. It
+// does nothing when all are as before.
+func (l *Locator) Update(sets []*tier.ShardSet, members []tier.VM, reachable func(dataCentre string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bySet := make(map[string]*tier.ShardSet, len(sets))
+	for _, s := range sets {
+		bySet[s.Name()] = s
+	}
+	now := map[string]bool{}
+	for _, m := range members {
+		now[m.DataCentre()] = reachable(m.DataCentre())
+	}
+	if maps.Equal(bySet, l.sets) && slices.Equal(members, l.members) && maps.Equal(now, l.reachable) {
+		return
+	}
+	l.sets, l.members, l.reachable = bySet, members, now
+	l.rebuild()
+}
+
+// Reported notes an owner's report, or forgets it when ok is false.
+func (l *Locator) Reported(set, vm string, r owner.Report, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := reportKey{set: set, vm: vm}
+	if ok {
+		l.reports[k] = heardReport{report: r, heard: l.clock.Now()}
+	} else {
+		delete(l.reports, k)
+	}
+	l.rebuildSet(set)
+}
+
+// rebuild makes the next view. The caller holds mu.
+func (l *Locator) rebuild() {
+	v := &view{sets: l.sets, places: map[placeKey]*place{}, reachable: l.reachable}
+	for _, s := range l.sets {
+		for _, d := range s.DataCentres() {
+			v.places[placeKey{s.Name(), d}] = l.place(s, d)
+		}
+	}
+	l.current.Store(v)
+}
+
+// rebuildSet makes the next view after news of one set. The caller holds mu.
+func (l *Locator) rebuildSet(name string) {
+	s, ok := l.sets[name]
+	if !ok {
+		return
+	}
+	last := l.current.Load()
+	v := &view{sets: last.sets, places: maps.Clone(last.places), reachable: last.reachable}
+	for _, d := range s.DataCentres() {
+		v.places[placeKey{name, d}] = l.place(s, d)
+	}
+	l.current.Store(v)
+}
+
+// place puts together what the owners of a set in a data centre report. The
+// reports of VMs that only ran parts for a while do not count.
+func (l *Locator) place(s *tier.ShardSet, dataCentre string) *place {
+	p := &place{
+		candidates: picker.Owners(s.Name(), dataCentre, l.members, max(maxCandidates, s.Owners())),
+		epoch:      s.Epoch(),
+		versions:   map[string][]tier.Version{},
+	}
+	for i, vm := range p.candidates {
+		h, ok := l.reports[reportKey{s.Name(), vm.Name()}]
+		if !ok || h.report.Epoch() != s.Epoch() {
+			continue
+		}
+		p.merge(s, h.report)
+		if i < s.Owners() {
+			p.thresholds = append(p.thresholds, admitter.NewPublished(h.report.Threshold(), h.heard))
+		}
+	}
+	return p
+}
+
+// merge adds what a report lists.
+func (p *place) merge(s *tier.ShardSet, r owner.Report) {
+	for _, h := range s.Shards() {
+		for _, v := range r.Versions(h.ID()) {
+			if !slices.Contains(p.versions[h.ID()], v) {
+				p.versions[h.ID()] = append(p.versions[h.ID()], v)
+			}
+		}
+	}
+}
+
+// Set finds the shard set in force.
+func (l *Locator) Set(name string) (*tier.ShardSet, bool) {
+	s, ok := l.current.Load().sets[name]
+	return s, ok
+}
+
+// Versions lists the index versions of a shard that servers of a data centre
+// hold, and the epoch under which they hold it.
+func (l *Locator) Versions(set, dataCentre, shard string) (tier.Epoch, []tier.Version) {
+	p, ok := l.current.Load().places[placeKey{set, dataCentre}]
+	if !ok {
+		return 0, nil
+	}
+	return p.epoch, p.versions[shard]
+}
+
+// Reachable reports whether a data centre answers.
+func (l *Locator) Reachable(dataCentre string) bool {
+	return l.current.Load().reachable[dataCentre]
+}
+
+// Owners lists the VMs that may run a set's parts in a data centre, the
+// preferred one first. Where several split the set's slots, requests are
+// spread over them by turn.
+func (l *Locator) Owners(set, dataCentre string, turn uint64) []tier.VM {
+	v := l.current.Load()
+	p, ok := v.places[placeKey{set, dataCentre}]
+	if !ok || len(p.candidates) == 0 {
+		return nil
+	}
+	n := min(v.sets[set].Owners(), len(p.candidates))
+	first := int(turn % uint64(n))
+	out := make([]tier.VM, 0, len(p.candidates))
+	for i := range n {
+		out = append(out, p.candidates[(first+i)%n])
+	}
+	return append(out, p.candidates[n:]...)
+}
+
+// Admit applies the thresholds that the owners of a set publish.
+func (l *Locator) Admit(set string, rank tier.Rank) (tier.Millis, bool) {
+	v := l.current.Load()
+	s, ok := v.sets[set]
+	if !ok {
+		return 0, true
+	}
+	var all []admitter.Published
+	for _, d := range s.DataCentres() {
+		all = append(all, v.places[placeKey{set, d}].thresholds...)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.admitters[set]
+	if !ok {
+		a = admitter.New()
+		l.admitters[set] = a
+	}
+	return a.Admit(l.clock.Now(), rank, all...)
+}
--- /dev/null
+++ b/cicadagraded/messenger/client.go
@@ -0,0 +1,134 @@
+// Package messenger carries requests between entry VMs over Connect: the
+// client that a front uses and the handler that owners answer with.
+package messenger
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	peerv1 "cicadagrade.example/api/peer/v1"
+	"cicadagrade.example/api/peer/v1/peerv1connect"
+	"cicadagrade.example/cicadagraded/asker"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+)
+
+// Limits of the connections between VMs.
+const (
+	connectTimeout = 500 * time.Millisecond
+	maxReplyBytes  = 64 << 20
+	pingInterval   = 2 * time.Second
+	pingTimeout    = 2 * time.Second
+)
+
+// Client sends requests to other VMs, and to this one without a connection.
+type Client struct {
+	self      tier.VM
+	local     *Server
+	clock     *tier.Clock
+	http      *http.Client
+	mu        sync.Mutex
+	byAddress map[string]peerv1connect.PeerServiceClient
+}
+
+// NewClient returns the client of a VM, whose own requests go to local.
+func NewClient(self tier.VM, local *Server, clock *tier.Clock) *Client {
+	return &Client{
+		self:      self,
+		local:     local,
+		clock:     clock,
+		http:      NewHTTPClient(),
+		byAddress: map[string]peerv1connect.PeerServiceClient{},
+	}
+}
+
+// NewHTTPClient returns a client that multiplexes requests over one HTTP/2
+// connection to each VM.
+func NewHTTPClient() *http.Client {
+	d := &net.Dialer{Timeout: connectTimeout}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext,
+		Protocols:   protocols,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}}
+}
+
+// Service is the peer service of the VM at an address.
+func (c *Client) Service(address string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.byAddress[address]
+	if !ok {
+		s = peerv1connect.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxReplyBytes))
+		c.byAddress[address] = s
+	}
+	return s
+}
+
+// Ask has a VM run a part of a search.
+func (c *Client) Ask(ctx context.Context, vm tier.VM, set string, s owner.Search) (owner.End, error) {
+	if vm.Name() == c.self.Name() {
+		return c.local.search(ctx, set, s), nil
+	}
+	reply, err := c.Service(vm.Address()).Ask(ctx, connect.NewRequest(c.askRequest(set, s)))
+	if err != nil {
+		return nil, errors.Wrap(sentError(err), "Client.Ask")
+	}
+	if got := fromPeerSnapshot(reply.Msg.GetSnapshot()); reply.Msg.GetRefusal() == nil && got != s.Snapshot() {
+		return nil, errors.Wrap(&CrossedError{want: s.Snapshot().String(), got: got.String()}, "Client.Ask")
+	}
+	return fromAskReply(reply.Msg), nil
+}
+
+// Book has a VM run a booking. It is sent once.
+func (c *Client) Book(ctx context.Context, vm tier.VM, b asker.Forwarded) (asker.Receipt, error) {
+	if vm.Name() == c.self.Name() {
+		return c.local.book(ctx, b)
+	}
+	reply, err := c.Service(vm.Address()).Book(ctx, connect.NewRequest(c.bookRequest(b)))
+	if err != nil {
+		return asker.Receipt{}, errors.Wrap(bookError(err, b.IdempotencyKey()), "Client.Book")
+	}
+	if got := reply.Msg.GetIdempotencyKey(); got != b.IdempotencyKey() {
+		return asker.Receipt{}, errors.Wrap(&CrossedError{want: b.IdempotencyKey(), got: got}, "Client.Book")
+	}
+	return fromBookReply(reply.Msg), nil
+}
+
+func (c *Client) askRequest(set string, s owner.Search) *peerv1.AskRequest {
+	return &peerv1.AskRequest{
+		Front:       c.self.Name(),
+		Incarnation: uint64(c.self.Incarnation()),
+		Set:         set,
+		Snapshot:    toPeerSnapshot(s.Snapshot()),
+		Shards:      s.Shards(),
+		Term:        s.Term(),
+		Terms:       toTerms(s.Profile()),
+		DeadlineMs:  int64(s.Deadline() - c.clock.Now()),
+	}
+}
+
+func (c *Client) bookRequest(b asker.Forwarded) *peerv1.BookRequest {
+	return &peerv1.BookRequest{
+		Request:        b.ID(),
+		Front:          c.self.Name(),
+		Incarnation:    uint64(c.self.Incarnation()),
+		Set:            b.Set(),
+		Shard:          b.Shard(),
+		IdempotencyKey: b.IdempotencyKey(),
+		Minted:         b.Minted(),
+		First:          b.First(),
+		RecordKey:      b.RecordKey(),
+		Body:           b.Body(),
+		Terms:          toTerms(b.Profile()),
+		DeadlineMs:     int64(b.Deadline() - c.clock.Now()),
+	}
+}
--- /dev/null
+++ b/cicadagraded/messenger/errors.go
@@ -0,0 +1,64 @@
+package messenger
+
+import (
+	"fmt"
+	"net"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/asker"
+)
+
+// CrossedError says that a VM answered another request than the one it was
+// sent.
+type CrossedError struct{ want, got string }
+
+// Error names what was wanted and what came.
+func (e *CrossedError) Error() string {
+	return fmt.Sprintf("crossed reply: want %q, got %q", e.want, e.got)
+}
+
+// sentError tells whether a request that failed may have reached its VM. Only
+// a connection that was never made, or the VM's own word, proves that it did
+// not.
+func sentError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return asker.NewNotSentError(err)
+	}
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
+		return asker.NewNotSentError(err)
+	}
+	return err
+}
+
+// bookError is sentError, or the owner's rejection of the booking itself.
+func bookError(err error, key string) error {
+	if !connect.IsWireError(err) {
+		return sentError(err)
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeAlreadyExists:
+		return asker.NewKeyReusedError(key)
+	case connect.CodeInvalidArgument:
+		var e *connect.Error
+		errors.As(err, &e)
+		return asker.NewBadKeyError(key, e.Message())
+	default:
+		return sentError(err)
+	}
+}
+
+// wireBookError is the inverse of bookError.
+func wireBookError(err error) error {
+	var reused *asker.KeyReusedError
+	if errors.As(err, &reused) {
+		return connect.NewError(connect.CodeAlreadyExists, reused)
+	}
+	var bad *asker.BadKeyError
+	if errors.As(err, &bad) {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New(bad.Allowed()))
+	}
+	return connect.NewError(connect.CodeInternal, err)
+}
--- /dev/null
+++ b/cicadagraded/messenger/server.go
@@ -0,0 +1,105 @@
+package messenger
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	peerv1 "cicadagrade.example/api/peer/v1"
+	"cicadagrade.example/api/peer/v1/peerv1connect"
+	"cicadagrade.example/cicadagraded/asker"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+)
+
+// Owners runs parts of searches on this VM.
+type Owners interface {
+	Search(ctx context.Context, set string, s owner.Search) owner.End
+}
+
+// Booker runs bookings on this VM, each at most once.
+type Booker interface {
+	Book(ctx context.Context, b asker.Forwarded) (asker.Receipt, error)
+}
+
+// Exchanger answers gossip.
+type Exchanger interface {
+	Exchange(context.Context, *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeReply], error)
+}
+
+// Fetcher answers requests for configuration documents.
+type Fetcher interface {
+	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchReply], error)
+}
+
+// Server answers other VMs.
+type Server struct {
+	Exchanger
+	Fetcher
+	clock  *tier.Clock
+	owners Owners
+	booker Booker
+	enter  func(name string) (end func())
+}
+
+// NewServer returns the server of a VM. enter is called at the start of each
+// part that a peer forwards, and its result at the end, so that a planned
+// stop waits for them.
+func NewServer(clock *tier.Clock, o Owners, b Booker, e Exchanger, f Fetcher, enter func(name string) (end func())) *Server {
+	return &Server{Exchanger: e, Fetcher: f, clock: clock, owners: o, booker: b, enter: enter}
+}
+
+// Handler is the HTTP handler of the peer service.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(s))
+	return mux
+}
+
+// Ask answers a front with its part of a search.
+func (s *Server) Ask(ctx context.Context, r *connect.Request[peerv1.AskRequest]) (*connect.Response[peerv1.AskReply], error) {
+	defer s.enter("ask of " + r.Msg.GetFront())()
+	p, err := fromTerms(r.Msg.GetTerms())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Wrap(err, "Server.Ask"))
+	}
+	snapshot := fromPeerSnapshot(r.Msg.GetSnapshot())
+	deadline := s.clock.Now() + tier.Millis(r.Msg.GetDeadlineMs())
+	end := s.search(ctx, r.Msg.GetSet(), owner.NewSearch(p, snapshot, r.Msg.GetShards(), r.Msg.GetTerm(), deadline))
+	if _, ok := end.(*owner.Unsure); ok {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, errors.New("the part was given up"))
+	}
+	reply := toAskReply(r.Msg.GetPart(), snapshot, end)
+	reply.Request = r.Msg.GetRequest()
+	return connect.NewResponse(reply), nil
+}
+
+func (s *Server) search(ctx context.Context, set string, q owner.Search) owner.End {
+	return s.owners.Search(ctx, set, q)
+}
+
+// Book answers a front with the end of a booking.
+func (s *Server) Book(ctx context.Context, r *connect.Request[peerv1.BookRequest]) (*connect.Response[peerv1.BookReply], error) {
+	defer s.enter("book " + r.Msg.GetRequest())()
+	p, err := fromTerms(r.Msg.GetTerms())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "Server.Book"))
+	}
+	m := r.Msg
+	deadline := s.clock.Now() + tier.Millis(m.GetDeadlineMs())
+	b := asker.NewBooking(m.GetRequest(), p, m.GetSet(), m.GetRecordKey(), m.GetBody(), deadline,
+		asker.WithIdempotencyKey(m.GetIdempotencyKey(), m.GetFirst()))
+	receipt, err := s.book(ctx, asker.NewForwarded(b, m.GetShard(), m.GetMinted()))
+	if err != nil {
+		return nil, wireBookError(err)
+	}
+	reply := toBookReply(receipt)
+	reply.Request = m.GetRequest()
+	return connect.NewResponse(reply), nil
+}
+
+func (s *Server) book(ctx context.Context, b asker.Forwarded) (asker.Receipt, error) {
+	return s.booker.Book(ctx, b)
+}
--- /dev/null
+++ b/cicadagraded/owner/convert.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	backendv1 "cicadagrade.example/api/backend/v1"
+	"cicadagrade.example/tier"
+)
+
+// Held says which index versions of a shard are held under an epoch.
+type Held struct {
+	shard    string
+	epoch    tier.Epoch
+	versions []tier.Version
+}
+
+// NewHeld returns what is held of a shard.
+func NewHeld(shard string, e tier.Epoch, versions []tier.Version) Held {
+	return Held{shard: shard, epoch: e, versions: versions}
+}
+
+// Shard is the id of the shard.
+func (h Held) Shard() string { return h.shard }
+
+// Epoch is the epoch of the shard map.
+func (h Held) Epoch() tier.Epoch { return h.epoch }
+
+// Versions are the index versions.
+func (h Held) Versions() []tier.Version { return h.versions }
+
+func toRecords(l []*backendv1.Record) []tier.Record {
+	records := make([]tier.Record, 0, len(l))
+	for _, r := range l {
+		records = append(records, tier.NewRecord(r.GetKey(), r.GetValue()))
+	}
+	return records
+}
+
+func toSnapshot(s *backendv1.Snapshot) tier.Snapshot {
+	return tier.NewSnapshot(tier.Epoch(s.GetEpoch()), tier.Version(s.GetVersion()))
+}
+
+func toHeld(h *backendv1.Holding) *Held {
+	if h == nil {
+		return nil
+	}
+	versions := make([]tier.Version, 0, len(h.GetVersions()))
+	for _, v := range h.GetVersions() {
+		versions = append(versions, tier.Version(v))
+	}
+	return &Held{shard: h.GetShard(), epoch: tier.Epoch(h.GetEpoch()), versions: versions}
+}
+
+func toState(s backendv1.ServerState) tier.BackendState {
+	switch s {
+	case backendv1.ServerState_SERVER_STATE_COLD:
+		return tier.BackendCold
+	case backendv1.ServerState_SERVER_STATE_LIVE:
+		return tier.BackendLive
+	case backendv1.ServerState_SERVER_STATE_SHEDDING:
+		return tier.BackendShedding
+	case backendv1.ServerState_SERVER_STATE_LEAVING:
+		return tier.BackendLeaving
+	default:
+		return tier.BackendUnknown
+	}
+}
--- /dev/null
+++ b/cicadagraded/owner/owner.go
@@ -0,0 +1,265 @@
+// Package owner runs the parts of queries that this VM owns: one event loop
+// for each shard set drives its dispatcher and the links to its backend
+// servers.
+package owner
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/dispatcher"
+	"cicadagrade.example/tier/merger"
+	"cicadagrade.example/tier/prober"
+	"cicadagrade.example/tier/ring"
+)
+
+// Sizes of an owner's rings and the pace of its reports.
+const (
+	inboxSize      = 8192
+	reportInterval = 200 * tier.Millis(1)
+)
+
+// Identity says which life of which VM an owner runs on.
+type Identity struct {
+	vm          string
+	dataCentre  string
+	incarnation tier.Incarnation
+}
+
+// NewIdentity returns the identity of a VM's life.
+func NewIdentity(vm, dataCentre string, i tier.Incarnation) Identity {
+	return Identity{vm: vm, dataCentre: dataCentre, incarnation: i}
+}
+
+// Owner is the owner of one shard set in one data centre.
+type Owner struct {
+	id    Identity
+	name  string
+	clock *tier.Clock
+	inbox *ring.Ring[message]
+
+	// The rest belongs to the loop.
+	set         *tier.ShardSet
+	core        *dispatcher.Dispatcher
+	parts       map[uint64]*part
+	byEnd       map[chan End]uint64
+	calls       map[uint64]*call
+	lanes       map[string]*lane
+	probers     map[string]*prober.Prober
+	holdings    map[holdingKey][]tier.Version
+	deferred    []message
+	lastPart    uint64
+	rejected    uint64
+	attempt     func() tier.AttemptID
+	group       *errgroup.Group
+	ctx         context.Context
+	stopped     chan struct{}
+	publish     func(Report)
+	notice      Notice
+	published   Report
+	publishedAt tier.Millis
+	reportAt    tier.Millis
+}
+
+// holdingKey names what a server may hold.
+type holdingKey struct {
+	server string
+	shard  string
+	epoch  tier.Epoch
+}
+
+// part is a part of a query while it runs.
+type part struct {
+	number   uint64
+	snapshot tier.Snapshot
+	term     string
+	booking  *Booking
+	calls    []uint64
+	end      chan End
+}
+
+// Notice is told of each change of a backend server's state.
+type Notice func(server string, s tier.BackendState, reason string)
+
+// New returns an owner of a set that publishes its reports to publish.
+// attempt returns a fresh id for each leaf call.
+func New(id Identity, clock *tier.Clock, set *tier.ShardSet, attempt func() tier.AttemptID, publish func(Report), notice Notice) *Owner {
+	return &Owner{
+		id:       id,
+		name:     set.Name(),
+		clock:    clock,
+		inbox:    ring.New[message](inboxSize),
+		set:      set,
+		core:     dispatcher.New(set, id.dataCentre, dispatcher.WithSeed(uint64(id.incarnation))),
+		parts:    map[uint64]*part{},
+		byEnd:    map[chan End]uint64{},
+		attempt:  attempt,
+		stopped:  make(chan struct{}),
+		calls:    map[uint64]*call{},
+		lanes:    map[string]*lane{},
+		holdings: map[holdingKey][]tier.Version{},
+		publish:  publish,
+		notice:   notice,
+		probers:  map[string]*prober.Prober{},
+	}
+}
+
+// Search is one part of a search.
+type Search struct {
+	profile  *tier.Profile
+	snapshot tier.Snapshot
+	shards   []string
+	term     string
+	deadline tier.Millis
+}
+
+// NewSearch returns a part of a search, with an absolute deadline.
+func NewSearch(p *tier.Profile, s tier.Snapshot, shards []string, term string, deadline tier.Millis) Search {
+	return Search{profile: p, snapshot: s, shards: shards, term: term, deadline: deadline}
+}
+
+// Profile is the caller's profile.
+func (s Search) Profile() *tier.Profile { return s.profile }
+
+// Snapshot is the pinned snapshot.
+func (s Search) Snapshot() tier.Snapshot { return s.snapshot }
+
+// Shards are the ids of the wanted shards.
+func (s Search) Shards() []string { return s.shards }
+
+// Term is what is searched for.
+func (s Search) Term() string { return s.term }
+
+// Deadline is absolute.
+func (s Search) Deadline() tier.Millis { return s.deadline }
+
+// Booking is a request that may not be repeated.
+type Booking struct {
+	profile   *tier.Profile
+	shard     string
+	recordKey string
+	body      string
+	deadline  tier.Millis
+}
+
+// NewBooking returns a booking on one shard, with an absolute deadline.
+func NewBooking(p *tier.Profile, shard, recordKey, body string, deadline tier.Millis) Booking {
+	return Booking{profile: p, shard: shard, recordKey: recordKey, body: body, deadline: deadline}
+}
+
+// End is the end of a part: *Done, *NotRun or *Unsure.
+type End interface{ end() }
+
+// Done is a part that ran.
+type Done struct {
+	results    []merger.ShardResult
+	held       []Held
+	receipt    string
+	calls      int
+	extraCalls int
+}
+
+// Results are those of the part's shards.
+func (d *Done) Results() []merger.ShardResult { return d.results }
+
+// Held is what the owner's servers hold now of the part's shards.
+func (d *Done) Held() []Held { return d.held }
+
+// Receipt is that of a booking.
+func (d *Done) Receipt() string { return d.receipt }
+
+// Calls is how many leaf calls the part made.
+func (d *Done) Calls() int { return d.calls }
+
+// ExtraCalls is how many of them were hedges or retries.
+func (d *Done) ExtraCalls() int { return d.extraCalls }
+
+// NewDone returns a part that ran.
+func NewDone(results []merger.ShardResult, held []Held, calls, extraCalls int) *Done {
+	return &Done{results: results, held: held, calls: calls, extraCalls: extraCalls}
+}
+
+// NotRun is a part of which nothing was run.
+type NotRun struct {
+	reason     tier.RefuseReason
+	retryAfter tier.Millis
+}
+
+// NewNotRun returns the end of a part of which nothing was run.
+func NewNotRun(r tier.RefuseReason, retryAfter tier.Millis) *NotRun {
+	return &NotRun{reason: r, retryAfter: retryAfter}
+}
+
+// Reason says why.
+func (n *NotRun) Reason() tier.RefuseReason { return n.reason }
+
+// RetryAfter is when a new try may succeed, or 0.
+func (n *NotRun) RetryAfter() tier.Millis { return n.retryAfter }
+
+// Unsure is a booking that may have run.
+type Unsure struct{ reason tier.UnknownReason }
+
+// Reason says why it can't be told.
+func (u *Unsure) Reason() tier.UnknownReason { return u.reason }
+
+func (*Done) end()   {}
+func (*NotRun) end() {}
+func (*Unsure) end() {}
+
+// Search runs a part of a search and returns its end. When ctx ends first
+// the part is cancelled.
+func (o *Owner) Search(ctx context.Context, s Search) End {
+	m := &submitMessage{search: &s, end: make(chan End, 1)}
+	if err := o.inbox.Push(ctx, m); err != nil {
+		return &NotRun{reason: tier.RefuseOverload}
+	}
+	select {
+	case e := <-m.end:
+		return e
+	case <-ctx.Done():
+		o.inbox.TryPush(&cancelMessage{end: m.end})
+	case <-o.stopped:
+	}
+	return &Unsure{reason: tier.UnknownDeadline}
+}
+
+// Book runs a booking, at most once, and returns its end. When ctx ends, a
+// booking that was not sent yet is not sent any more; one that was sent ends
+// with its reply or at its deadline.
+func (o *Owner) Book(ctx context.Context, b Booking) End {
+	m := &submitMessage{booking: &b, end: make(chan End, 1)}
+	if err := o.inbox.Push(ctx, m); err != nil {
+		return &NotRun{reason: tier.RefuseOverload}
+	}
+	select {
+	case e := <-m.end:
+		return e
+	case <-ctx.Done():
+		o.inbox.TryPush(&cancelMessage{end: m.end})
+	case <-o.stopped:
+	}
+	select {
+	case e := <-m.end:
+		return e
+	case <-o.stopped:
+		return &Unsure{reason: tier.UnknownLostReply}
+	}
+}
+
+// SetChanged tells the owner of a new description of its set.
+func (o *Owner) SetChanged(ctx context.Context, s *tier.ShardSet) error {
+	return errors.Wrap(o.inbox.Push(ctx, &setMessage{set: s}), "Owner.SetChanged")
+}
+
+// ShareChanged tells the owner how many VMs split the set's slots.
+func (o *Owner) ShareChanged(ctx context.Context, owners, index int) error {
+	return errors.Wrap(o.inbox.Push(ctx, &shareMessage{owners: owners, index: index}), "Owner.ShareChanged")
+}
+
+// Leave has the owner accept nothing new and finish what it has.
+func (o *Owner) Leave(ctx context.Context) error {
+	return errors.Wrap(o.inbox.Push(ctx, &leaveMessage{}), "Owner.Leave")
+}
--- /dev/null
+++ b/cicadagraded/owner/owner_test.go
@@ -0,0 +1,245 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	backendv1 "cicadagrade.example/api/backend/v1"
+	"cicadagrade.example/api/backend/v1/backendv1connect"
+	"cicadagrade.example/cicadagraded/dialer"
+	"cicadagrade.example/tier"
+)
+
+// leaf is a backend server that answers at once, unless reply changes what it
+// says.
+type leaf struct {
+	reply  func(*backendv1.SearchReply)
+	book   func() error
+	booked chan string
+}
+
+func (l *leaf) Search(_ context.Context, r *connect.Request[backendv1.SearchRequest]) (*connect.Response[backendv1.SearchReply], error) {
+	q := r.Msg
+	records := []tier.Record{tier.NewRecord("key-"+q.GetShard(), "value")}
+	w := &backendv1.SearchReply{
+		Attempt: q.GetAttempt(), Set: q.GetSet(), Shard: q.GetShard(), Snapshot: q.GetSnapshot(),
+		Records: []*backendv1.Record{{Key: records[0].Key(), Value: records[0].Value()}},
+		Count:   1, Digest: tier.Digest(records), State: backendv1.ServerState_SERVER_STATE_LIVE,
+	}
+	if l.reply != nil {
+		l.reply(w)
+	}
+	return connect.NewResponse(w), nil
+}
+
+func (l *leaf) Book(_ context.Context, r *connect.Request[backendv1.BookRequest]) (*connect.Response[backendv1.BookReply], error) {
+	l.booked <- r.Msg.GetAttempt()
+	if err := l.book(); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&backendv1.BookReply{Attempt: r.Msg.GetAttempt(), Set: r.Msg.GetSet(), Shard: r.Msg.GetShard(), Receipt: "receipt"}), nil
+}
+
+func (l *leaf) Health(context.Context, *connect.Request[backendv1.HealthRequest]) (*connect.Response[backendv1.HealthReply], error) {
+	w := &backendv1.HealthReply{State: backendv1.ServerState_SERVER_STATE_LIVE}
+	for i := range maxLeafShards {
+		w.Holdings = append(w.Holdings, &backendv1.Holding{Set: "set", Shard: shardName(i), Epoch: 1, Versions: []uint64{1}})
+	}
+	return connect.NewResponse(w), nil
+}
+
+const maxLeafShards = 40
+
+func shardName(i int) string { return fmt.Sprintf("s%02d", i) }
+
+// leafSet starts servers for a set of as many shards, one server each.
+func leafSet(tb testing.TB, l *leaf, shards, slots int) *tier.ShardSet {
+	tb.Helper()
+	_, h := backendv1connect.NewLeafServiceHandler(l)
+	var servers []tier.Backend
+	var list []tier.Shard
+	width := math.MaxUint64/uint64(shards) + 1
+	for i := range shards {
+		s := httptest.NewServer(h)
+		tb.Cleanup(s.Close)
+		name := fmt.Sprintf("b%02d", i)
+		servers = append(servers, tier.NewBackend(name, s.Listener.Addr().String(), "here", tier.WithSlots(slots)))
+		to := uint64(i+1)*width - 1
+		if i == shards-1 {
+			to = math.MaxUint64
+		}
+		list = append(list, tier.NewShard(shardName(i), uint64(i)*width, to, name))
+	}
+	set, err := tier.NewShardSet("set", tier.WithServers(servers...), tier.WithShards(list...))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return set
+}
+
+// startOwner runs an owner until the test ends, and waits until it knows what
+// its servers hold.
+func startOwner(tb testing.TB, set *tier.ShardSet) (*Owner, *tier.Clock) {
+	tb.Helper()
+	clock := tier.NewClock()
+	reports := make(chan Report, 16)
+	n := uint64(0)
+	attempt := func() tier.AttemptID {
+		n++
+		return tier.NewAttemptID("vm-1", 1, n)
+	}
+	o := New(NewIdentity("vm-1", "here", 1), clock, set, attempt,
+		func(r Report) { reports <- r },
+		func(string, tier.BackendState, string) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return o.Run(ctx) })
+	tb.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	for r := range reports {
+		if len(r.versions) == len(set.Shards()) {
+			break
+		}
+	}
+	return o, clock
+}
+
+func shardIDs(set *tier.ShardSet) []string {
+	var ids []string
+	for _, h := range set.Shards() {
+		ids = append(ids, h.ID())
+	}
+	return ids
+}
+
+func gate(tb testing.TB, opts ...tier.ProfileOption) *tier.Profile {
+	tb.Helper()
+	p, err := tier.NewProfile("gate", append([]tier.ProfileOption{tier.WithRank(tier.Urgent)}, opts...)...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return p
+}
+
+func TestOwnerRejectsForeignReplies(t *testing.T) {
+	changes := map[string]func(*backendv1.SearchReply){
+		"attempt":   func(w *backendv1.SearchReply) { w.Attempt = "vm-1/1/999" },
+		"shard":     func(w *backendv1.SearchReply) { w.Shard = "s01" },
+		"snapshot":  func(w *backendv1.SearchReply) { w.Snapshot = &backendv1.Snapshot{Epoch: 1, Version: 2} },
+		"truncated": func(w *backendv1.SearchReply) { w.Records = nil },
+		"corrupted": func(w *backendv1.SearchReply) { w.Records[0].Value = "other" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			set := leafSet(t, &leaf{reply: change}, 1, 2)
+			o, clock := startOwner(t, set)
+			s := NewSearch(gate(t), tier.NewSnapshot(1, 1), shardIDs(set), "term", clock.Now()+tier.Second)
+			d, ok := o.Search(context.Background(), s).(*Done)
+			if !ok || len(d.Results()) != 1 {
+				t.Fatalf("end %+v", d)
+			}
+			if got := d.Results()[0].Miss(); got != tier.MissBadReply {
+				t.Errorf("miss %q, want %q", got, tier.MissBadReply)
+			}
+		})
+	}
+}
+
+func TestOwnerSendsBookingOnce(t *testing.T) {
+	lost := func() error { return connect.NewError(connect.CodeInternal, fmt.Errorf("no answer")) }
+	shed := func() error { return connect.NewError(connect.CodeResourceExhausted, fmt.Errorf("busy")) }
+	cases := map[string]struct {
+		book func() error
+		want func(End) bool
+	}{
+		"answered": {func() error { return nil }, func(e End) bool { d, ok := e.(*Done); return ok && d.Receipt() == "receipt" }},
+		"lost":     {lost, func(e End) bool { _, ok := e.(*Unsure); return ok }},
+		"shed":     {shed, func(e End) bool { _, ok := e.(*NotRun); return ok }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := &leaf{book: c.book, booked: make(chan string, 8)}
+			set := leafSet(t, l, 1, 2)
+			o, clock := startOwner(t, set)
+			e := o.Book(context.Background(), NewBooking(gate(t), "s00", "record", "body", clock.Now()+tier.Second))
+			if !c.want(e) {
+				t.Errorf("end %T", e)
+			}
+			if n := len(l.booked); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+func TestReportRoundTrip(t *testing.T) {
+	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}}}
+	b, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeReport(b)
+	if err != nil || !got.equal(r) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(`{"epoch":1,"holdings":[{"versions":[1],"shards":["a"]}]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		r, err := DecodeReport(b)
+		if err == nil {
+			_, _ = r.Encode()
+		}
+	})
+}
+
+const benchShards = 20
+
+// BenchmarkOwner is a part of 20 shards through an owner; BenchmarkBare is the
+// same fan-out without one, on the same servers.
+func BenchmarkOwner(b *testing.B) {
+	set := leafSet(b, &leaf{}, benchShards, 2)
+	o, clock := startOwner(b, set)
+	ids := shardIDs(set)
+	p := gate(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		e := o.Search(context.Background(), NewSearch(p, tier.NewSnapshot(1, 1), ids, "term", clock.Now()+tier.Second))
+		if d, ok := e.(*Done); !ok || len(d.Results()) != benchShards {
+			b.Fatalf("end %T", e)
+		}
+	}
+}
+
+func BenchmarkBare(b *testing.B) {
+	set := leafSet(b, &leaf{}, benchShards, 2)
+	var links []*dialer.Link
+	for _, s := range set.Servers() {
+		links = append(links, dialer.NewLink(s, s.Slots()))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		g, ctx := errgroup.WithContext(context.Background())
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		for i, l := range links {
+			g.Go(func() error {
+				_, err := l.Search(ctx, &backendv1.SearchRequest{Attempt: "a", Set: "set", Shard: shardName(i), Snapshot: &backendv1.Snapshot{Epoch: 1, Version: 1}, Term: "term"})
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			b.Fatal(err)
+		}
+		cancel()
+	}
+}
--- a/tier/outcome.go
+++ b/tier/outcome.go
@@ -1,6 +1,7 @@
 package tier
 
-// Outcome is the end of a request: *Answered, *Refused or *Unknown.
+// Outcome is the end of a request: *Answered for a search that ran, *Booked
+// for a booking that ran, *Refused or *Unknown.
 type Outcome interface{ outcome() }
 
 // Answered is the end of a request that ran.
@@ -24,6 +25,24 @@
 // Records are the rows, sorted by key, each key once.
 func (a *Answered) Records() []Record { return a.records }
 
+// Booked is the end of a booking that ran.
+type Booked struct {
+	receipt  string
+	repeated bool
+}
+
+// NewBooked returns the end of a booking; repeated says that it ran for an
+// earlier request with the same idempotency key.
+func NewBooked(receipt string, repeated bool) *Booked {
+	return &Booked{receipt: receipt, repeated: repeated}
+}
+
+// Receipt is what the backend server gave for it.
+func (b *Booked) Receipt() string { return b.receipt }
+
+// Repeated reports whether it ran for an earlier request with the same key.
+func (b *Booked) Repeated() bool { return b.repeated }
+
 // RefuseReason says why a request was refused.
 type RefuseReason string
 
@@ -71,6 +90,8 @@
 	UnknownLowCoverage  UnknownReason = "low-coverage"
 	UnknownIncarnations UnknownReason = "other-incarnation"
 	UnknownCallerGone   UnknownReason = "caller-gone"
+	UnknownEarlier      UnknownReason = "earlier-sending"
+	UnknownForgotten    UnknownReason = "forgotten"
 )
 
 // Unknown is the end of a request that may have run.
@@ -79,6 +100,7 @@
 	partial  bool
 	snapshot Snapshot
 	coverage Coverage
+	refusal  *Refused
 }
 
 // NewUnknown returns an unknown outcome.
@@ -94,9 +116,17 @@
 // the request is a search that got that far.
 func (u *Unknown) Partial() (Snapshot, Coverage, bool) { return u.snapshot, u.coverage, u.partial }
 
+// NewUnknownEarlier returns the end of a sending that was refused as r says,
+// where an earlier sending with the same idempotency key may have run.
+func NewUnknownEarlier(r *Refused) *Unknown { return &Unknown{reason: UnknownEarlier, refusal: r} }
+
+// Refusal is why this sending did not run, if it is known that it did not.
+func (u *Unknown) Refusal() (*Refused, bool) { return u.refusal, u.refusal != nil }
+
 // Reason says why.
 func (u *Unknown) Reason() UnknownReason { return u.reason }
 
 func (*Answered) outcome() {}
+func (*Booked) outcome()   {}
 func (*Refused) outcome()  {}
 func (*Unknown) outcome()  {}
