--- a/standin/checker/answer.go
+++ b/standin/checker/answer.go
@@ -143,6 +143,9 @@
 	return a
 }
 
+// RequestID is the request that it names.
+func (a *Answer) RequestID() string { return a.requestID }
+
 // Outcome is answered, refused-not-run or unknown.
 func (a *Answer) Outcome() string { return a.outcome }
 
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -11,5 +11,8 @@
 		deploymentCommand(),
 		storeCommand(),
 		linkCommand(),
+		loadCommand(),
+		experimentCommand(),
+		reportCommand(),
 	}
 }
--- a/standin/deployer/deployment.go
+++ b/standin/deployer/deployment.go
@@ -35,6 +35,7 @@
 	seed        uint64
 	store       string
 	control     string
+	links       string
 	dataCentres []tier.DataCentre
 	vms         []VM
 	profiles    []*tier.Profile
@@ -53,6 +54,10 @@
 // Control is the address of the control port of the backend servers.
 func (d *Deployment) Control() string { return d.control }
 
+// Links is the address of the control port of the links between data
+// centres.
+func (d *Deployment) Links() string { return d.links }
+
 // DataCentres lists the data centres.
 func (d *Deployment) DataCentres() []tier.DataCentre { return d.dataCentres }
 
--- a/standin/deployer/files.go
+++ b/standin/deployer/files.go
@@ -19,7 +19,7 @@
 	if err := readDocument(path, &doc); err != nil {
 		return nil, errors.Wrap(err, "Read")
 	}
-	d := &Deployment{name: doc.Name, seed: doc.Seed, store: doc.Store, control: doc.Control}
+	d := &Deployment{name: doc.Name, seed: doc.Seed, store: doc.Store, control: doc.Control, links: doc.Links}
 	for _, c := range doc.DataCentres {
 		d.dataCentres = append(d.dataCentres, tier.NewDataCentre(c.Name, c.Region))
 	}
--- a/standin/deployer/links.go
+++ b/standin/deployer/links.go
@@ -30,5 +30,5 @@
 			}
 		}
 	}
-	return relay.New(address(u.portBase+300), out...)
+	return relay.New(d.Links, out...)
 }
--- a/standin/deployer/users.go
+++ b/standin/deployer/users.go
@@ -118,6 +118,7 @@
 		Seed:        recordSeed,
 		Store:       address(u.portBase + 379),
 		Control:     address(u.portBase + 200),
+		Links:       address(u.portBase + 300),
 		DataCentres: u.dataCentres,
 		VMs:         u.vms(),
 		Profiles:    u.name + "/profiles.json",
--- /dev/null
+++ b/standin/loader/workload.go
@@ -0,0 +1,204 @@
+// Package loader sends named workloads to a running deployment at set rates,
+// whether or not earlier requests have ended, checks each answer on arrival
+// and sums up what came back.
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/standin/deployer"
+	"cicadagrade.example/tier"
+)
+
+// Bounds of a workload.
+const (
+	maxSeconds         = 900
+	maxRequests        = 500_000
+	defaultMaxInFlight = 2000
+	limitMaxInFlight   = 20_000
+)
+
+// The kinds of a stream's requests.
+const (
+	kindSearch = "search"
+	kindBook   = "book"
+)
+
+// Workload is a list of phases that follow each other without a pause.
+type Workload struct {
+	name        string
+	seed        uint64
+	maxInFlight int
+	phases      []phase
+	maps        []*tier.ShardSet // later shard maps that answers may name
+}
+
+type phase struct {
+	name    string
+	seconds float64
+	streams []stream
+	orders  []order
+}
+
+type stream struct {
+	name       string
+	profile    *tier.Profile
+	set        *tier.ShardSet
+	book       bool
+	rate       float64
+	deadline   tier.Millis
+	dataCentre string
+	repeats    float64
+}
+
+// order is posted to a control port during a phase.
+type order struct {
+	after tier.Millis
+	to    string
+	body  []byte
+}
+
+type workloadDocument struct {
+	Name        string          `json:"name"`
+	Seed        uint64          `json:"seed"`
+	MaxInFlight int             `json:"max-in-flight"`
+	ShardMaps   []string        `json:"shard-maps"` // set documents of later epochs, relative to this file
+	Phases      []phaseDocument `json:"phases"`
+}
+
+type phaseDocument struct {
+	Name    string           `json:"name"`
+	Seconds float64          `json:"seconds"`
+	Streams []streamDocument `json:"streams"`
+	Orders  []orderDocument  `json:"orders"`
+}
+
+type streamDocument struct {
+	Profile    string      `json:"profile"`
+	Set        string      `json:"set"`
+	Kind       string      `json:"kind"`
+	Rate       float64     `json:"rate"` // requests a second
+	Deadline   tier.Millis `json:"deadline-ms"`
+	DataCentre string      `json:"data-centre"` // of the VMs that are asked; empty: all
+	Repeats    float64     `json:"repeats"`     // fraction of bookings sent twice
+}
+
+type orderDocument struct {
+	After tier.Millis     `json:"after-ms"`
+	To    string          `json:"to"` // backends or links
+	Order json.RawMessage `json:"order"`
+}
+
+// The control ports that orders go to.
+const (
+	toBackends = "backends"
+	toLinks    = "links"
+)
+
+// Read reads a workload's file for a deployment.
+func Read(path string, d *deployer.Deployment) (*Workload, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "Read")
+	}
+	var doc workloadDocument
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&doc); err != nil {
+		return nil, errors.Wrap(err, "Read "+path)
+	}
+	w := &Workload{name: doc.Name, seed: doc.Seed, maxInFlight: doc.MaxInFlight}
+	if w.maxInFlight == 0 {
+		w.maxInFlight = defaultMaxInFlight
+	}
+	for _, name := range doc.ShardMaps {
+		m, err := deployer.ReadSet(filepath.Join(filepath.Dir(path), name))
+		if err != nil {
+			return nil, errors.Wrap(err, "Read "+path)
+		}
+		w.maps = append(w.maps, m)
+	}
+	if err := w.read(doc, d); err != nil {
+		return nil, errors.Wrap(err, "Read "+path)
+	}
+	return w, nil
+}
+
+// read resolves names and checks the bounds, reporting every bad field.
+func (w *Workload) read(doc workloadDocument, d *deployer.Deployment) error {
+	var l problems
+	seconds, requests := 0.0, 0.0
+	l.check(w.maxInFlight > 0 && w.maxInFlight <= limitMaxInFlight, "max-in-flight", w.maxInFlight, "1 to 20000")
+	for i, x := range doc.Phases {
+		path := fmt.Sprintf("phases[%d]", i)
+		l.check(x.Seconds > 0, path+".seconds", x.Seconds, "above 0")
+		f := phase{name: x.Name, seconds: x.Seconds}
+		for j, s := range x.Streams {
+			f.streams = append(f.streams, l.stream(fmt.Sprintf("%s.streams[%d]", path, j), s, d))
+			requests += s.Rate * x.Seconds * (1 + s.Repeats)
+		}
+		for j, o := range x.Orders {
+			l.check(o.To == toBackends || o.To == toLinks, fmt.Sprintf("%s.orders[%d].to", path, j), o.To, "backends or links")
+			f.orders = append(f.orders, order{after: o.After, to: o.To, body: o.Order})
+		}
+		seconds += x.Seconds
+		w.phases = append(w.phases, f)
+	}
+	l.check(len(doc.Phases) > 0 && seconds <= maxSeconds, "phases", seconds, "at least one phase, 900 seconds in all")
+	l.check(requests <= maxRequests, "phases", requests, "at most 500000 requests in all")
+	return tier.NewInvalidError("workload "+doc.Name, l)
+}
+
+type problems []tier.FieldProblem
+
+func (l *problems) check(ok bool, path string, value any, allowed string) {
+	if !ok {
+		*l = append(*l, tier.NewFieldProblem(path, value, allowed))
+	}
+}
+
+func (l *problems) stream(path string, s streamDocument, d *deployer.Deployment) stream {
+	p, known := d.Profile(s.Profile)
+	l.check(known, path+".profile", s.Profile, "a profile of the deployment")
+	set, found := d.Set(s.Set)
+	l.check(found, path+".set", s.Set, "a set of the deployment")
+	l.check(s.Kind == "" || s.Kind == kindSearch || s.Kind == kindBook, path+".kind", s.Kind, "search or book")
+	l.check(s.Rate > 0, path+".rate", s.Rate, "above 0")
+	l.check(s.Deadline >= 0, path+".deadline-ms", s.Deadline, "at least 1, or left out")
+	l.check(s.Repeats >= 0 && s.Repeats <= 1, path+".repeats", s.Repeats, "0 to 1")
+	l.check(s.DataCentre == "" || len(entries(d, s.DataCentre)) > 0, path+".data-centre", s.DataCentre, "a data centre of the deployment")
+	out := stream{
+		name:       s.Profile + "/" + s.Set,
+		profile:    p,
+		set:        set,
+		book:       s.Kind == kindBook,
+		rate:       s.Rate,
+		deadline:   s.Deadline,
+		dataCentre: s.DataCentre,
+		repeats:    s.Repeats,
+	}
+	if out.book {
+		out.name += "/" + kindBook
+	}
+	if out.deadline == 0 && known {
+		out.deadline = p.Deadline()
+	}
+	return out
+}
+
+// entries lists the indices of the VMs of a data centre, or of all.
+func entries(d *deployer.Deployment, dataCentre string) []int {
+	var out []int
+	for i, v := range d.VMs() {
+		if dataCentre == "" || v.DataCentre() == dataCentre {
+			out = append(out, i)
+		}
+	}
+	return out
+}
