--- a/standin/reporter/table.go
+++ b/standin/reporter/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
@@ -25,6 +27,7 @@
 		}
 	}
 	p.line("")
+	p.reasons(r)
 	p.line("set\tcalls\toverbooked\tshed\trefused\tcancelled\tat once\tconnections\tmade\trefused\t")
 	for _, s := range r.Sets {
 		p.line("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", s.Set, s.Calls, s.Overbooked, s.Shed, s.Refused, s.Cancelled, s.OfferedMax, s.ConnectionsMax, s.ConnectionsMade, s.ConnectionsRefused)
@@ -91,6 +94,18 @@
 	p.line("%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t%.4f\t", phase, x.Name, x.Offered, x.Answered, x.Goodput, x.Refused, x.Unknown, x.Rejected, x.Failed, x.NotSent, x.P50, x.P99, x.P999, x.Coverage, x.ExtraRatio())
 }
 
+// reasons lists why requests of each stream were refused, not accepted or
+// ended unknown.
+func (p *printer) reasons(r *Result) {
+	for _, f := range r.Phases {
+		for _, x := range f.Streams {
+			for _, name := range slices.Sorted(maps.Keys(x.Reasons)) {
+				p.line("%s, %s: %s %d", f.Name, x.Name, name, x.Reasons[name])
+			}
+		}
+	}
+}
+
 func (p *printer) flush(t *tabwriter.Writer) error {
 	if p.err != nil {
 		return p.err
