Watch the store and fetch configuration from peers

Cause: a change must be in force on every VM within seconds, with few watchers on the store, and VMs must do without the store for long. Change: cicadagraded/watching drives the keeper: reads and watches the store, publishes an index in the gossip, fetches from and serves peers, and shows profiles and sets. Watchers are the first of the gossip's contacts, so that other data centres hear of what they hold.

--- /dev/null
+++ b/cicadagraded/watching/index.go
@@ -0,0 +1,114 @@
+package watching
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/tier/keeper"
+)
+
+// IndexKeyPrefix starts the gossip keys of a VM's index.
+const IndexKeyPrefix = "configuration/"
+
+// chunkRefs is how many refs one value of the gossip holds, so that it stays
+// below the gossip's limit with the longest keys.
+const chunkRefs = 24
+
+// Index is what this VM announces of its documents, in values for the gossip
+// keys IndexKeyPrefix + "0" and on.
+func (w *Watcher) Index() ([][]byte, error) {
+	w.lock.Lock()
+	refs := w.keeper.Index()
+	w.lock.Unlock()
+	var out [][]byte
+	for len(refs) > 0 {
+		n := min(chunkRefs, len(refs))
+		value, err := encodeIndex(refs[:n])
+		if err != nil {
+			return nil, errors.Wrap(err, "Watcher.Index")
+		}
+		out = append(out, value)
+		refs = refs[n:]
+	}
+	return out, nil
+}
+
+// publishIndex publishes what has changed of the index, and takes back the
+// values that are no longer needed.
+func (w *Watcher) publishIndex() {
+	w.published.Lock()
+	defer w.published.Unlock()
+	chunks, err := w.Index()
+	if err != nil {
+		return
+	}
+	for i := range max(len(chunks), len(w.chunks)) {
+		value := at(chunks, i)
+		if !bytes.Equal(value, at(w.chunks, i)) {
+			_ = w.publish(indexKey(i), value)
+		}
+	}
+	w.chunks = chunks
+}
+
+func at(chunks [][]byte, i int) []byte {
+	if i >= len(chunks) {
+		return nil
+	}
+	return chunks[i]
+}
+
+func indexKey(i int) string { return fmt.Sprintf("%s%d", IndexKeyPrefix, i) }
+
+// OnIndex takes a value that another VM published under a key that starts
+// with IndexKeyPrefix; an empty one takes the earlier back.
+func (w *Watcher) OnIndex(vm, key string, value []byte) error {
+	if vm == w.name || !strings.HasPrefix(key, IndexKeyPrefix) {
+		return nil
+	}
+	refs, err := decodeIndex(value)
+	if err != nil {
+		return errors.Wrap(err, "Watcher.OnIndex")
+	}
+	w.step(keeper.NewAnnounced(vm, w.merge(vm, key, refs)))
+	return nil
+}
+
+// merge joins the values that a VM published.
+func (w *Watcher) merge(vm, key string, refs []keeper.Ref) []keeper.Ref {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.heard[vm] == nil {
+		w.heard[vm] = map[string][]keeper.Ref{}
+	}
+	w.heard[vm][key] = refs
+	var all []keeper.Ref
+	for _, chunk := range w.heard[vm] {
+		all = append(all, chunk...)
+	}
+	return all
+}
+
+// OnMembers takes the names of the live VMs of this data centre, with this
+// one, and of those elsewhere.
+func (w *Watcher) OnMembers(local, remote []string) {
+	w.forget(append(append([]string(nil), local...), remote...))
+	w.step(keeper.NewMembers(local, remote))
+}
+
+func (w *Watcher) forget(live []string) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	known := make(map[string]bool, len(live))
+	for _, vm := range live {
+		known[vm] = true
+	}
+	for vm := range w.heard {
+		if !known[vm] {
+			delete(w.heard, vm)
+		}
+	}
+}
--- /dev/null
+++ b/cicadagraded/watching/spread_test.go
@@ -0,0 +1,169 @@
+package watching_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/standin/storeserver"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/auditor"
+	"cicadagrade.example/tier/etcdgateway"
+	"cicadagrade.example/tier/gossiper"
+	"cicadagrade.example/tier/ring"
+
+	peerv1 "cicadagrade.example/api/peer/v1"
+	"cicadagrade.example/api/peer/v1/peerv1connect"
+)
+
+// node is a VM with its gossip, as the daemon joins them.
+type node struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	self     tier.VM
+	exchange *exchanging.Exchanger
+	watcher  *watching.Watcher
+	changes  *ring.Ring[gossiper.Action]
+}
+
+func (n *node) Exchange(ctx context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeReply], error) {
+	return n.exchange.Exchange(ctx, r)
+}
+
+func (n *node) Fetch(ctx context.Context, r *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchReply], error) {
+	return n.watcher.Fetch(ctx, r)
+}
+
+// follow hands what the gossip tells to the watcher.
+func (n *node) follow(ctx context.Context) error {
+	for {
+		a, err := n.changes.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		switch a := a.(type) {
+		case *gossiper.MemberChanged:
+			var local, remote []string
+			for _, m := range n.exchange.Members() {
+				switch {
+				case m.State() == tier.VMDead:
+				case m.DataCentre() == n.self.DataCentre():
+					local = append(local, m.Name())
+				default:
+					remote = append(remote, m.Name())
+				}
+			}
+			n.watcher.OnMembers(local, remote)
+		case *gossiper.EntryChanged:
+			if strings.HasPrefix(a.Key(), watching.IndexKeyPrefix) {
+				_ = n.watcher.OnIndex(a.Origin(), a.Key(), a.Value())
+			}
+		}
+	}
+}
+
+func (n *node) dial(vm string) (watching.Peer, bool) {
+	for _, m := range n.exchange.Members() {
+		if m.Name() == vm {
+			return peerv1connect.NewPeerServiceClient(http.DefaultClient, "http://"+m.Address()), true
+		}
+	}
+	return nil, false
+}
+
+func newNode(b *testing.B, self tier.VM, seeds []string, store *etcdgateway.Gateway) *node {
+	n := &node{self: self, changes: ring.New[gossiper.Action](1024)}
+	clock := tier.NewClock()
+	x, err := exchanging.New(self, clock, exchanging.WithChanges(n.changes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	x.SetSeeds(seeds)
+	x.SetState(tier.VMLive)
+	n.exchange = x
+	n.watcher = watching.New(self, store, clock, watching.WithPublisher(x.Publish), watching.WithPeers(n.dial))
+	return n
+}
+
+// BenchmarkInForce measures the time from an accepted change until it is in
+// force on each of seven VMs in three data centres, over loopback, and the
+// store calls of all VMs.
+func BenchmarkInForce(b *testing.B) {
+	server := storeserver.New(tier.NewClock())
+	h := httptest.NewServer(server)
+	defer h.Close()
+	store := etcdgateway.New(h.URL)
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	nodes := startNodes(ctx, b, group, store)
+	change := func(i int) {
+		d := document(b, i+1)
+		r := auditor.Drive(ctx, tier.NewClock(), store, auditor.New(d, fmt.Sprint("change-", i), "op", "", 0))
+		if _, ok := r.(*auditor.Accepted); !ok {
+			b.Fatalf("change ended %T", r)
+		}
+	}
+	change(0)
+	inForce(b, nodes, "1", time.Now())
+	var taken []float64
+	for i := 1; b.Loop(); i++ {
+		change(i)
+		taken = append(taken, inForce(b, nodes, fmt.Sprint(i+1), time.Now()))
+	}
+	sort.Float64s(taken)
+	b.ReportMetric(taken[len(taken)/2], "median-ms")
+	b.ReportMetric(taken[len(taken)-1], "worst-ms")
+	b.ReportMetric(float64(server.Calls().Total)/float64(len(taken)), "store-calls/op")
+	cancel()
+	_ = group.Wait()
+}
+
+func startNodes(ctx context.Context, b *testing.B, group *errgroup.Group, store *etcdgateway.Gateway) []*node {
+	names := []string{"a1", "a2", "a3", "b1", "b2", "c1", "c2"}
+	listeners := make([]net.Listener, len(names))
+	seeds := make([]string, len(names))
+	for i := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		listeners[i], seeds[i] = l, l.Addr().String()
+	}
+	nodes := make([]*node, len(names))
+	for i, name := range names {
+		self := tier.NewVM(name, name[:1], seeds[i], tier.WithIncarnation(tier.Incarnation(time.Now().UnixMilli())))
+		n := newNode(b, self, seeds, store)
+		nodes[i] = n
+		_, handler := peerv1connect.NewPeerServiceHandler(n)
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+		group.Go(func() error { _ = s.Serve(listeners[i]); return nil })
+		group.Go(func() error { <-ctx.Done(); return s.Close() })
+		group.Go(func() error { return n.exchange.Run(ctx) })
+		group.Go(func() error { return n.watcher.Run(ctx) })
+		group.Go(func() error { return n.follow(ctx) })
+	}
+	return nodes
+}
+
+// inForce waits for the last VM and returns the milliseconds since start.
+func inForce(b *testing.B, nodes []*node, limit string, start time.Time) float64 {
+	for _, n := range nodes {
+		for !serves(n.watcher, limit) {
+			if time.Since(start) > patience {
+				b.Fatalf("not in force on %s: %+v", n.self.Name(), n.watcher.Status())
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return float64(time.Since(start).Microseconds()) / 1000
+}
--- /dev/null
+++ b/cicadagraded/watching/watching.go
@@ -0,0 +1,221 @@
+// Package watching keeps the configuration of a VM: it reads and watches the
+// store, fetches documents from peers and serves theirs, and shows the daemon
+// the profiles and shard sets in force.
+package watching
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/ring"
+	"cicadagrade.example/tier/storer"
+
+	peerv1 "cicadagrade.example/api/peer/v1"
+)
+
+const (
+	ringSize     = 4 // the keeper has one read, watch and fetch in flight
+	fetchTimeout = 2 * tier.Second
+	minWait      = 5 * tier.Millis(1)
+	maxWait      = 1 * tier.Minute
+)
+
+// Peer is the part of the peer service that a Watcher calls.
+type Peer interface {
+	Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchReply], error)
+}
+
+// Watcher keeps the configuration of one VM. It is safe for concurrent use.
+type Watcher struct {
+	name    string
+	clock   *tier.Clock
+	store   storer.Store
+	dial    func(vm string) (Peer, bool)
+	publish func(key string, value []byte) error
+	warn    func(keeper.Flag)
+	options []keeper.Option
+
+	lock     sync.Mutex
+	keeper   *keeper.Keeper
+	heard    map[string]map[string][]keeper.Ref // by VM and gossip key
+	endWatch context.CancelFunc
+
+	view    atomic.Pointer[view]
+	lists   *ring.Ring[*keeper.List]
+	watches *ring.Ring[watchOrder]
+	fetches *ring.Ring[*keeper.Fetch]
+	wake    *ring.Ring[struct{}]
+	changed *ring.Ring[struct{}]
+
+	published sync.Mutex // held while the index is published
+	chunks    [][]byte
+}
+
+// watchOrder is a watch that may be ended before it starts.
+type watchOrder struct {
+	ctx  context.Context
+	from int64
+}
+
+// Option sets one field of a Watcher.
+type Option func(*Watcher)
+
+// WithPeers sets how VMs are reached; without it nothing is fetched.
+func WithPeers(dial func(vm string) (Peer, bool)) Option {
+	return func(w *Watcher) { w.dial = dial }
+}
+
+// WithPublisher sets where the index of what this VM holds is published; the
+// other VMs hand it to OnIndex.
+func WithPublisher(publish func(key string, value []byte) error) Option {
+	return func(w *Watcher) { w.publish = publish }
+}
+
+// WithWarnings has warn called for each flag that is raised.
+func WithWarnings(warn func(keeper.Flag)) Option { return func(w *Watcher) { w.warn = warn } }
+
+// WithKeeper passes options to the keeper.
+func WithKeeper(opts ...keeper.Option) Option {
+	return func(w *Watcher) { w.options = append(w.options, opts...) }
+}
+
+// New returns the watcher of a VM.
+func New(self tier.VM, store storer.Store, clock *tier.Clock, opts ...Option) *Watcher {
+	w := &Watcher{
+		name:    self.Name(),
+		clock:   clock,
+		store:   store,
+		heard:   map[string]map[string][]keeper.Ref{},
+		lists:   ring.New[*keeper.List](ringSize),
+		watches: ring.New[watchOrder](ringSize),
+		fetches: ring.New[*keeper.Fetch](ringSize),
+		wake:    ring.New[struct{}](1),
+		changed: ring.New[struct{}](1),
+
+		endWatch: func() {},
+	}
+	w.Defaults()
+	for _, o := range opts {
+		o(w)
+	}
+	options := append([]keeper.Option{keeper.WithDataCentre(self.DataCentre())}, w.options...)
+	w.keeper = keeper.New(w.name, options...)
+	w.view.Store(newView(nil))
+	return w
+}
+
+// Defaults sets no peers, publishes nowhere and ignores warnings.
+func (w *Watcher) Defaults() {
+	w.dial = func(string) (Peer, bool) { return nil, false }
+	w.publish = func(string, []byte) error { return nil }
+	w.warn = func(keeper.Flag) {}
+}
+
+// Run keeps the configuration until ctx ends. It is one duty of a run group.
+func (w *Watcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return w.tick(ctx) })
+	group.Go(func() error { return w.list(ctx) })
+	group.Go(func() error { return w.watch(ctx) })
+	group.Go(func() error { return w.fetch(ctx) })
+	group.Go(func() error { return w.stopWatch(ctx) })
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return errors.Wrap(err, "Watcher.Run")
+}
+
+// tick steps the keeper whenever it is due.
+func (w *Watcher) tick(ctx context.Context) error {
+	for {
+		w.drive(&keeper.Tick{})
+		timer := time.NewTimer(w.wait().Duration())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-w.wake.Out():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+func (w *Watcher) wait() tier.Millis {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	next, ok := w.keeper.Next()
+	if !ok {
+		return maxWait
+	}
+	return min(max(next-w.clock.Now(), minWait), maxWait)
+}
+
+// step drives the keeper and has tick look at its next time again.
+func (w *Watcher) step(e keeper.Event) {
+	w.drive(e)
+	w.wake.TryPush(struct{}{})
+}
+
+// drive drives the keeper and tells of what came into force and of flags.
+func (w *Watcher) drive(e keeper.Event) {
+	took, flags := w.driveLocked(e)
+	if took {
+		w.changed.TryPush(struct{}{})
+	}
+	for _, f := range flags {
+		w.warn(f)
+	}
+	w.publishIndex()
+}
+
+// driveLocked passes the keeper's actions to the duties.
+func (w *Watcher) driveLocked(e keeper.Event) (took bool, flags []keeper.Flag) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, a := range w.keeper.Step(w.clock.Now(), e) {
+		switch a := a.(type) {
+		case *keeper.List:
+			w.lists.TryPush(a)
+		case *keeper.Watch:
+			w.watches.TryPush(w.newWatch(a.From()))
+		case *keeper.EndWatch:
+			w.endWatch()
+		case *keeper.Fetch:
+			w.fetches.TryPush(a)
+		case *keeper.Took:
+			took = true
+		case *keeper.Warned:
+			flags = append(flags, a.Flag())
+		}
+	}
+	if took {
+		w.view.Store(newView(w.keeper.Documents()))
+	}
+	return took, flags
+}
+
+// newWatch makes the order of a watch that endWatch ends.
+func (w *Watcher) newWatch(from int64) watchOrder {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.endWatch = cancel
+	return watchOrder{ctx: ctx, from: from}
+}
+
+// stopWatch ends the watch when the watcher itself ends.
+func (w *Watcher) stopWatch(ctx context.Context) error {
+	<-ctx.Done()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.endWatch()
+	return ctx.Err()
+}
--- /dev/null
+++ b/cicadagraded/watching/watching_test.go
@@ -0,0 +1,135 @@
+package watching_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/standin/storeserver"
+	"cicadagrade.example/tier/auditor"
+	"cicadagrade.example/tier/keeper"
+)
+
+// TestScripts runs each script of changes, faults and cuts.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			script, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f := newFleet(t)
+			for line := range strings.Lines(string(script)) {
+				line = strings.TrimSpace(line)
+				if line != "" && line[0] != '#' {
+					f.step(line, strings.Fields(line))
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) step(line string, w []string) {
+	switch w[0] {
+	case "start", "stop":
+		for _, name := range w[1:] {
+			if w[0] == "start" {
+				f.start(name)
+			} else {
+				f.stop(name)
+			}
+		}
+		f.meet()
+	case "apply":
+		n, _ := strconv.Atoi(w[1])
+		f.drive(auditor.New(document(f.t, n), "change-"+w[1], "op", "", 0))
+	case "reconcile":
+		f.reconcile(w[1])
+	case "store":
+		var faults storeserver.Faults
+		if err := json.Unmarshal([]byte(strings.Join(w[1:], " ")), &faults); err != nil {
+			f.t.Fatal(err)
+		}
+		f.server.SetFaults(faults)
+	case "save":
+		f.server.Save(w[1])
+	case "restart":
+		if err := f.server.Restart(strings.Join(w[1:], "")); err != nil {
+			f.t.Fatal(err)
+		}
+	case "cut-store", "cut-peers", "heal":
+		f.cut(w[0], w[1:])
+	default:
+		f.look(line, w)
+	}
+}
+
+func (f *fleet) cut(what string, names []string) {
+	for name, v := range f.reachableAll() {
+		if what == "heal" {
+			v.store.setCut(false)
+			f.setApart(name, false)
+		}
+	}
+	for _, name := range names {
+		if what == "cut-store" {
+			f.reachableAll()[name].store.setCut(true)
+		} else {
+			f.setApart(name, true)
+		}
+	}
+	f.meet()
+}
+
+func (f *fleet) setApart(name string, apart bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.apart[name] = apart
+}
+
+// look waits until VMs are as a line says; "serves" does not wait.
+func (f *fleet) look(line string, w []string) {
+	for _, name := range w[1:] {
+		switch w[0] {
+		case "in-force":
+			if name != w[1] {
+				f.eventually(line, name, func(x *watching.Watcher) bool { return serves(x, w[1]) })
+			}
+		case "flagged":
+			if name != w[1] {
+				f.eventually(line, name, func(x *watching.Watcher) bool { return flagged(x, w[1]) })
+			}
+		case "clear":
+			f.eventually(line, name, func(x *watching.Watcher) bool { return len(x.Status().Flags()) == 0 })
+		case "serves":
+			if name != w[1] && !serves(f.reachableAll()[name].watcher, w[1]) {
+				f.t.Fatalf("%s: not so on %s", line, name)
+			}
+		default:
+			f.t.Fatalf("unknown line %q", line)
+		}
+	}
+}
+
+// reconcile writes what a VM serves back to the store.
+func (f *fleet) reconcile(name string) {
+	key := keeper.KeyOf(document(f.t, 1))
+	b, ok := f.reachableAll()[name].watcher.Document(key)
+	if !ok {
+		f.t.Fatal("no document on " + name)
+	}
+	s, err := keeper.Decode(key, b)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.drive(auditor.NewReconciliation(s, "reconcile", "op", "", 0))
+}
--- a/tier/keeper/keeper.go
+++ b/tier/keeper/keeper.go
@@ -39,10 +39,11 @@
 
 // Keeper is the state machine. It is not safe for concurrent use.
 type Keeper struct {
-	name     string
-	watchers int
-	random   *rand.Rand
-	started  bool
+	name       string
+	dataCentre string
+	watchers   int
+	random     *rand.Rand
+	started    bool
 
 	documents map[string]*held
 	flags     map[string]Flag
@@ -86,6 +87,9 @@
 // tell: first reads of the store are spread by it.
 func WithFleet(n int) Option { return func(k *Keeper) { k.fleet = n } }
 
+// WithDataCentre names the VM's data centre.
+func WithDataCentre(name string) Option { return func(k *Keeper) { k.dataCentre = name } }
+
 // New returns the keeper of the VM with this name.
 func New(name string, opts ...Option) *Keeper {
 	k := &Keeper{
--- a/tier/keeper/plan.go
+++ b/tier/keeper/plan.go
@@ -1,9 +1,8 @@
 package keeper
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/picker"
 )
 
 // setMembers takes the live VMs and forgets what the others announced.
@@ -33,18 +32,21 @@
 }
 
 // picked reports whether rendezvous hashing makes this VM a watcher. Alone
-// or untold, it is one.
+// or untold, it is one. The score is that of the gossip's contacts, whose
+// announcements reach the other data centres.
 func (k *Keeper) picked() bool {
-	mine := xxhash.Sum64String(k.name)
+	mine := k.score(k.name)
 	above := 0
 	for _, vm := range k.members {
-		if vm != k.name && xxhash.Sum64String(vm) > mine {
+		if vm != k.name && k.score(vm) > mine {
 			above++
 		}
 	}
 	return above < k.watchers
 }
 
+func (k *Keeper) score(vm string) uint64 { return picker.Score("contact", k.dataCentre, vm) }
+
 // planStore starts and ends the watch and reads when it is time.
 func (k *Keeper) planStore(now tier.Millis, out *actions) {
 	if now < k.settleAt {
