Measure the policy under load in simulated time

Cause: floors, hedging and refusals had no figures. Change: package measurer drives dispatchers against modelled servers; the scenarios are stragglers at three loads, floods in three ways of sharing the servers, callers who leave, and servers that shed. Shares that change to and fro no longer end the takeover time. Tests of limiter, hedger, admitter, shares and floors. Figures: go test ./tier/measurer -run MeasureLoad -long -v.

--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -8,7 +8,8 @@
 const (
 	drainWeight    = 1.0 / 16 // of the newest gap in the average
 	drainMemory    = 5 * tier.Second
-	usableDeadline = 0.8 // part of the time left that queueing and service may fill
+	serviceWeight  = 1.0 / 64 // of the newest latency in a rank's average
+	usableDeadline = 0.8      // part of the time left that queueing and service may fill
 )
 
 // drain measures the gap between starts of a rank's calls for one shard,
@@ -69,10 +70,36 @@
 	return n
 }
 
+func (d *Dispatcher) measureService(r tier.Rank, took tier.Millis) {
+	m := max(float64(took), minLatency)
+	if d.service[r] == 0 {
+		d.service[r] = m
+	}
+	d.service[r] += serviceWeight * (m - d.service[r])
+}
+
+// floorGap is the gap between starts of a rank for a shard while it gets no
+// more than its floor; 0 when that is not known.
+func (d *Dispatcher) floorGap(h *shard, r tier.Rank) float64 {
+	n := 0.0
+	for _, s := range h.replicas {
+		n += float64(d.limit(s)) / float64(len(s.shards))
+	}
+	if f := d.set.Floor(r) * n; f > 0 {
+		return d.service[r] / f
+	}
+	return 0
+}
+
 // wait estimates how long a task of a part would wait for its first call.
+// Reports count on no more than their floor, so that those accepted end in
+// time even when more urgent work floods in after them.
 func (d *Dispatcher) wait(h *shard, p *part) float64 {
 	r := p.profile.Rank()
 	ahead := h.ahead(p)
+	if r == tier.Reports && ahead > 0 {
+		return float64(ahead+1) * max(d.gap(h, r), d.floorGap(h, r))
+	}
 	if ahead > 0 {
 		return float64(ahead+1) * d.gap(h, r)
 	}
--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -28,10 +28,10 @@
 	queueSize  int
 	random     *rand.Rand
 
-	now      tier.Millis
-	leaving  bool
-	previous shareOf
-	shared   tier.Millis // when the present share was given
+	now     tier.Millis
+	leaving bool
+	left    tier.Millis // when leaving began
+	shared  tier.Millis // when the present share was given
 
 	servers  map[string]*server
 	shards   map[string]*shard
@@ -43,6 +43,7 @@
 	hedger   *hedger.Hedger
 	budgeted bool // the budget allowed an extra call after the last Step
 	pressure pressure
+	service  [len(tier.Ranks)]float64 // average latency of calls by rank, in milliseconds
 	queued   queueCounts
 	counters Counters
 	actions  []Action
@@ -121,7 +122,7 @@
 	case *ShareChanged:
 		d.shareChanged(e)
 	case *Leaving:
-		d.leaving = true
+		d.leave()
 	case *Tick:
 		d.fillAll()
 	}
@@ -148,13 +149,21 @@
 	if e.owners == d.owners && e.index == d.index {
 		return
 	}
-	d.previous = shareOf{owners: d.owners, index: d.index}
+	for _, s := range d.servers {
+		s.base = d.share(s)
+	}
 	d.owners, d.index = e.owners, e.index
 	d.shared = d.now
 	d.applyShares()
 	d.fillAll()
 }
 
+func (d *Dispatcher) leave() {
+	if !d.leaving {
+		d.leaving, d.left = true, d.now
+	}
+}
+
 // buildMap takes over servers and shards of the set, keeping what is known of
 // those that stay.
 func (d *Dispatcher) buildMap() {
--- a/tier/dispatcher/property_test.go
+++ b/tier/dispatcher/property_test.go
@@ -23,14 +23,17 @@
 		backends = append(backends, tier.NewBackend(fmt.Sprintf("v%d", i), "127.0.0.1:1", "here", tier.WithSlots(slots)))
 	}
 	var parts []tier.Shard
-	step := uint64(math.MaxUint64) / uint64(shards)
+	step := math.MaxUint64 / uint64(shards)
 	for i := range shards {
 		to := uint64(i+1)*step - 1
 		if i == shards-1 {
 			to = math.MaxUint64
 		}
-		first, second := backends[i%servers].Name(), backends[(i+1)%servers].Name()
-		parts = append(parts, tier.NewShard(fmt.Sprintf("s%d", i), uint64(i)*step, to, first, second))
+		replicas := []string{backends[i%servers].Name()}
+		if servers > 1 {
+			replicas = append(replicas, backends[(i+1)%servers].Name())
+		}
+		parts = append(parts, tier.NewShard(fmt.Sprintf("s%d", i), uint64(i)*step, to, replicas...))
 	}
 	set, err := tier.NewShardSet("portao", append(opts, tier.WithServers(backends...), tier.WithShards(parts...))...)
 	if err != nil {
@@ -194,6 +197,7 @@
 	for _, b := range []broken{
 		{"slots", func(d *Dispatcher) {
 			for _, s := range d.servers {
+				s.backend = tier.NewBackend(s.backend.Name(), "127.0.0.1:1", "here", tier.WithSlots(9))
 				s.limiter = limiter.New(9, d.random)
 			}
 		}, "slots of"},
--- a/tier/dispatcher/reply.go
+++ b/tier/dispatcher/reply.go
@@ -58,6 +58,7 @@
 		s.observe(d.now, took)
 		s.limiter.Succeeded()
 		d.hedger.Observe(d.now, took)
+		d.measureService(c.task.rank(), took)
 	case *ReplyNotRun:
 		d.learnNotRun(c, r.reason)
 	case *ReplyFailed:
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -63,6 +63,7 @@
 	since    tier.Millis // of the state
 	shards   []*shard
 	limiter  *limiter.Limiter
+	base     int // slots of the share before the present one
 	running  []*call
 	byRank   [len(tier.Ranks)]int
 	load     [len(tier.Ranks)]float64 // queued work, shared among its replicas
@@ -88,19 +89,23 @@
 	}
 }
 
-// share is the owner's part of a server's slots. It grows by at most one
-// slot until the takeover time has passed.
+// share is the owner's part of a server's slots. A new or larger share is
+// held at the earlier one, or at one slot, until the takeover time has passed;
+// an owner that leaves falls back to one slot after as long.
 func (d *Dispatcher) share(s *server) int {
 	n := shareOf{owners: d.owners, index: d.index}.slots(s.backend.Slots(), s.ordinal)
+	if d.leaving && d.now >= d.left+d.takeover {
+		n = min(n, 1)
+	}
 	if d.now >= d.shared+d.takeover {
 		return n
 	}
-	return min(n, max(1, d.previous.slots(s.backend.Slots(), s.ordinal)))
+	return min(n, max(1, s.base))
 }
 
 // limit is how many calls the server may run now.
 func (d *Dispatcher) limit(s *server) int {
-	n := s.limiter.Limit(d.now)
+	n := min(s.limiter.Limit(d.now), d.share(s))
 	switch s.state {
 	case tier.BackendLeaving, tier.BackendLost:
 		return 0
--- /dev/null
+++ b/tier/dispatcher/share_test.go
@@ -0,0 +1,121 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cicadagrade.example/tier"
+)
+
+func TestSharesAddUpToTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owners := rapid.IntRange(1, 64).Draw(t, "owners")
+		slots := rapid.IntRange(1, 100).Draw(t, "slots")
+		ordinal := rapid.IntRange(0, 100).Draw(t, "ordinal")
+		sum := 0
+		for i := range owners {
+			n := shareOf{owners: owners, index: i}.slots(slots, ordinal)
+			if owners <= slots && n == 0 {
+				t.Fatalf("owner %d of %d has none of %d slots", i, owners, slots)
+			}
+			sum += n
+		}
+		if sum != slots {
+			t.Fatalf("%d owners have %d of %d slots", owners, sum, slots)
+		}
+	})
+}
+
+// inFlight floods owners that each believe that they own the set, and
+// returns the most calls that one server held at once by a time.
+func inFlight(until tier.Millis, owners []*Dispatcher) int {
+	held := map[string]int{}
+	most := 0
+	for now := tier.Millis(0); now < until; now += 10 {
+		for _, d := range owners {
+			e := NewSubmit(uint64(now)+1, testProfiles[0], now+100000, []string{"s0", "s1", "s2", "s3"})
+			for _, a := range d.Step(now, e) {
+				if c, ok := a.(*Call); ok {
+					held[c.server]++
+					most = max(most, held[c.server])
+				}
+			}
+		}
+	}
+	return most
+}
+
+func TestDisputedOwnershipIsBounded(t *testing.T) {
+	const slots = 6
+	for _, c := range []struct {
+		takeover tier.Millis
+		within   bool
+	}{{DefaultTakeover, true}, {0, false}} {
+		t.Run(fmt.Sprintf("takeover %d", c.takeover), func(t *testing.T) {
+			set := testSet(2, 4, slots)
+			old := New(set, "here", WithTakeover(0))
+			usurper := New(set, "here", WithTakeover(c.takeover))
+			// A share that changes to and fro doesn't end the takeover time.
+			usurper.Step(0, NewShareChanged(2, 1))
+			usurper.Step(0, NewShareChanged(1, 0))
+			most := inFlight(DefaultTakeover, []*Dispatcher{old, usurper})
+			if got := most <= slots+1; got != c.within {
+				t.Fatalf("%d calls on %d slots", most, slots)
+			}
+		})
+	}
+}
+
+// floodFor keeps urgent and reports work waiting on one server, and returns
+// the part of slot time that reports get.
+func floodFor(set *tier.ShardSet, span tier.Millis, times [2]tier.Millis, tamper func(*Dispatcher)) float64 {
+	profiles := [2]*tier.Profile{
+		testProfile("gate", tier.Urgent, tier.WithImposedWait(tier.MaxImposedWait)),
+		testProfile("fees", tier.Reports, tier.WithImposedWait(tier.MaxImposedWait)),
+	}
+	d := New(set, "here", WithTakeover(0))
+	used := [2]tier.Millis{}
+	running := map[uint64]tier.Millis{}
+	kinds := map[uint64]int{}
+	part := uint64(0)
+	take := func(now tier.Millis, actions []Action) {
+		for _, a := range actions {
+			if c, ok := a.(*Call); ok {
+				running[c.attempt] = now + times[c.part%2]
+				kinds[c.attempt] = int(c.part % 2)
+			}
+		}
+	}
+	for now := tier.Millis(0); now < span; now++ {
+		for d.queued.byRank[tier.Urgent] < 4 || d.queued.byRank[tier.Reports] < 4 {
+			part++
+			take(now, d.Step(now, NewSubmit(part, profiles[part%2], now+100*tier.Minute, []string{"s0"})))
+		}
+		for a := uint64(1); a <= d.attempts; a++ {
+			if at, ok := running[a]; ok && at <= now {
+				delete(running, a)
+				used[kinds[a]] += times[kinds[a]]
+				take(now, d.Step(now, NewReplied(a, &ReplyOK{})))
+			}
+		}
+		if tamper != nil {
+			tamper(d)
+		}
+	}
+	return float64(used[1]) / float64(used[0]+used[1])
+}
+
+func TestReportsKeepTheirFloor(t *testing.T) {
+	set := testSet(1, 1, 2, tier.WithFloors(0, 0.2))
+	times := [2]tier.Millis{10, 25}
+	got := floodFor(set, 5*tier.Second, times, nil)
+	if got < 0.19 || got > 0.25 {
+		t.Fatalf("reports got %.3f of slot time, floor 0.2", got)
+	}
+	unfloored := func(d *Dispatcher) { d.set = testSet(1, 1, 2, tier.WithFloors(0, 0)) }
+	if got := floodFor(set, 5*tier.Second, times, unfloored); got > 0.1 {
+		t.Fatalf("without a floor reports still got %.3f of slot time", got)
+	}
+}
--- /dev/null
+++ b/tier/limiter/limiter_test.go
@@ -0,0 +1,50 @@
+package limiter
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"cicadagrade.example/tier"
+)
+
+func TestShedRepliesLowerTheLimitAndSuccessRestoresIt(t *testing.T) {
+	l := New(8, rand.New(rand.NewPCG(1, 1)))
+	l.Shed(1000)
+	l.Shed(1001) // of the same burst
+	if got := l.Limit(1001); got != 4 {
+		t.Fatalf("limit %d after one burst", got)
+	}
+	l.Shed(1200)
+	l.Shed(1400)
+	if got := l.Limit(1400); got != 1 {
+		t.Fatalf("limit %d after three bursts", got)
+	}
+	replies := 0
+	for ; l.Limit(2000) < 8; replies++ {
+		l.Succeeded()
+	}
+	// A slot more after RoundsToGrow rounds at each limit from 1 to 7.
+	if want := RoundsToGrow * (1 + 2 + 3 + 4 + 5 + 6 + 7); replies < want*9/10 || replies > want*12/10 {
+		t.Fatalf("recovered after %d replies, expected about %d", replies, want)
+	}
+}
+
+func TestServerThatShedsItsOnlyCallIsPaused(t *testing.T) {
+	l := New(1, rand.New(rand.NewPCG(1, 1)))
+	now, last := tier.Millis(0), tier.Millis(0)
+	for range 10 {
+		now = max(now+DecreaseInterval, l.PausedUntil())
+		l.Shed(now)
+		pause := l.PausedUntil() - now
+		if l.Limit(now) != 0 || pause < last/2 || pause > MaxPause {
+			t.Fatalf("pause %d after one of %d, limit %d", pause, last, l.Limit(now))
+		}
+		last = pause
+	}
+	if last < MaxPause/2 {
+		t.Fatalf("pauses grew only to %d", last)
+	}
+	if got := l.Limit(l.PausedUntil()); got != 1 {
+		t.Fatalf("limit %d after the pause", got)
+	}
+}
--- /dev/null
+++ b/tier/measurer/measurer_test.go
@@ -0,0 +1,63 @@
+package measurer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"cicadagrade.example/tier"
+)
+
+var long = flag.Bool("long", false, "run each scenario for its whole time and print the tables")
+
+// TestMeasureLoad prints the table of docs/design/load.md with -long.
+func TestMeasureLoad(t *testing.T) {
+	if !*long {
+		t.Skip("measurement: run with -long")
+	}
+	if err := PrintHeader(os.Stdout); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range scenarios() {
+		r, err := Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Print(os.Stdout); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func urgentOnly(load float64) []Option {
+	return []Option{WithLoad(tier.Urgent, load), WithLoad(tier.Daily, 0), WithLoad(tier.Reports, 0), WithDuration(200 * tier.Second)}
+}
+
+func scenarios() []*Scenario {
+	var out []*Scenario
+	for _, load := range []float64{0.2, 0.3, 0.4} {
+		o := func(name string, opts ...Option) {
+			out = append(out, New(fmt.Sprintf("%s, load %.1f", name, load), append(opts, urgentOnly(load)...)...))
+		}
+		o("no straggler, no hedge", WithHedge(false))
+		o("no straggler, hedge")
+		o("straggler, no hedge", WithStraggler(20), WithHedge(false))
+		o("straggler, hedge", WithStraggler(20))
+	}
+	flood := WithDuration(40 * tier.Second)
+	for _, w := range []Way{Alone, Static, Owner} {
+		out = append(out,
+			New("no flood", flood, WithWay(w)),
+			New("reports flood", flood, WithWay(w), WithLoad(tier.Reports, 10)),
+			New("urgent flood", flood, WithWay(w), WithLoad(tier.Urgent, 10)),
+			New("both floods", flood, WithWay(w), WithLoad(tier.Urgent, 10), WithLoad(tier.Reports, 10)),
+		)
+	}
+	return append(out,
+		New("reports flood, reports share 1.0", flood, WithLoad(tier.Reports, 10), WithReportsShare(1)),
+		New("reports flood through one VM", flood, WithLoad(tier.Reports, 10), WithOneEntry()),
+		New("urgent flood, callers leave after 50 ms", flood, WithLoad(tier.Urgent, 10), WithPatience(50)),
+		New("servers shed half of their slots for 10 s of 40", flood, WithShedding(10*tier.Second, 20*tier.Second)),
+	)
+}
