--- a/standin/deployer/users.go
+++ b/standin/deployer/users.go
@@ -136,6 +136,14 @@
 		path := u.name + "/set-" + p.name + ".json"
 		d.Sets = append(d.Sets, path)
 		out[path] = parser.Encode(parser.NewSetDocument(set))
+		if i > 0 {
+			continue
+		}
+		next, err := repartitioned(set)
+		if err != nil {
+			return nil, errors.Wrap(err, "user.files")
+		}
+		out[u.name+"/epoch-2-"+p.name+".json"] = parser.Encode(parser.NewSetDocument(next))
 	}
 	if out[u.name+"/links.json"], err = relay.Encode(u.links(d)); err != nil {
 		return nil, errors.Wrap(err, "user.files")
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -2,20 +2,26 @@
 
 import (
 	"fmt"
+	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"cicadagrade.example/standin/leafserver"
 )
 
 func faultCommand() *cobra.Command {
-	var control string
+	var control, learn string
 	c := &cobra.Command{
-		Use:   "fault ORDER",
+		Use:   "fault [ORDER]",
 		Short: "Change running backend servers by a JSON order (see backends --help)",
-		Args:  cobra.ExactArgs(1),
+		Args:  cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			n, err := leafserver.NewClient(control).Order(c.Context(), []byte(args[0]))
+			order, err := readOrder(args, learn)
+			if err != nil {
+				return err
+			}
+			n, err := leafserver.NewClient(control).Order(c.Context(), order)
 			if err != nil {
 				return err
 			}
@@ -24,9 +30,22 @@
 		},
 	}
 	controlFlag(c, &control)
+	c.Flags().StringVar(&learn, "learn", "", "file of a set document that its servers learn, in place of an order")
 	return c
 }
 
+// readOrder takes the order given, or makes one of a set document.
+func readOrder(args []string, learn string) ([]byte, error) {
+	if (len(args) == 0) == (learn == "") {
+		return nil, errors.New("give either an order or --learn")
+	}
+	if learn == "" {
+		return []byte(args[0]), nil
+	}
+	b, err := os.ReadFile(learn)
+	return leafserver.LearnOrder(b), errors.Wrap(err, "fault")
+}
+
 func bookedCommand() *cobra.Command {
 	var control, count string
 	c := &cobra.Command{
--- a/standin/leafserver/client.go
+++ b/standin/leafserver/client.go
@@ -22,6 +22,10 @@
 	return &Client{address: address, client: &http.Client{}}
 }
 
+// LearnOrder is the order by which the servers of a set learn a shard map,
+// given as the set's document.
+func LearnOrder(set []byte) []byte { return fmt.Appendf(nil, `{"learn":%s}`, set) }
+
 // Order posts a fault order, a JSON object, and returns how many servers it
 // changed.
 func (c *Client) Order(ctx context.Context, order []byte) (int, error) {
--- a/standin/leafserver/server_test.go
+++ b/standin/leafserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -189,6 +190,34 @@
 	}
 }
 
+// TestRepartitionIsLearned holds the shard of two maps at once, then forgets
+// the older map.
+func TestRepartitionIsLearned(t *testing.T) {
+	b := newBench(t)
+	whole, _ := b.search(context.Background(), 1)
+	half := `{"name":"portao","epoch":2,"servers":[{"name":"portao-01-a","address":"127.0.0.1:1","data-centre":"serra-caxias"}],
+		"shards":[{"id":"portao-01","from":"0000000000000000","to":"7fffffffffffffff","replicas":["portao-01-a"]},
+		{"id":"portao-02","from":"8000000000000000","to":"ffffffffffffffff","replicas":["portao-01-a"]}]}`
+	b.order(faultOrder{Learn: json.RawMessage(half)})
+	ask := func(shard string, epoch uint64) (*backendv1.SearchReply, connect.Code) {
+		q := &backendv1.SearchRequest{Set: "portao", Shard: shard, Snapshot: &backendv1.Snapshot{Epoch: epoch, Version: 1}, Term: "grower-7"}
+		r, err := b.client.Search(context.Background(), connect.NewRequest(q))
+		if err != nil {
+			return nil, connect.CodeOf(err)
+		}
+		return r.Msg, 0
+	}
+	low, _ := ask("portao-01", 2)
+	high, _ := ask("portao-02", 2)
+	if len(low.GetRecords()) == 0 || len(high.GetRecords()) == 0 || low.GetCount()+high.GetCount() != whole.GetCount() {
+		t.Errorf("%d and %d records of %d", low.GetCount(), high.GetCount(), whole.GetCount())
+	}
+	b.order(faultOrder{Forget: 1})
+	if _, code := ask("portao-01", 1); code != connect.CodeFailedPrecondition {
+		t.Errorf("the forgotten map got %v", code)
+	}
+}
+
 // TestSpoiltRepliesShow checks that each reply fault changes what it says.
 func TestSpoiltRepliesShow(t *testing.T) {
 	b := newBench(t)
--- a/standin/loader/workload.go
+++ b/standin/loader/workload.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"cicadagrade.example/standin/deployer"
+	"cicadagrade.example/standin/leafserver"
 	"cicadagrade.example/tier"
 )
 
@@ -93,6 +94,7 @@
 	After tier.Millis     `json:"after-ms"`
 	To    string          `json:"to"` // backends or links
 	Order json.RawMessage `json:"order"`
+	Learn string          `json:"learn-file"` // a set document, in place of an order
 }
 
 // The control ports that orders go to.
@@ -124,12 +126,33 @@
 		}
 		w.maps = append(w.maps, m)
 	}
+	if err := doc.learn(filepath.Dir(path)); err != nil {
+		return nil, errors.Wrap(err, "Read "+path)
+	}
 	if err := w.read(doc, d); err != nil {
 		return nil, errors.Wrap(err, "Read "+path)
 	}
 	return w, nil
 }
 
+// learn turns each learn-file into an order for the backend servers.
+func (doc *workloadDocument) learn(dir string) error {
+	for i := range doc.Phases {
+		orders := doc.Phases[i].Orders
+		for j := range orders {
+			if orders[j].Learn == "" {
+				continue
+			}
+			b, err := os.ReadFile(filepath.Join(dir, orders[j].Learn))
+			if err != nil {
+				return err
+			}
+			orders[j].Order = leafserver.LearnOrder(b)
+		}
+	}
+	return nil
+}
+
 // read resolves names and checks the bounds, reporting every bad field.
 func (w *Workload) read(doc workloadDocument, d *deployer.Deployment) error {
 	var l problems
