Bound the gossip at large sizes and cause its failures in tests

A start of 100 members at once never converged: replies to newcomers ran the byte budget of the seeds into debt, and each VM pushed every newcomer ten times. Replies have a least room, debt is bounded, much news at once is pushed twice and left to the digests, and newcomers ask seeds ever less often. A death was missed for 37 s by a VM that no push reached; requests now compare suspicions of the last minute as well.

--- a/tier/gossiper/exchange.go
+++ b/tier/gossiper/exchange.go
@@ -1,5 +1,11 @@
 package gossiper
 
+import (
+	"hash/crc32"
+
+	"cicadagrade.example/tier"
+)
+
 // request composes an exchange with a peer, whose record is nil when it is not
 // known. The digests go along only when asked for.
 func (g *Gossiper) request(to *record, digests bool) *Message {
@@ -23,10 +29,11 @@
 // window lists the next digests of the table, or all of them for a VM that
 // catches up.
 func (g *Gossiper) window(to *record, room int) []Digest {
-	out := []Digest{NewDigest("", 0, g.sharedSum())}
+	out := []Digest{NewDigest("", g.statusSum(), g.sharedSum())}
 	names := g.offered(to)
 	n := digestWindow
-	if g.catchingUp() {
+	if g.catchingUp() && g.now >= g.nextWhole {
+		g.nextWhole = g.now + tier.Millis(len(names))*wholeWait
 		n = len(names)
 	}
 	at := 0
@@ -191,6 +198,9 @@
 func (g *Gossiper) answer(m *Message, from *record) *Message {
 	out := &Message{sender: g.name, incarnation: g.own.incarnation}
 	room := g.bucket.room() - out.Size()
+	if from == nil || len(m.digests) > 0 && len(m.digests) < fewDigests {
+		room = max(room, newcomerRoom)
+	}
 	if from != nil && m.incarnation == from.incarnation {
 		out.entries = g.statusOf(from)
 	}
@@ -207,7 +217,8 @@
 func (g *Gossiper) fillIn(out, m *Message, from *record, room int) {
 	for _, d := range g.wanted(m, from) {
 		if d.origin == "" {
-			room = g.fillShared(out, room)
+			room = g.fillStatus(out, d, from, room)
+			room = g.fillShared(out, d, room)
 			continue
 		}
 		r := g.records[d.origin]
@@ -229,7 +240,42 @@
 	}
 }
 
-func (g *Gossiper) fillShared(out *Message, room int) int {
+// fillStatus adds the suspicions of late when the sender holds others.
+func (g *Gossiper) fillStatus(out *Message, d Digest, from *record, room int) int {
+	if d.incarnation == g.statusSum() {
+		return room
+	}
+	for _, name := range g.offered(from) {
+		r := g.records[name]
+		e := r.status(statusSuspect)
+		if r != from && g.suspectedLately(r) && e.size() <= room {
+			out.entries = append(out.entries, e)
+			room -= e.size()
+		}
+	}
+	return room
+}
+
+// suspectedLately reports whether a suspicion is still compared with peers.
+func (g *Gossiper) suspectedLately(r *record) bool {
+	return r.suspectAt > 0 && g.now-r.suspectSince < tier.Minute
+}
+
+// statusSum is alike on two VMs that suspected the same VMs of late.
+func (g *Gossiper) statusSum() tier.Incarnation {
+	var sum uint32
+	for name, r := range g.records {
+		if g.suspectedLately(r) {
+			sum ^= crc32.ChecksumIEEE([]byte(name))
+		}
+	}
+	return tier.Incarnation(sum)
+}
+
+func (g *Gossiper) fillShared(out *Message, d Digest, room int) int {
+	if d.version == g.sharedSum() {
+		return room
+	}
 	keys := sortedKeys(g.shared)
 	start := 0
 	if len(keys) > 0 {
@@ -253,7 +299,7 @@
 	var arc []string
 	for _, d := range m.digests {
 		if d.origin == "" {
-			if d.version != g.sharedSum() {
+			if d.version != g.sharedSum() || d.incarnation != g.statusSum() {
 				out = append(out, d)
 			}
 			continue
@@ -273,12 +319,15 @@
 	if len(arc) < 2 {
 		return out
 	}
+	listedEnd := len(out)
 	for _, name := range g.offered(from) {
 		r := g.records[name]
 		if !listed[name] && within(name, arc[0], arc[len(arc)-1]) && r.known && !r.dead {
 			out = append(out, NewDigest(name, r.incarnation, 0))
 		}
 	}
+	unknown := out[listedEnd:]
+	g.random.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	return out
 }
 
--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -28,6 +28,9 @@
 	names   []string // of records, sorted
 	shared  map[string]Entry
 	links   map[string]*link
+	ranks   map[string][]*record // by data centre, cleared by members changing
+	others  []*record            // peers, cleared likewise
+	turn    []string             // peers still to be met in this turn
 	seeds   []string
 
 	news   rumours
@@ -39,7 +42,10 @@
 	lastTick    tier.Millis
 	nextRound   tier.Millis
 	lastDigests tier.Millis
+	nextWhole   tier.Millis
 	rounds      uint64
+	nextPool    tier.Millis
+	poolWait    tier.Millis
 	cursor      string
 
 	sent        map[uint64]flight
@@ -129,7 +135,8 @@
 		return
 	}
 	g.started = true
-	g.lastTick, g.nextRound, g.staleSince = now, now, now
+	g.lastTick, g.nextRound, g.staleSince, g.nextPool = now, now, now, now
+	g.poolWait = g.idle
 	g.bucket.filled = now
 }
 
@@ -205,12 +212,12 @@
 
 // hurry brings the next round forward while there is news.
 func (g *Gossiper) hurry() {
-	if g.bucket.tokens > g.bucket.burst/4 {
+	if g.bucket.plenty() {
 		g.nextRound = min(g.nextRound, g.now+g.fast)
 	}
 }
 
-func (g *Gossiper) spread() int { return spread(len(g.records)) }
+func (g *Gossiper) spread() int { return g.news.spread(len(g.records)) }
 
 func (g *Gossiper) act(a Action) { g.actions = append(g.actions, a) }
 
@@ -220,6 +227,7 @@
 
 // show tells the shell of a member that looks other than before.
 func (g *Gossiper) show(r *record) {
+	g.ranks, g.others = nil, nil
 	if !r.known || r.state() == r.shown {
 		return
 	}
--- a/tier/gossiper/gossiper_test.go
+++ b/tier/gossiper/gossiper_test.go
@@ -23,3 +23,191 @@
 		}
 	}
 }
+
+// splitBy cuts the VMs into two sides.
+func splitBy(side func(n *node) bool) func(a, b *node) bool {
+	return func(a, b *node) bool { return side(a) != side(b) }
+}
+
+func uncut(_, _ *node) bool { return false }
+
+func TestPartitionOfMinutesHeals(t *testing.T) {
+	w := newNetwork(t, 2)
+	for i := range 9 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	first := w.nodes[0].Self().Incarnation()
+	w.cut = splitBy(func(n *node) bool { return n.name < "caxias-4" })
+	w.run(5*tier.Minute, nil)
+	if got := living(w.nodes[0]); got != 4 {
+		t.Fatalf("%d live members on the small side, want 4", got)
+	}
+	if got := living(w.nodes[8]); got != 5 {
+		t.Fatalf("%d live members on the large side, want 5", got)
+	}
+	w.step(w.nodes[8], NewAnnounce("profiles", 1, 7, []byte("x")))
+	w.cut = uncut
+	t.Logf("healed after %d ms", w.mustAgree(tier.Minute, "heal"))
+	w.run(5*tier.Second, nil)
+	if _, revision, _, _ := w.nodes[0].Shared("profiles"); revision != 7 {
+		t.Errorf("shared revision %d after healing, want 7", revision)
+	}
+	if got := w.nodes[0].Self().Incarnation(); got <= first {
+		t.Errorf("a VM declared dead kept incarnation %d", got)
+	}
+}
+
+func living(n *node) int {
+	live := 0
+	for _, v := range n.Members() {
+		if v.State() == tier.VMLive {
+			live++
+		}
+	}
+	return live
+}
+
+func TestHalfReplacedAtOnce(t *testing.T) {
+	w := newNetwork(t, 3)
+	for i := range 12 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 11, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	w.step(w.nodes[0], NewPublish("set/portao", []byte("first life")))
+	w.run(5*tier.Second, nil)
+	for i := range 6 {
+		w.add(testVM("caxias", i, 60_000), testVM("caxias", 11, 0).Address())
+	}
+	t.Logf("agreed after %d ms", w.mustAgree(tier.Minute, "replacement"))
+	for _, n := range w.nodes {
+		if got := n.Entries("set/portao"); len(got) != 0 {
+			t.Errorf("%s still holds what a former life published", n.name)
+		}
+	}
+}
+
+func TestReplacedByAnotherName(t *testing.T) {
+	w := newNetwork(t, 4)
+	for i := range 5 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	old := w.nodes[4].Self()
+	w.add(tier.NewVM("caxias-new", "caxias", old.Address(), tier.WithIncarnation(old.Incarnation()+60_000)), testVM("caxias", 0, 0).Address())
+	w.mustAgree(5*tier.Second, "replacement")
+}
+
+func TestSuspectedVMRefutes(t *testing.T) {
+	w := newNetwork(t, 5)
+	for i := range 6 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	one, other := w.nodes[1], w.nodes[2]
+	w.cut = func(a, b *node) bool { return a == one && b == other || a == other && b == one }
+	died := func() bool {
+		for _, n := range w.nodes {
+			if living(n) < 6 {
+				return true
+			}
+		}
+		return false
+	}
+	if w.run(3*tier.Minute, died) {
+		t.Fatal("a VM that most peers reach was declared dead")
+	}
+	if other.Self().Incarnation() != one.Self().Incarnation() {
+		t.Error("a suspicion that was refuted in time cost a life")
+	}
+	other.paused = true // the check sees a VM that cannot refute
+	if !w.run(tier.Minute, died) {
+		t.Fatal("a silent VM is never declared dead")
+	}
+}
+
+func TestDataCentreCutOff(t *testing.T) {
+	w := newNetwork(t, 6)
+	today(w)
+	w.mustAgree(20*tier.Second, "join")
+	w.cut = splitBy(func(n *node) bool { return n.home == "itajai1" })
+	seen := func() bool {
+		for _, n := range w.nodes {
+			for _, d := range []string{"caxias", "itajai1", "chapeco2"} {
+				if n.Reachable(d) == (n.home != d && (d == "itajai1" || n.home == "itajai1")) {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	from := w.now()
+	if !w.run(tier.Minute, seen) {
+		t.Fatal("the cut is not seen")
+	}
+	t.Logf("cut seen everywhere after %d ms", w.now()-from)
+	w.run(5*tier.Minute, nil)
+	for _, n := range w.nodes {
+		if living(n) != 7 {
+			t.Errorf("%s takes %d VMs for live: a cut link is no death", n.name, living(n))
+		}
+	}
+	w.cut = uncut
+	from = w.now()
+	if !w.run(tier.Minute, func() bool { return allReach(w) }) {
+		t.Fatal("the healed link is not seen")
+	}
+	t.Logf("healed link seen everywhere after %d ms", w.now()-from)
+}
+
+func allReach(w *network) bool {
+	for _, n := range w.nodes {
+		for _, d := range []string{"caxias", "itajai1", "chapeco2"} {
+			if !n.Reachable(d) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func TestPausedVMIsNotFresh(t *testing.T) {
+	w := newNetwork(t, 7)
+	for i := range 5 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	n := w.nodes[3]
+	life := n.Self().Incarnation()
+	n.paused = true
+	w.run(30*tier.Second, nil)
+	if n.Fresh(w.now()) {
+		t.Error("fresh right after a pause")
+	}
+	w.cut = splitBy(func(o *node) bool { return o == n })
+	n.paused = false
+	w.run(2*tier.Second, nil)
+	if n.Fresh(w.now()) {
+		t.Error("fresh after a pause before any peer answered")
+	}
+	w.cut = uncut
+	if !w.run(10*tier.Second, func() bool { return n.Fresh(w.now()) }) {
+		t.Fatal("never fresh again")
+	}
+	w.mustAgree(20*tier.Second, "resume")
+	if got := n.Self().Incarnation(); got <= life {
+		t.Errorf("incarnation %d after being declared dead, had %d", got, life)
+	}
+}
+
+func TestSameNameInHigherLife(t *testing.T) {
+	w := newNetwork(t, 8)
+	w.add(testVM("caxias", 0, 0))
+	n := w.add(testVM("caxias", 1, 5000), testVM("caxias", 0, 0).Address())
+	w.mustAgree(20*tier.Second, "join")
+	w.add(n.Self().With(tier.WithIncarnation(10)), testVM("caxias", 0, 0).Address())
+	w.mustAgree(20*tier.Second, "a clock that is behind")
+	if got := w.nodes[1].Self().Incarnation(); got <= n.Self().Incarnation() {
+		t.Errorf("incarnation %d is not above the former life", got)
+	}
+}
--- a/tier/gossiper/network_test.go
+++ b/tier/gossiper/network_test.go
@@ -74,16 +74,24 @@
 	heap.Push(&w.queue, parcel{at: w.now() + d, order: w.order, run: run})
 }
 
+// checkEvery is how often run asks whether it is done.
+const checkEvery = 50
+
 // run lets time pass until now+d, or until done says so.
 func (w *network) run(d tier.Millis, done func() bool) bool {
 	end := w.now() + d
+	check := w.now()
 	for len(w.queue) > 0 && w.queue[0].at <= end {
 		p := heap.Pop(&w.queue).(parcel)
 		w.clock.Advance(p.at - w.now())
 		p.run()
-		if done != nil && done() {
+		if done == nil || w.now() < check {
+			continue
+		}
+		if done() {
 			return true
 		}
+		check = w.now() + checkEvery
 	}
 	w.clock.Advance(end - w.now())
 	return false
@@ -218,16 +226,17 @@
 
 // explain prints how the views differ, to make a failure readable.
 func (w *network) explain() {
+	lines := 0
 	for _, n := range w.nodes {
-		for _, o := range w.nodes {
-			r, ok := n.records[o.name]
-			if !ok {
-				w.t.Logf("%s does not know %s", n.name, o.name)
-				continue
-			}
-			if r.dead || r.state() != o.Self() {
-				w.t.Logf("%s holds %v as %v, which is %v", n.name, o.name, r.state(), o.Self())
+		w.t.Logf("%s knows %d, tokens %.0f", n.name, len(n.records), n.bucket.tokens)
+		for _, v := range n.Members() {
+			o := w.at[v.Address()]
+			if o == nil || o.Self() != v {
+				w.t.Logf("%s holds %v", n.name, v)
 			}
 		}
+		if lines++; lines > 7 {
+			return
+		}
 	}
 }
--- a/tier/gossiper/options.go
+++ b/tier/gossiper/options.go
@@ -14,11 +14,17 @@
 	maxMessage      = 16 << 10
 	messageOverhead = 250 // headers of a request or a reply
 	digestWindow    = 16  // digests in a request, once caught up
+	fewDigests      = 5   // fewer in a request come from a newcomer
+	newcomerRoom    = 512 // for entries in a reply to a newcomer, at least
 	maxNumber       = 1 << 62
 	maxRecords      = 16 << 10
 	maxKeys         = 1024
 )
 
+// wholeWait is the time, for each member, between requests of a VM catching up
+// that list the whole table.
+const wholeWait = tier.Millis(10)
+
 // Contacts is how many VMs of a data centre exchange with other data centres.
 const Contacts = 3
 
--- a/tier/gossiper/record.go
+++ b/tier/gossiper/record.go
@@ -115,14 +115,11 @@
 	return NewEntry(r.vm.Name(), r.incarnation, max(r.suspectAt, 1), key, nil)
 }
 
-type vmJSON struct {
-	State      string `json:"state"`
-	DataCentre string `json:"data-centre"`
-	Address    string `json:"address"`
-}
+// vmJSON is a VM's state, data centre and address.
+type vmJSON [3]string
 
 func encodeVM(v tier.VM) []byte {
-	b, _ := json.Marshal(vmJSON{State: v.State().String(), DataCentre: v.DataCentre(), Address: v.Address()})
+	b, _ := json.Marshal(vmJSON{v.State().String(), v.DataCentre(), v.Address()})
 	return b
 }
 
@@ -133,18 +130,18 @@
 		return tier.VM{}, errors.Wrap(err, "decodeVM")
 	}
 	var l []tier.FieldProblem
-	state := slices.IndexFunc([]tier.VMState{tier.VMJoining, tier.VMLive, tier.VMLeaving}, func(s tier.VMState) bool { return s.String() == j.State })
+	state := slices.IndexFunc([]tier.VMState{tier.VMJoining, tier.VMLive, tier.VMLeaving}, func(s tier.VMState) bool { return s.String() == j[0] })
 	if state < 0 {
-		l = append(l, tier.NewFieldProblem("state", j.State, "joining, live or leaving"))
+		l = append(l, tier.NewFieldProblem("state", j[0], "joining, live or leaving"))
 	}
-	if !tier.ValidName(j.DataCentre) {
-		l = append(l, tier.NewFieldProblem("data-centre", j.DataCentre, "a name"))
+	if !tier.ValidName(j[1]) {
+		l = append(l, tier.NewFieldProblem("data-centre", j[1], "a name"))
 	}
-	if a, err := netip.ParseAddrPort(j.Address); err != nil || a.Port() == 0 {
-		l = append(l, tier.NewFieldProblem("address", j.Address, "an IP number and port"))
+	if a, err := netip.ParseAddrPort(j[2]); err != nil || a.Port() == 0 {
+		l = append(l, tier.NewFieldProblem("address", j[2], "an IP number and port"))
 	}
 	if err := tier.NewInvalidError("VM "+name, l); err != nil {
 		return tier.VM{}, errors.Wrap(err, "decodeVM")
 	}
-	return tier.NewVM(name, j.DataCentre, j.Address, tier.WithIncarnation(i), tier.WithVMState(tier.VMState(state))), nil
+	return tier.NewVM(name, j[1], j[2], tier.WithIncarnation(i), tier.WithVMState(tier.VMState(state))), nil
 }
--- a/tier/gossiper/round.go
+++ b/tier/gossiper/round.go
@@ -1,6 +1,10 @@
 package gossiper
 
-import "cicadagrade.example/tier"
+import (
+	"slices"
+
+	"cicadagrade.example/tier"
+)
 
 // poolRounds is how often a round also tries an address that may hold a VM
 // not known here, or one held dead.
@@ -29,42 +33,71 @@
 	if digests {
 		g.lastDigests = g.now
 	}
-	peers := g.peers()
-	if len(peers) > 0 {
-		r := peers[g.random.IntN(len(peers))]
+	if r := g.nextPeer(); r != nil {
 		g.send(r, r.vm.Address(), digests)
 	}
-	g.crossRound(digests)
-	if len(peers) == 0 || g.stale || g.rounds%poolRounds == 0 {
-		g.tryPool()
+	if r := g.nextPeer(); r != nil && len(g.news.list) > 0 && g.bucket.plenty() {
+		g.send(r, r.vm.Address(), false)
 	}
+	g.crossRound(digests)
+	g.poolRound()
 	if len(g.news.list) > 0 {
 		g.hurry()
 	}
 }
 
+// nextPeer goes through the peers in a random order, each once, so that a
+// silent one is met soon.
+func (g *Gossiper) nextPeer() *record {
+	for range 2 {
+		for len(g.turn) > 0 {
+			r := g.records[g.turn[0]]
+			g.turn = g.turn[1:]
+			if r != nil && r.known && !r.dead && r.vm.DataCentre() == g.home {
+				return r
+			}
+		}
+		for _, r := range g.peers() {
+			g.turn = append(g.turn, r.vm.Name())
+		}
+		g.random.Shuffle(len(g.turn), func(i, j int) { g.turn[i], g.turn[j] = g.turn[j], g.turn[i] })
+	}
+	return nil
+}
+
+// poolRound looks for VMs that are not known, ever less often, and every few
+// rounds for the dead ones and the seeds that do not answer.
+func (g *Gossiper) poolRound() {
+	switch {
+	case len(g.peers()) > 0:
+		g.poolWait = g.idle
+		if g.rounds%poolRounds == 0 {
+			g.tryPool()
+		}
+	case g.now >= g.nextPool:
+		g.nextPool = g.now + g.jitter(g.poolWait)
+		g.poolWait = min(2*g.poolWait, poolRounds*g.idle)
+		g.tryPool()
+	}
+}
+
 func (g *Gossiper) jitter(m tier.Millis) tier.Millis {
 	return m*9/10 + tier.Millis(g.random.Int64N(int64(m)/5+1))
 }
 
 // peers lists the other members of this data centre that are not dead.
 func (g *Gossiper) peers() []*record {
-	var out []*record
-	for _, name := range g.names {
-		r := g.records[name]
-		if r != g.own && r.known && !r.dead && r.vm.DataCentre() == g.home {
-			out = append(out, r)
-		}
+	if g.others == nil {
+		g.others = slices.DeleteFunc(slices.Clone(g.ranked(g.home)), func(r *record) bool { return r == g.own })
 	}
-	return out
+	return g.others
 }
 
 // tryPool sends to one of the dead, or to a seed where no member is known.
 func (g *Gossiper) tryPool() {
-	used := map[string]bool{g.own.vm.Address(): true}
+	used := map[string]bool{}
 	var pool []string
-	for _, name := range g.names {
-		r := g.records[name]
+	for _, r := range g.records {
 		if r.known && !r.dead {
 			used[r.vm.Address()] = true
 		}
@@ -150,7 +183,9 @@
 		return
 	}
 	if e.version < r.highest {
-		g.news.add(e.origin, keyVM, 2)
+		for _, newer := range r.since(e.version) {
+			g.news.add(e.origin, newer.key, pulledCopies)
+		}
 		return
 	}
 	g.suspect(r, e.version)
@@ -160,7 +195,7 @@
 // dead.
 func (g *Gossiper) expire() {
 	limit := g.suspicionTime(len(g.peers()))
-	for _, name := range append([]string(nil), g.names...) {
+	for _, name := range slices.Clone(g.names) {
 		r := g.records[name]
 		switch {
 		case r.dead && g.now-r.deadSince > g.forget:
--- a/tier/gossiper/rumour.go
+++ b/tier/gossiper/rumour.go
@@ -40,8 +40,20 @@
 // pulledCopies is how often news is pushed that peers mostly know.
 const pulledCopies = 2
 
-// spread is how often a rumour is sent among n members.
-func spread(n int) int { return bits.Len(uint(n)) + 3 }
+// maxDebt is how far a bucket goes below empty, in bytes.
+const maxDebt = 2 * messageOverhead
+
+// bulk is how much news at once is left to be pulled rather than pushed.
+const bulk = 24
+
+// spread is how often news is sent among n members. When much of it comes at
+// once, each is sent fewer times, and the exchange of digests does the rest.
+func (l *rumours) spread(n int) int {
+	if len(l.list) > bulk {
+		return pulledCopies
+	}
+	return bits.Len(uint(n)) + 3
+}
 
 // bucket bounds the bytes sent by a rate and a burst.
 type bucket struct {
@@ -59,4 +71,9 @@
 // room is the size in bytes that a message may have.
 func (b *bucket) room() int { return min(maxMessage, max(0, int(b.tokens))) }
 
-func (b *bucket) spend(n int) { b.tokens -= float64(n) }
+// spend takes n bytes. The debt that replies may run up is bounded, so that
+// many requests at once do not silence a VM.
+func (b *bucket) spend(n int) { b.tokens = max(b.tokens-float64(n), -maxDebt) }
+
+// plenty reports whether there are bytes left for the quick spread of news.
+func (b *bucket) plenty() bool { return b.tokens > b.burst/4 }
--- a/tier/gossiper/table.go
+++ b/tier/gossiper/table.go
@@ -23,6 +23,7 @@
 
 func (g *Gossiper) forgetRecord(name string) {
 	delete(g.records, name)
+	g.ranks, g.others = nil, nil
 	g.names = slices.DeleteFunc(g.names, func(n string) bool { return n == name })
 }
 
@@ -102,6 +103,7 @@
 func (g *Gossiper) newLife(r *record, i tier.Incarnation) {
 	old := r.entries
 	r.reset(i)
+	g.ranks, g.others = nil, nil
 	for _, k := range sortedKeys(old) {
 		if k != keyVM {
 			g.changed(r.vm.Name(), k, nil)
@@ -117,6 +119,7 @@
 	moved := v.Address() != r.vm.Address()
 	r.vm = v
 	r.known = true
+	g.ranks, g.others = nil, nil
 	if moved {
 		g.settleAddress(r)
 	}
@@ -155,6 +158,9 @@
 // ranked lists the members of a data centre that are not dead, contacts
 // first.
 func (g *Gossiper) ranked(dataCentre string) []*record {
+	if list, ok := g.ranks[dataCentre]; ok {
+		return list
+	}
 	type scored struct {
 		*record
 		score uint64
@@ -176,6 +182,10 @@
 	for i, s := range list {
 		out[i] = s.record
 	}
+	if g.ranks == nil {
+		g.ranks = map[string][]*record{}
+	}
+	g.ranks[dataCentre] = out
 	return out
 }
 
