--- /dev/null
+++ b/tier/claimer/fuzz_test.go
@@ -0,0 +1,53 @@
+package claimer
+
+import (
+	"maps"
+	"testing"
+)
+
+// FuzzDecodePage holds a page that was read to be the page that is written
+// back.
+func FuzzDecodePage(f *testing.F) {
+	f.Add([]byte(`{"claims":[{"key":"2026-12-04-a","claim":"caxias-1/5/42","generation":1,"fingerprint":"00","state":"answered","receipt":"r"}]}`))
+	f.Add([]byte(`{"claims":[{"key":"2026-12-04-a","claim":"caxias-1/5/42","generation":2,"fingerprint":"00","state":"unknown","reason":"lost-reply"}]}`))
+	f.Add([]byte(``))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		entries, err := decodePage(in)
+		if err != nil {
+			return
+		}
+		out, err := encodePage(entries)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodePage(out)
+		if err != nil || !maps.Equal(entries, again) {
+			t.Fatalf("%q became %q: %v", in, out, err)
+		}
+	})
+}
+
+// FuzzParseKey holds that a key has one spelling and a page.
+func FuzzParseKey(f *testing.F) {
+	f.Add("2026-12-04-order-17")
+	f.Add("minted/caxias-1/5/42")
+	f.Add("2026-02-30-x")
+	f.Fuzz(func(t *testing.T, in string) {
+		k, err := ParseKey(in)
+		if err != nil {
+			return
+		}
+		if k.String() != in || len(in) > MaxKeyLength {
+			t.Fatalf("%q became %q", in, k)
+		}
+		if k.Minted() {
+			if again := mintedKey(k.vm, k.incarnation, k.counter); again != k {
+				t.Fatalf("%q is not %q", in, again)
+			}
+			return
+		}
+		if k.pageKey("portao", 16) == "" || k.tooOld(k.day) || k.tooEarly(k.day) {
+			t.Fatalf("%q has no page or no valid day", in)
+		}
+	})
+}
