Let operators show and change the configuration

Cause: profiles and shard sets were only reachable through the store. A reconciliation replaces a stored document that can't be read.

--- a/cicadagrade/commands.go
+++ b/cicadagrade/commands.go
@@ -1,8 +1,19 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"github.com/spf13/cobra"
+
+	"cicadagrade.example/tier"
+)
 
 // commands lists the subcommands, each in a file of its own.
 func commands() []*cobra.Command {
-	return []*cobra.Command{searchCommand(), bookCommand(), statusCommand()}
+	clock := tier.NewClock()
+	return []*cobra.Command{
+		searchCommand(),
+		bookCommand(),
+		statusCommand(),
+		profileCommand(clock),
+		setCommand(clock),
+	}
 }
--- /dev/null
+++ b/cicadagrade/session_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/sebdah/goldie/v2"
+	"github.com/spf13/cobra"
+
+	"cicadagrade.example/standin/storeserver"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/etcdgateway"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/parser"
+
+	peerv1 "cicadagrade.example/api/peer/v1"
+	"cicadagrade.example/api/peer/v1/peerv1connect"
+)
+
+// fakeVM shows and hands out one document.
+type fakeVM struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	name   string
+	server *httptest.Server
+	state  *keeper.State
+}
+
+func newFakeVM(name string) *fakeVM {
+	v := &fakeVM{name: name}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(v))
+	mux.HandleFunc("/v1/status", v.status)
+	v.server = httptest.NewServer(mux)
+	return v
+}
+
+func (v *fakeVM) address() string { return v.server.Listener.Addr().String() }
+
+func (v *fakeVM) status(w http.ResponseWriter, _ *http.Request) {
+	body := map[string]any{
+		"vm":      v.name,
+		"members": []map[string]string{{"vm": v.name, "address": v.address(), "state": "live"}, {"vm": "c", "state": "live"}},
+	}
+	if v.state != nil {
+		body["configuration"] = []refBody{newRefBody(v.state.Ref())}
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (v *fakeVM) Fetch(context.Context, *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchReply], error) {
+	u := &peerv1.DocumentUpdate{Whole: v.state.Encode()}
+	return connect.NewResponse(&peerv1.FetchReply{Updates: []*peerv1.DocumentUpdate{u}}), nil
+}
+
+// session is a terminal with a store and, once named, VMs.
+type session struct {
+	t      *testing.T
+	server *storeserver.Server
+	store  string
+	vms    map[string]*fakeVM
+	order  []string
+}
+
+// TestSessions runs each session; the golden file holds what the operator
+// sees.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/sessions/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/golden"))
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".txt")
+		t.Run(name, func(t *testing.T) {
+			script, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Assert(t, name, []byte(newSession(t).run(string(script))))
+		})
+	}
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, vms: map[string]*fakeVM{}}
+	s.server = storeserver.New(tier.NewClock())
+	h := httptest.NewServer(s.server)
+	s.store = h.Listener.Addr().String()
+	t.Cleanup(func() {
+		h.Close()
+		for _, v := range s.vms {
+			v.server.Close()
+		}
+	})
+	return s
+}
+
+// What differs from run to run.
+var (
+	anyAddress = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	anyCause   = regexp.MustCompile(`(Post "[^"]*"): [^;\n]*`)
+	anyTime    = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
+)
+
+func (s *session) run(script string) string {
+	var out strings.Builder
+	for line := range strings.Lines(script) {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		fmt.Fprintln(&out, line)
+		if command, ok := strings.CutPrefix(line, "> "); ok {
+			text := anyAddress.ReplaceAllString(s.command(command), "ADDRESS")
+			text = anyCause.ReplaceAllString(text, "$1: CAUSE")
+			out.WriteString(anyTime.ReplaceAllString(text, "TIME"))
+		} else {
+			s.control(strings.Fields(line))
+		}
+	}
+	return out.String()
+}
+
+// words splits a line, with quoted parts kept together.
+func words(line string) []string {
+	var out []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			out = append(out, part)
+			continue
+		}
+		out = append(out, strings.Fields(part)...)
+	}
+	return out
+}
+
+func (s *session) command(line string) string {
+	args := words(line)
+	for i, a := range args {
+		if strings.HasSuffix(a, ".json") {
+			args[i] = "testdata/files/" + a
+		}
+	}
+	var addresses []string
+	for _, name := range s.order {
+		addresses = append(addresses, s.vms[name].address())
+	}
+	args = append(args, "--store", s.store, "--vms", strings.Join(addresses, ","))
+	var out bytes.Buffer
+	root := &cobra.Command{Use: "cicadagrade", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(profileCommand(tier.NewClock()), setCommand(tier.NewClock()))
+	root.SetArgs(args)
+	root.SetOut(&out)
+	root.SetErr(&out)
+	code := 0
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(&out, "cicadagrade:", err)
+		code = exitCode(err)
+	}
+	fmt.Fprintf(&out, "exit code %d\n\n", code)
+	return out.String()
+}
+
+func (s *session) control(w []string) {
+	switch w[0] {
+	case "faults":
+		var f storeserver.Faults
+		if err := json.Unmarshal([]byte(strings.Join(w[1:], " ")), &f); err != nil {
+			s.t.Fatal(err)
+		}
+		s.server.SetFaults(f)
+	case "save":
+		s.server.Save(w[1])
+	case "restart":
+		if err := s.server.Restart(w[1]); err != nil {
+			s.t.Fatal(err)
+		}
+	case "vm":
+		s.take(w[1])
+	default:
+		s.t.Fatalf("unknown line %v", w)
+	}
+}
+
+// take has a VM serve what the store holds.
+func (s *session) take(name string) {
+	if s.vms[name] == nil {
+		s.vms[name] = newFakeVM(name)
+		s.order = append(s.order, name)
+	}
+	store := etcdgateway.New(s.store)
+	defer store.Close()
+	state, err := load(context.Background(), store, keeper.Key(parser.KindProfiles, ""))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.vms[name].state = state
+}
--- a/tier/auditor/read.go
+++ b/tier/auditor/read.go
@@ -24,10 +24,10 @@
 		return c.readBack(v)
 	}
 	current, err := decode(v)
-	if err != nil {
+	if err != nil && c.fleet == nil {
 		return finish(&Invalid{cause: err})
 	}
-	return c.propose(v, current)
+	return c.propose(v, current) // a reconciliation replaces what can't be read
 }
 
 func decode(v storer.Value) (*keeper.State, error) {
