--- a/tier/claimer/booking.go
+++ b/tier/claimer/booking.go
@@ -41,10 +41,10 @@
 	booking  *booking
 }
 
-// notRun words the refusal of a sending that is known not to run. Unless the
+// NotRun words the refusal of a sending that is known not to run. Unless the
 // caller vouches that it is the key's first one, an earlier sending may have
 // run.
-func notRun(first bool, reason tier.RefuseReason) tier.Outcome {
+func NotRun(first bool, reason tier.RefuseReason) tier.Outcome {
 	r := tier.NewRefused(reason, 0)
 	if first {
 		return r
@@ -64,13 +64,13 @@
 		c.finishError(w, invalidKey(e.key.text, datedAllowed))
 		return
 	case e.key.tooOld(e.wall):
-		c.finish(w, notRun(w.first, tier.RefuseKeyExpired))
+		c.finish(w, NotRun(w.first, tier.RefuseKeyExpired))
 		return
 	case c.fenced:
-		c.finish(w, notRun(w.first, tier.RefuseLeaving))
+		c.finish(w, NotRun(w.first, tier.RefuseLeaving))
 		return
 	case now >= e.deadline:
-		c.finish(w, notRun(w.first, tier.RefuseDeadline))
+		c.finish(w, NotRun(w.first, tier.RefuseDeadline))
 		return
 	}
 	g := c.pageOf(e.key.pageKey(e.set, c.pageCount))
@@ -189,7 +189,7 @@
 	b.waiters = nil
 	c.end(b, nil)
 	for _, w := range waiters {
-		c.finish(w, notRun(w.first, reason))
+		c.finish(w, NotRun(w.first, reason))
 	}
 }
 
