--- a/cicadagraded/claiming/claiming.go
+++ b/cicadagraded/claiming/claiming.go
@@ -160,6 +160,8 @@
 			c.call(a, a.Call())
 		case *claimer.Write:
 			c.call(a, a.Call())
+		case *claimer.Drop:
+			c.calls.TryPush(a)
 		case *claimer.Run:
 			c.waiting[a.Ticket()].TryPush(a)
 		case *claimer.Finish:
--- a/cicadagraded/claiming/work.go
+++ b/cicadagraded/claiming/work.go
@@ -38,10 +38,20 @@
 			return failed(a.Call(), err)
 		}
 		return claimer.NewWriteDone(a.Call(), revision)
+	case *claimer.Drop:
+		c.drop(ctx, a.Key())
 	}
 	return &claimer.Tick{}
 }
 
+// drop deletes a key. If it fails, another VM or the next start drops it.
+func (c *Claiming) drop(ctx context.Context, key string) {
+	v, err := c.store.Get(ctx, key)
+	if err == nil && v.Present() {
+		_ = c.store.Delete(ctx, key, v.Revision())
+	}
+}
+
 // failed tells a conflict, a call without effect and one that may have had
 // an effect apart.
 func failed(call uint64, err error) claimer.Event {
--- a/tier/claimer/booking.go
+++ b/tier/claimer/booking.go
@@ -46,6 +46,9 @@
 // run.
 func NotRun(first bool, reason tier.RefuseReason) tier.Outcome {
 	r := tier.NewRefused(reason, 0)
+	if reason == tier.RefuseNoStore {
+		r = tier.NewRefused(reason, StoreRetryAfter)
+	}
 	if first {
 		return r
 	}
@@ -73,7 +76,7 @@
 		c.finish(w, NotRun(w.first, tier.RefuseDeadline))
 		return
 	}
-	g := c.pageOf(e.key.pageKey(e.set, c.pageCount))
+	g := c.pageOf(e)
 	b, ok := g.bookings[e.key.text]
 	if !ok {
 		b = &booking{key: e.key, fingerprint: e.fingerprint, ticket: e.ticket, deadline: e.deadline, page: g}
--- a/tier/claimer/claimer_test.go
+++ b/tier/claimer/claimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -70,6 +71,16 @@
 	}
 }
 
+// TestOldPagesAreDropped holds that the first booking of a day drops a page
+// of keys that are taken no more.
+func TestOldPagesAreDropped(t *testing.T) {
+	w := newWorld(1, faults{off: true}, 1)
+	old := sendOne(w, w.vms[0], "2026-12-03-a")
+	if len(w.dropped) != 1 || !strings.HasPrefix(w.dropped[0], claimer.PagePrefix+"portao/2026-10-31/") {
+		t.Errorf("%v: dropped %v", old, w.dropped)
+	}
+}
+
 func TestHolderGone(t *testing.T) {
 	w := newWorld(1, faults{off: true}, 2)
 	key := today + "-kill"
--- a/tier/claimer/events.go
+++ b/tier/claimer/events.go
@@ -125,7 +125,8 @@
 func (*Flush) event()      {}
 func (*Tick) event()       {}
 
-// Action is what a claimer wants done: *Read, *Write, *Run or *Finish.
+// Action is what a claimer wants done: *Read, *Write, *Drop, *Run or
+// *Finish.
 type Action interface{ action() }
 
 // Read reads a page from the store.
@@ -160,6 +161,12 @@
 // Expect is the expected revision; 0 says absent.
 func (w *Write) Expect() int64 { return w.expect }
 
+// Drop deletes a page that has expired, if it exists. No event answers it.
+type Drop struct{ key string }
+
+// Key is the store's key.
+func (d *Drop) Key() string { return d.key }
+
 // Run sends a booking on its way, once, until its deadline. Ran ends it.
 type Run struct {
 	ticket   uint64
@@ -194,5 +201,6 @@
 
 func (*Read) action()   {}
 func (*Write) action()  {}
+func (*Drop) action()   {}
 func (*Run) action()    {}
 func (*Finish) action() {}
--- a/tier/claimer/key.go
+++ b/tier/claimer/key.go
@@ -103,7 +103,16 @@
 func (k Key) tooEarly(wall tier.Millis) bool { return k.day > wall+Leeway }
 
 // pageKey is the store's key of the page that holds the claim.
-func (k Key) pageKey(set string, pages int) string {
+func (k Key) pageKey(set string, pages int) string { return k.pageOn(k.day, set, pages) }
+
+// expiredPageKey is the store's key of the same page at a date whose keys no
+// VM takes any more, even if its clock is a day off.
+func (k Key) expiredPageKey(set string, pages int) string {
+	return k.pageOn(k.day-Retention-Leeway-2*tier.Day, set, pages)
+}
+
+func (k Key) pageOn(day tier.Millis, set string, pages int) string {
 	n := xxhash.Sum64String(k.text) % uint64(pages)
-	return fmt.Sprintf("%s%s/%s/%d", PagePrefix, set, k.text[:len(dateLayout)], n)
+	date := time.UnixMilli(int64(day)).UTC().Format(dateLayout)
+	return fmt.Sprintf("%s%s/%s/%d", PagePrefix, set, date, n)
 }
--- a/tier/claimer/pager.go
+++ b/tier/claimer/pager.go
@@ -38,11 +38,15 @@
 	waiting *booking // whose waiters learn of it once it stands
 }
 
-func (c *Claimer) pageOf(key string) *page {
+// pageOf finds the page of a booking's claim. The first use of a page has
+// the one that its date leaves behind dropped from the store.
+func (c *Claimer) pageOf(e *Submit) *page {
+	key := e.key.pageKey(e.set, c.pageCount)
 	g, ok := c.pages[key]
 	if !ok {
 		g = &page{key: key, entries: map[string]entry{}, bookings: map[string]*booking{}}
 		c.pages[key] = g
+		c.do(&Drop{key: e.key.expiredPageKey(e.set, c.pageCount)})
 	}
 	return g
 }
--- a/tier/claimer/world_test.go
+++ b/tier/claimer/world_test.go
@@ -21,17 +21,18 @@
 // its choices come from one seed.
 type world struct {
 	faults
-	random *rand.Rand
-	now    tier.Millis
-	queue  queue
-	count  int
-	pages  map[string][]stored // the states of each page, oldest first
-	last   int64
-	down   bool
-	slow   bool
-	vms    []*vm
-	sent   []*sending
-	runs   map[string][]string // receipts by idempotency key
+	random  *rand.Rand
+	now     tier.Millis
+	queue   queue
+	count   int
+	pages   map[string][]stored // the states of each page, oldest first
+	last    int64
+	down    bool
+	slow    bool
+	vms     []*vm
+	sent    []*sending
+	runs    map[string][]string // receipts by idempotency key
+	dropped []string
 }
 
 type stored struct {
@@ -164,6 +165,8 @@
 		w.after(w.delay(), func() { w.read(a, func(e claimer.Event) { v.reply(life, e) }) })
 	case *claimer.Write:
 		w.after(w.delay(), func() { w.write(a, func(e claimer.Event) { v.reply(life, e) }) })
+	case *claimer.Drop:
+		w.dropped = append(w.dropped, a.Key())
 	case *claimer.Run:
 		w.after(w.upTo(3), func() { v.send(life, a) })
 	case *claimer.Finish:
