Ask the backend servers directly within the same run

The ratio of the tier's latency to a bare fan-out is only fair when both run at the same time on the same servers. A stream may now be marked bare, in place of the flag for whole runs, and the table gives the ratios to its twin.

--- a/standin/experiment.go
+++ b/standin/experiment.go
@@ -23,7 +23,7 @@
 ratios to the first.
 
 Its file lists "runs", each with "name", "workload" (a file, relative to its
-own), "bare", and "before" and "after": orders for the backend servers.`
+own), and "before" and "after": orders for the backend servers.`
 
 // maxRuns bounds the runs of an experiment.
 const maxRuns = 32
@@ -36,7 +36,6 @@
 type runDocument struct {
 	Name     string            `json:"name"`
 	Workload string            `json:"workload"`
-	Bare     bool              `json:"bare"`
 	Before   []json.RawMessage `json:"before"`
 	After    []json.RawMessage `json:"after"`
 }
@@ -101,7 +100,7 @@
 	if err := postOrders(ctx, d, x.Before); err != nil {
 		return nil, err
 	}
-	l := &loadFlags{workload: filepath.Join(filepath.Dir(f.file), x.Workload), bare: x.Bare, version: 1}
+	l := &loadFlags{workload: filepath.Join(filepath.Dir(f.file), x.Workload), version: 1}
 	r, err := l.load(ctx, d)
 	if err != nil {
 		return nil, err
--- a/standin/load.go
+++ b/standin/load.go
@@ -20,14 +20,13 @@
 records, and at the end bookings and refusals against what the backend servers
 ran. The exit code is 1 when a promise was broken.
 
-With --bare it asks the backend servers itself, without the tier, for
-comparison.`
+A stream marked "bare" asks the backend servers itself, without the tier, for
+comparison within the run.`
 
 type loadFlags struct {
 	deployment string
 	workload   string
 	out        string
-	bare       bool
 	version    uint64
 }
 
@@ -43,8 +42,7 @@
 	c.Flags().StringVar(&f.deployment, "deployment", "", "file of the deployment (required)")
 	c.Flags().StringVar(&f.workload, "workload", "", "file of the workload (required)")
 	c.Flags().StringVar(&f.out, "out", "", "file for the result as JSON")
-	c.Flags().BoolVar(&f.bare, "bare", false, "ask the backend servers directly")
-	c.Flags().Uint64Var(&f.version, "bare-version", 1, "index version that --bare asks for")
+	c.Flags().Uint64Var(&f.version, "bare-version", 1, "index version that bare streams ask for")
 	_ = c.MarkFlagRequired("deployment")
 	_ = c.MarkFlagRequired("workload")
 	return c
@@ -78,11 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var opts []loader.Option
-	if f.bare {
-		opts = append(opts, loader.WithBare(tier.Version(f.version)))
-	}
-	run, err := loader.New(w, d, opts...)
+	run, err := loader.New(w, d, loader.WithBareVersion(tier.Version(f.version)))
 	if err != nil {
 		return nil, err
 	}
--- a/standin/loader/duty.go
+++ b/standin/loader/duty.go
@@ -146,7 +146,7 @@
 	switch {
 	case d.stream.book:
 		return q.vm.Book(ctx, q.book)
-	case d.run.bare:
+	case d.stream.bare:
 		return d.run.straight.Search(ctx, q.search)
 	default:
 		return q.vm.Search(ctx, q.search)
--- a/standin/loader/run.go
+++ b/standin/loader/run.go
@@ -30,7 +30,6 @@
 type Run struct {
 	workload   *Workload
 	deployment *deployer.Deployment
-	bare       bool
 	version    tier.Version
 	vms        []*caller.VM
 	straight   *caller.Bare
@@ -46,9 +45,8 @@
 // Option sets one field of a run.
 type Option func(*Run)
 
-// WithBare asks the backend servers themselves for an index version, in place
-// of the entry VMs. Bookings can't be sent so.
-func WithBare(v tier.Version) Option { return func(r *Run) { r.bare, r.version = true, v } }
+// WithBareVersion sets the index version that bare streams ask for.
+func WithBareVersion(v tier.Version) Option { return func(r *Run) { r.version = v } }
 
 // New returns a run. All its addresses must be loopback ones.
 func New(w *Workload, d *deployer.Deployment, opts ...Option) (*Run, error) {
@@ -59,6 +57,7 @@
 		ledger:     checker.NewLedger(),
 		backends:   leafserver.NewClient(d.Control()),
 		ends:       ring.New[ended](ringSize),
+		version:    1,
 	}
 	for _, o := range opts {
 		o(r)
@@ -78,13 +77,6 @@
 			return errors.Errorf("%s is not a loopback address", v.API())
 		}
 	}
-	for _, f := range r.workload.phases {
-		for _, s := range f.streams {
-			if r.bare && s.book {
-				return errors.Errorf("%s: bookings can't be sent to backend servers", s.name)
-			}
-		}
-	}
 	return nil
 }
 
--- a/standin/loader/summary.go
+++ b/standin/loader/summary.go
@@ -34,14 +34,10 @@
 	s.out = reporter.Result{
 		Workload:   r.workload.name,
 		Deployment: r.deployment.Name(),
-		Target:     "vms",
 		Seed:       r.workload.seed,
 		Violations: []checker.Violation{},
 		Unchecked:  []string{},
 	}
-	if r.bare {
-		s.out.Target = "bare"
-	}
 	for _, f := range r.workload.phases {
 		var streams, ranks []*tally
 		for _, x := range f.streams {
@@ -74,7 +70,9 @@
 func (s *summary) add(e ended) {
 	x := s.run.workload.phases[e.phase].streams[e.stream]
 	s.streams[e.phase][e.stream].add(e)
-	s.ranks[e.phase][x.profile.Rank()].add(e)
+	if !x.bare {
+		s.ranks[e.phase][x.profile.Rank()].add(e)
+	}
 	s.violate(e.violations)
 	if e.answer != nil && !x.book && e.answer.Outcome() == checker.OutcomeRefused {
 		s.refused = append(s.refused, e.answer.RequestID())
--- a/standin/loader/workload.go
+++ b/standin/loader/workload.go
@@ -14,6 +14,7 @@
 
 	"cicadagrade.example/standin/deployer"
 	"cicadagrade.example/standin/leafserver"
+	"cicadagrade.example/standin/reporter"
 	"cicadagrade.example/tier"
 )
 
@@ -52,6 +53,7 @@
 	profile    *tier.Profile
 	set        *tier.ShardSet
 	book       bool
+	bare       bool
 	rate       float64
 	deadline   tier.Millis
 	dataCentre string
@@ -67,6 +69,7 @@
 
 type workloadDocument struct {
 	Name        string          `json:"name"`
+	Description string          `json:"description"`
 	Seed        uint64          `json:"seed"`
 	MaxInFlight int             `json:"max-in-flight"`
 	ShardMaps   []string        `json:"shard-maps"` // set documents of later epochs, relative to this file
@@ -88,6 +91,7 @@
 	Deadline   tier.Millis `json:"deadline-ms"`
 	DataCentre string      `json:"data-centre"` // of the VMs that are asked; empty: all
 	Repeats    float64     `json:"repeats"`     // fraction of bookings sent twice
+	Bare       bool        `json:"bare"`        // searches go straight to the backend servers
 }
 
 type orderDocument struct {
@@ -201,14 +205,19 @@
 		profile:    p,
 		set:        set,
 		book:       s.Kind == kindBook,
+		bare:       s.Bare,
 		rate:       s.Rate,
 		deadline:   s.Deadline,
 		dataCentre: s.DataCentre,
 		repeats:    s.Repeats,
 	}
+	l.check(!out.book || !out.bare, path+".bare", s.Bare, "false for bookings")
 	if out.book {
 		out.name += "/" + kindBook
 	}
+	if out.bare {
+		out.name += reporter.BareSuffix
+	}
 	if out.deadline == 0 && known {
 		out.deadline = p.Deadline()
 	}
--- a/standin/reporter/result.go
+++ b/standin/reporter/result.go
@@ -11,11 +11,14 @@
 	"cicadagrade.example/standin/checker"
 )
 
+// BareSuffix ends the name of a stream that went straight to the backend
+// servers, for comparison with the stream of the same name without it.
+const BareSuffix = "/bare"
+
 // Result is the result of one run of a workload.
 type Result struct {
 	Workload       string              `json:"workload"`
 	Deployment     string              `json:"deployment"`
-	Target         string              `json:"target"`
 	Seed           uint64              `json:"seed"`
 	Phases         []Phase             `json:"phases"`
 	Sets           []SetLoad           `json:"sets"`
--- a/standin/reporter/table.go
+++ b/standin/reporter/table.go
@@ -16,7 +16,7 @@
 func Print(w io.Writer, r *Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	p := printer{w: t}
-	p.line("workload %s, deployment %s, target %s, seed %d", r.Workload, r.Deployment, r.Target, r.Seed)
+	p.line("workload %s, deployment %s, seed %d", r.Workload, r.Deployment, r.Seed)
 	p.line("phase\trank or stream\toffered\tanswered\tin time/s\trefused\tunknown\trejected\tfailed\tnot sent\tp50 ms\tp99 ms\tp99.9 ms\tcoverage\textra calls\t")
 	for _, f := range r.Phases {
 		for _, x := range f.Ranks {
@@ -27,6 +27,7 @@
 		}
 	}
 	p.line("")
+	p.added(r)
 	p.reasons(r)
 	p.line("set\tcalls\toverbooked\tshed\trefused\tcancelled\tat once\tconnections\tmade\trefused\t")
 	for _, s := range r.Sets {
@@ -48,7 +49,7 @@
 func Compare(w io.Writer, a, b *Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	p := printer{w: t}
-	p.line("%s, target %s, to %s, target %s", b.Workload, b.Target, a.Workload, a.Target)
+	p.line("workload %s to workload %s", b.Workload, a.Workload)
 	p.line("phase\trank or stream\tp50\tp99\tp99.9\tin time/s\tcoverage\tleaf calls\textra calls before\tafter\t")
 	for _, f := range a.Phases {
 		for _, x := range append(f.Ranks, f.Streams...) {
@@ -94,6 +95,17 @@
 	p.line("%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t%.4f\t", phase, x.Name, x.Offered, x.Answered, x.Goodput, x.Refused, x.Unknown, x.Rejected, x.Failed, x.NotSent, x.P50, x.P99, x.P999, x.Coverage, x.ExtraRatio())
 }
 
+// added compares each stream with its bare twin.
+func (p *printer) added(r *Result) {
+	for _, f := range r.Phases {
+		for _, x := range f.Streams {
+			if y, ok := r.find(f.Name, x.Name+BareSuffix); ok {
+				p.line("%s, %s to bare: p50 %.3f, p99 %.3f, p99.9 %.3f", f.Name, x.Name, ratio(x.P50, y.P50), ratio(x.P99, y.P99), ratio(x.P999, y.P999))
+			}
+		}
+	}
+}
+
 // reasons lists why requests of each stream were refused, not accepted or
 // ended unknown.
 func (p *printer) reasons(r *Result) {
