--- a/cicadagraded/asker/book.go
+++ b/cicadagraded/asker/book.go
@@ -6,38 +6,92 @@
 	"github.com/pkg/errors"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/claimer"
 )
 
 // Book runs a booking at most once. Its errors are *KeyReusedError and
-// *BadKeyError; nothing was run then.
+// *tier.InvalidError; nothing was run then.
 func (f *Front) Book(ctx context.Context, b Booking) (Receipt, error) {
 	set, ok := f.directory.Set(b.set)
 	if !ok {
 		return notRun(b, tier.RefuseNoConfig, 0), nil
 	}
+	minted, err := f.key(ctx, &b)
+	if err != nil {
+		return Receipt{}, errors.Wrap(err, "Front.Book")
+	}
+	if b.idempotencyKey == "" {
+		return notRun(b, tier.RefuseLeaving, noOwnerRetryAfter), nil
+	}
 	if wait, ok := f.directory.Admit(b.set, b.profile.Rank()); !ok {
 		return notRun(b, tier.RefuseOverload, wait), nil
 	}
-	minted := b.idempotencyKey == ""
-	if minted {
-		b.idempotencyKey, b.first = f.mint(), true
-	}
 	shard := set.ShardOf(b.recordKey)
+	o, err := f.claimed(ctx, b, set, shard, minted)
+	if err != nil {
+		return Receipt{}, errors.Wrap(err, "Front.Book")
+	}
+	return NewReceipt(o, b.idempotencyKey).at(set, shard), nil
+}
+
+// key checks the booking's key, or mints one, and reports whether it is a
+// minted one.
+func (f *Front) key(ctx context.Context, b *Booking) (minted bool, err error) {
+	if b.idempotencyKey == "" {
+		b.idempotencyKey, b.first = f.claims.Mint(ctx), true
+		return true, nil
+	}
+	k, err := claimer.ParseKey(b.idempotencyKey)
+	return k.Minted(), err
+}
+
+// claimed runs a booking under its claim: a minted key is claimed here, where
+// it was minted; a caller's own key by the owner, in the store.
+func (f *Front) claimed(ctx context.Context, b Booking, set *tier.ShardSet, shard tier.Shard, minted bool) (tier.Outcome, error) {
+	if !minted {
+		o, err := f.forward(ctx, b, set, shard, false)
+		if o == nil && err == nil {
+			o = notRun(b, tier.RefuseUnreachable, noOwnerRetryAfter).outcome
+		}
+		return o, err
+	}
+	return f.claims.Book(ctx, b, func(ctx context.Context) tier.Outcome {
+		o, err := f.forward(ctx, b, set, shard, true)
+		if err != nil {
+			return tier.NewUnknown(tier.UnknownLostReply)
+		}
+		if o == nil {
+			return tier.NewRefused(tier.RefuseUnreachable, noOwnerRetryAfter)
+		}
+		return o
+	})
+}
+
+// forward sends a booking to an owner, once: the next owner is tried only
+// when the booking did not reach the one before.
+func (f *Front) forward(ctx context.Context, b Booking, set *tier.ShardSet, shard tier.Shard, minted bool) (tier.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, (b.deadline - f.clock.Now()).Duration())
 	defer cancel()
 	for _, vm := range f.bookingOwners(set, shard) {
-		r, err := f.messenger.Book(ctx, vm, NewForwarded(b, shard.ID(), minted))
+		o, err := f.messenger.Book(ctx, vm, NewForwarded(b, shard.ID(), minted))
 		if err == nil {
-			return r.at(set, shard), nil
+			return o, nil
 		}
-		if isRejection(err) {
-			return Receipt{}, errors.Wrap(err, "Front.Book")
+		var reused *KeyReusedError
+		if errors.As(err, &reused) {
+			return nil, errors.Wrap(err, "Front.forward")
 		}
-		if !errorsAsNotSent(err) {
-			return Receipt{outcome: tier.NewUnknown(tier.UnknownLostReply), idempotencyKey: b.idempotencyKey}, nil
+		if !wasNotSent(err) {
+			return tier.NewUnknown(tier.UnknownLostReply), nil
 		}
 	}
-	return notRun(b, tier.RefuseUnreachable, noOwnerRetryAfter), nil
+	return nil, nil
+}
+
+// wasNotSent reports whether a booking never reached its VM.
+func wasNotSent(err error) bool {
+	var n *NotSentError
+	return errors.As(err, &n)
 }
 
 // bookingOwners lists the VMs that may run a booking on a shard: those of
@@ -57,13 +111,6 @@
 	return vms
 }
 
-// isRejection reports whether the owner rejected the request itself.
-func isRejection(err error) bool {
-	var reused *KeyReusedError
-	var badKey *BadKeyError
-	return errors.As(err, &reused) || errors.As(err, &badKey)
-}
-
 // notRun is the end of a booking that this VM did not send. Unless the caller
 // vouches for the first sending, an earlier one with its key may have run.
 func notRun(b Booking, r tier.RefuseReason, retryAfter tier.Millis) Receipt {
--- a/cicadagraded/asker/front.go
+++ b/cicadagraded/asker/front.go
@@ -25,7 +25,17 @@
 // may have.
 type Messenger interface {
 	Ask(ctx context.Context, vm tier.VM, set string, s owner.Search) (owner.End, error)
-	Book(ctx context.Context, vm tier.VM, b Forwarded) (Receipt, error)
+	Book(ctx context.Context, vm tier.VM, b Forwarded) (tier.Outcome, error)
+}
+
+// Claims lets bookings run at most once.
+type Claims interface {
+	// Mint returns a key that only this life of this VM runs, or an empty one
+	// when the VM stops.
+	Mint(ctx context.Context) string
+	// Book calls send at most once for the booking's key. Its errors are
+	// *KeyReusedError and *tier.InvalidError.
+	Book(ctx context.Context, b Booking, send func(context.Context) tier.Outcome) (tier.Outcome, error)
 }
 
 // Forwarded is a booking on its way to the owner of its shard.
@@ -65,15 +75,14 @@
 	clock      *tier.Clock
 	directory  Directory
 	messenger  Messenger
-	mint       func() string
+	claims     Claims
 	budgets    budgets
 	turn       atomic.Uint64
 }
 
-// New returns the front of a VM in a data centre. mint returns a fresh
-// idempotency key.
-func New(dataCentre string, clock *tier.Clock, d Directory, m Messenger, mint func() string) *Front {
-	return &Front{dataCentre: dataCentre, clock: clock, directory: d, messenger: m, mint: mint}
+// New returns the front of a VM in a data centre.
+func New(dataCentre string, clock *tier.Clock, d Directory, m Messenger, c Claims) *Front {
+	return &Front{dataCentre: dataCentre, clock: clock, directory: d, messenger: m, claims: c}
 }
 
 // The retry-after of requests that found nobody to run them.
--- a/cicadagraded/asker/front_test.go
+++ b/cicadagraded/asker/front_test.go
@@ -37,8 +37,8 @@
 	return owner.NewDone(results, nil, len(results), 0), nil
 }
 
-func (h *home) Book(context.Context, tier.VM, asker.Forwarded) (asker.Receipt, error) {
-	return asker.Receipt{}, nil
+func (h *home) Book(context.Context, tier.VM, asker.Forwarded) (tier.Outcome, error) {
+	return nil, nil
 }
 
 func newHome(b *testing.B, shards int) *home {
--- a/cicadagraded/asker/request.go
+++ b/cicadagraded/asker/request.go
@@ -136,23 +136,3 @@
 func (e *KeyReusedError) Error() string {
 	return "idempotency key " + e.key + " belongs to another request"
 }
-
-// BadKeyError says that an idempotency key has the wrong form. Nothing was
-// run.
-type BadKeyError struct{ key, allowed string }
-
-// NewBadKeyError returns an error for a key of the wrong form.
-func NewBadKeyError(key, allowed string) *BadKeyError {
-	return &BadKeyError{key: key, allowed: allowed}
-}
-
-// Key is the idempotency key.
-func (e *BadKeyError) Key() string { return e.key }
-
-// Allowed says what a key may be.
-func (e *BadKeyError) Allowed() string { return e.allowed }
-
-// Error names the key and what is allowed.
-func (e *BadKeyError) Error() string {
-	return "idempotency key " + e.key + " is not allowed: " + e.allowed
-}
--- a/cicadagraded/asker/search.go
+++ b/cicadagraded/asker/search.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"cicadagrade.example/cicadagraded/owner"
@@ -162,9 +161,3 @@
 		return planner.NewPartFailed(a.Part(), tier.MissDeadline)
 	}
 }
-
-// errorsAsNotSent reports whether a part never reached its VM.
-func errorsAsNotSent(err error) bool {
-	var n *NotSentError
-	return errors.As(err, &n)
-}
--- /dev/null
+++ b/cicadagraded/control.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/locator"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/gossiper"
+	"cicadagrade.example/tier/picker"
+	"cicadagrade.example/tier/ring"
+)
+
+// Pace and sizes of the control duty.
+const (
+	changesSize     = 4096
+	controlInterval = 100 * time.Millisecond
+	// setPrefix starts the gossip key of an owner's report.
+	setPrefix = "set/"
+	// indexKeys is how many keys of an index are read again.
+	indexKeys = 128
+)
+
+// control is the duty that brings locator and owners in line with gossip and
+// configuration.
+type control struct {
+	self     tier.VM
+	logger   *log.Logger
+	gossip   *exchanging.Exchanger
+	changes  *ring.Ring[gossiper.Action]
+	config   *watching.Watcher
+	locator  *locator.Locator
+	registry *owner.Registry
+	members  []tier.VM
+	sets     []*tier.ShardSet
+	dropped  uint64
+}
+
+// Run follows changes until ctx ends.
+func (c *control) Run(ctx context.Context) error {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-c.changes.Out():
+			c.change(a)
+		case <-ticker.C:
+			if err := c.sync(ctx); err != nil {
+				return errors.Wrap(err, "control.Run")
+			}
+		}
+	}
+}
+
+// change notes one change that gossip brought.
+func (c *control) change(a gossiper.Action) {
+	switch a := a.(type) {
+	case *gossiper.MemberChanged:
+		vm := a.VM()
+		c.logger.Info("member", "vm", vm.Name(), "data-centre", vm.DataCentre(), "incarnation", vm.Incarnation(), "state", vm.State())
+	case *gossiper.EntryChanged:
+		c.entry(a.Origin(), a.Key(), a.Value())
+	}
+}
+
+// entry notes an owner's report.
+func (c *control) entry(origin, key string, value []byte) {
+	if strings.HasPrefix(key, watching.IndexKeyPrefix) {
+		if err := c.config.OnIndex(origin, key, value); err != nil {
+			c.logger.Warn("index", "vm", origin, "error", err)
+		}
+		return
+	}
+	set, ok := strings.CutPrefix(key, setPrefix)
+	if !ok {
+		return
+	}
+	if len(value) == 0 {
+		c.locator.Reported(set, origin, owner.Report{}, false)
+		return
+	}
+	r, err := owner.DecodeReport(value)
+	if err != nil {
+		c.logger.Warn("report", "vm", origin, "set", set, "error", err)
+		return
+	}
+	c.locator.Reported(set, origin, r, true)
+}
+
+// sync passes on members and sets, and has the registry follow them.
+func (c *control) sync(ctx context.Context) error {
+	if d := c.gossip.Dropped(); d != c.dropped {
+		c.dropped = d
+		c.reread()
+	}
+	c.members = c.gossip.Members()
+	c.sets = c.config.Sets()
+	c.config.OnMembers(c.liveNames())
+	c.locator.Update(c.sets, c.members, c.gossip.Reachable)
+	if !c.gossip.Fresh() {
+		return nil
+	}
+	return c.registry.Sync(ctx, c.sets, c.ownersOf)
+}
+
+// liveNames lists the live VMs of this data centre and of the others.
+func (c *control) liveNames() (local, remote []string) {
+	for _, m := range c.members {
+		if m.State() != tier.VMLive {
+			continue
+		}
+		if m.DataCentre() == c.self.DataCentre() {
+			local = append(local, m.Name())
+		} else {
+			remote = append(remote, m.Name())
+		}
+	}
+	return local, remote
+}
+
+// ownersOf lists the owners of a set in this data centre.
+func (c *control) ownersOf(s *tier.ShardSet) []tier.VM {
+	if !hasServers(s, c.self.DataCentre()) {
+		return nil
+	}
+	return picker.Owners(s.Name(), c.self.DataCentre(), c.members, s.Owners())
+}
+
+func hasServers(s *tier.ShardSet, dataCentre string) bool {
+	for _, d := range s.DataCentres() {
+		if d == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// reread reads every report and index again after changes were dropped.
+func (c *control) reread() {
+	keys := make([]string, 0, len(c.sets)+indexKeys)
+	for _, s := range c.sets {
+		keys = append(keys, setPrefix+s.Name())
+	}
+	for i := range indexKeys {
+		keys = append(keys, watching.IndexKeyPrefix+strconv.Itoa(i))
+	}
+	for _, key := range keys {
+		for _, p := range c.gossip.Entries(key) {
+			c.entry(p.VM().Name(), key, p.Value())
+		}
+	}
+}
+
+// publish tells this VM and the others of an owner's report.
+func (c *control) publish(set string, r owner.Report) {
+	c.locator.Reported(set, c.self.Name(), r, true)
+	value, err := r.Encode()
+	if err == nil {
+		err = c.gossip.Publish(setPrefix+set, value)
+	}
+	if err != nil {
+		c.logger.Error("publish", "set", set, "error", err)
+	}
+}
+
+// notice logs a change of a backend server's state.
+func (c *control) notice(set, server string, s tier.BackendState, reason string) {
+	c.logger.Info("backend", "set", set, "server", server, "state", s, "reason", reason)
+}
--- /dev/null
+++ b/cicadagraded/daemon.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/asker"
+	"cicadagrade.example/cicadagraded/claiming"
+	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/handler"
+	"cicadagrade.example/cicadagraded/locator"
+	"cicadagrade.example/cicadagraded/messenger"
+	"cicadagrade.example/cicadagraded/meter"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/etcdgateway"
+	"cicadagrade.example/tier/gossiper"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/ring"
+)
+
+// daemon is one entry VM with its duties.
+type daemon struct {
+	settings *settings
+	logger   *log.Logger
+	clock    *tier.Clock
+	self     tier.VM
+	inflight *inflight
+	meter    *meter.Meter
+	gossip   *exchanging.Exchanger
+	config   *watching.Watcher
+	claiming *claiming.Claiming
+	locator  *locator.Locator
+	registry *owner.Registry
+	control  *control
+	client   *messenger.Client
+	api      *http.Server
+	peers    *http.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// newLogger writes one line of key=value pairs for each event.
+func newLogger(w io.Writer, s *settings) *log.Logger {
+	l := log.NewWithOptions(w, log.Options{
+		Level:           s.logLevel,
+		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
+		Formatter:       log.LogfmtFormatter,
+	})
+	return l.With("self", s.name)
+}
+
+// newDaemon puts the parts of a VM together; nothing runs yet.
+func newDaemon(ctx context.Context, s *settings, clock *tier.Clock, logger *log.Logger) (*daemon, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d := &daemon{
+		settings: s, logger: logger, clock: clock, ctx: ctx, cancel: cancel,
+		inflight: newInflight(s.maxRequests),
+		locator:  locator.New(clock),
+		self: tier.NewVM(s.name, s.dataCentre, s.peerAdvertise,
+			tier.WithIncarnation(tier.Incarnation(clock.Wall())), tier.WithVMState(tier.VMJoining)),
+	}
+	for _, build := range []func() error{d.buildControl, d.buildServers} {
+		if err := build(); err != nil {
+			cancel()
+			return nil, errors.Wrap(err, "newDaemon")
+		}
+	}
+	return d, nil
+}
+
+// buildControl makes gossip, configuration, claims and owners.
+func (d *daemon) buildControl() error {
+	changes := ring.New[gossiper.Action](changesSize)
+	gossip, err := exchanging.New(d.self, d.clock,
+		exchanging.WithChanges(changes),
+		exchanging.WithGossip(gossiper.WithSeed(uint64(d.self.Incarnation()))))
+	if err != nil {
+		return errors.Wrap(err, "buildControl")
+	}
+	gossip.SetSeeds(d.settings.seeds)
+	d.gossip = gossip
+	store := etcdgateway.New(d.settings.storeAddress)
+	d.config = watching.New(d.self, store, d.clock,
+		watching.WithPeers(d.peer),
+		watching.WithPublisher(gossip.Publish),
+		watching.WithWarnings(d.warn))
+	d.claiming = claiming.New(store, d.self.Name(), d.self.Incarnation(), d.clock, claiming.WithLive(d.live))
+	d.control = &control{
+		self: d.self, logger: d.logger, gossip: gossip, changes: changes,
+		config: d.config, locator: d.locator,
+	}
+	id := owner.NewIdentity(d.self.Name(), d.self.DataCentre(), d.self.Incarnation())
+	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control.publish, d.control.notice)
+	d.control.registry = d.registry
+	return nil
+}
+
+// peer finds the peer service of a VM.
+func (d *daemon) peer(vm string) (watching.Peer, bool) {
+	for _, m := range d.gossip.Members() {
+		if m.Name() == vm && m.State() != tier.VMDead {
+			return d.client.Service(m.Address()), true
+		}
+	}
+	return nil, false
+}
+
+// live reports whether a life of a VM is believed to go on.
+func (d *daemon) live(vm string, i tier.Incarnation) bool {
+	for _, m := range d.gossip.Members() {
+		if m.Name() == vm {
+			return m.Incarnation() == i && m.State() != tier.VMDead
+		}
+	}
+	return false
+}
+
+// warn logs a trouble of the configuration.
+func (d *daemon) warn(f keeper.Flag) {
+	d.logger.Warn("configuration", "trouble", f.Trouble(), "key", f.Served().Key(), "served", f.Served().Revision(), "seen", f.Seen().Revision(), "source", f.Source())
+}
+
+// buildServers makes the front and the servers of callers and peers.
+func (d *daemon) buildServers() error {
+	m, err := meter.New()
+	if err != nil {
+		return errors.Wrap(err, "buildServers")
+	}
+	d.meter = m
+	c := &claims{claiming: d.claiming}
+	b := &booker{claims: c, registry: d.registry}
+	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
+	d.client = messenger.NewClient(d.self, server, d.clock)
+	front := asker.New(d.self.DataCentre(), d.clock, d.locator, d.client, c)
+	h := handler.New(d.self.Name(), d.clock, d.config, front, d.inflight, d,
+		handler.WithMetrics(m.Handler()),
+		handler.WithEnded(m.Ended),
+		handler.WithMaxBody(int64(d.settings.maxBodyBytes)))
+	d.api = &http.Server{Addr: d.settings.apiAddress, Handler: h.Routes(), ReadHeaderTimeout: headerTimeout.Duration()}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	d.peers = &http.Server{Addr: d.settings.peerAddress, Handler: server.Handler(), Protocols: protocols, ReadHeaderTimeout: headerTimeout.Duration()}
+	return nil
+}
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 5 * tier.Second
+
+// run runs every duty until the planned stop is over or one of them fails.
+func (d *daemon) run() error {
+	defer d.cancel()
+	var g run.Group
+	d.addDuty(&g, d.gossip.Run)
+	d.addDuty(&g, d.config.Run)
+	d.addDuty(&g, d.claiming.Run)
+	d.addDuty(&g, d.control.Run)
+	d.addServer(&g, d.api)
+	d.addServer(&g, d.peers)
+	s := &stopper{
+		logger: d.logger, clock: d.clock, gossip: d.gossip, inflight: d.inflight, claiming: d.claiming,
+		servers:     []*http.Server{d.api, d.peers},
+		balancerLag: d.settings.balancerLag, stopLimit: d.settings.stopLimit,
+	}
+	d.addDuty(&g, s.Run)
+	d.inflight.ready.Store(true)
+	d.gossip.SetState(tier.VMLive)
+	d.logger.Info("started", "data-centre", d.self.DataCentre(), "api", d.settings.apiAddress, "peer", d.settings.peerAddress, "incarnation", d.self.Incarnation())
+	err := g.Run()
+	d.cancel()
+	if waitErr := d.registry.Wait(); err == nil {
+		err = waitErr
+	}
+	return errors.Wrap(err, "daemon.run")
+}
+
+// addDuty adds a duty that ends when its context does.
+func (d *daemon) addDuty(g *run.Group, duty func(context.Context) error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	g.Add(func() error { return duty(ctx) }, func(error) { cancel() })
+}
+
+// addServer adds a server; the planned stop shuts it down first.
+func (d *daemon) addServer(g *run.Group, h *http.Server) {
+	stopped := make(chan struct{})
+	g.Add(func() error {
+		err := h.ListenAndServe()
+		if errors.Is(err, http.ErrServerClosed) {
+			<-stopped
+			return nil
+		}
+		return errors.Wrap(err, "listen")
+	}, func(error) {
+		close(stopped)
+		_ = h.Close()
+	})
+}
--- a/cicadagraded/handler/errors.go
+++ b/cicadagraded/handler/errors.go
@@ -60,7 +60,6 @@
 		missing   *notFoundError
 		tooLarge  *http.MaxBytesError
 		reused    *asker.KeyReusedError
-		badKey    *asker.BadKeyError
 		noConfig  *noConfigurationError
 		busy      *busyError
 		routed    *echo.HTTPError
@@ -85,10 +84,6 @@
 	case errors.As(err, &reused):
 		w.Error.Code = "idempotency-key-reused"
 		return http.StatusUnprocessableEntity
-	case errors.As(err, &badKey):
-		w.Error.Code = "invalid-request"
-		w.Error.Fields = []fieldError{{Path: "idempotency-key", Value: badKey.Key(), Allowed: badKey.Allowed()}}
-		return http.StatusBadRequest
 	case errors.As(err, &noConfig):
 		w.Error.Code = "no-configuration"
 		w.Reason = string(tier.RefuseNoConfig)
--- a/cicadagraded/handler/session_test.go
+++ b/cicadagraded/handler/session_test.go
@@ -136,24 +136,33 @@
 	return merger.NewShardResult(shard, records)
 }
 
-func (w *world) Book(_ context.Context, vm tier.VM, b asker.Forwarded) (asker.Receipt, error) {
+func (w *world) Book(_ context.Context, vm tier.VM, b asker.Forwarded) (tier.Outcome, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	o := w.step.Owners[vm.DataCentre()]
 	w.asked = append(w.asked, fmt.Sprintf("book %s on %s key %s minted %t", vm.Name(), b.Shard(), b.IdempotencyKey(), b.Minted()))
 	switch {
 	case o.Unreachable:
-		return asker.Receipt{}, asker.NewNotSentError(errors.New("refused"))
+		return nil, asker.NewNotSentError(errors.New("refused"))
 	case o.Lost:
-		return asker.Receipt{}, errors.New("connection reset")
+		return nil, errors.New("connection reset")
 	case o.Reused:
-		return asker.Receipt{}, asker.NewKeyReusedError(b.IdempotencyKey())
+		return nil, asker.NewKeyReusedError(b.IdempotencyKey())
 	case o.Refuse != "":
-		return asker.NewReceipt(tier.NewRefused(tier.RefuseReason(o.Refuse), o.RetryAfter), b.IdempotencyKey()), nil
+		return tier.NewRefused(tier.RefuseReason(o.Refuse), o.RetryAfter), nil
 	case o.Unknown != "":
-		return asker.NewReceipt(tier.NewUnknown(tier.UnknownReason(o.Unknown)), b.IdempotencyKey()), nil
+		return tier.NewUnknown(tier.UnknownReason(o.Unknown)), nil
 	}
-	return asker.NewReceipt(tier.NewBooked(o.Receipt, o.Repeated), b.IdempotencyKey()), nil
+	return tier.NewBooked(o.Receipt, o.Repeated), nil
+}
+
+// minter plays the claims of this VM: every minted key is new.
+type minter struct{}
+
+func (minter) Mint(context.Context) string { return "minted/vm-1/5/1" }
+
+func (minter) Book(ctx context.Context, _ asker.Booking, send func(context.Context) tier.Outcome) (tier.Outcome, error) {
+	return send(ctx), nil
 }
 
 // TestSessions plays each script of testdata/sessions through the real
@@ -190,8 +199,7 @@
 		t.Fatal(err)
 	}
 	w.set = d.Set()
-	mint := func() string { return "minted-1" }
-	front := asker.New(w.s.Home, w.clock.Clock(), w, w, mint)
+	front := asker.New(w.s.Home, w.clock.Clock(), w, w, minter{})
 	routes := New("vm-1", w.clock.Clock(), w, front, w, nil, WithMaxBody(2048)).Routes()
 	var out bytes.Buffer
 	for _, step := range w.s.Steps {
--- a/cicadagraded/messenger/client.go
+++ b/cicadagraded/messenger/client.go
@@ -89,16 +89,16 @@
 }
 
 // Book has a VM run a booking. It is sent once.
-func (c *Client) Book(ctx context.Context, vm tier.VM, b asker.Forwarded) (asker.Receipt, error) {
+func (c *Client) Book(ctx context.Context, vm tier.VM, b asker.Forwarded) (tier.Outcome, error) {
 	if vm.Name() == c.self.Name() {
 		return c.local.book(ctx, b)
 	}
 	reply, err := c.Service(vm.Address()).Book(ctx, connect.NewRequest(c.bookRequest(b)))
 	if err != nil {
-		return asker.Receipt{}, errors.Wrap(bookError(err, b.IdempotencyKey()), "Client.Book")
+		return nil, errors.Wrap(bookError(err, b.IdempotencyKey()), "Client.Book")
 	}
 	if got := reply.Msg.GetIdempotencyKey(); got != b.IdempotencyKey() {
-		return asker.Receipt{}, errors.Wrap(&CrossedError{want: b.IdempotencyKey(), got: got}, "Client.Book")
+		return nil, errors.Wrap(&CrossedError{want: b.IdempotencyKey(), got: got}, "Client.Book")
 	}
 	return fromBookReply(reply.Msg), nil
 }
--- a/cicadagraded/messenger/convert.go
+++ b/cicadagraded/messenger/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	peerv1 "cicadagrade.example/api/peer/v1"
-	"cicadagrade.example/cicadagraded/asker"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/merger"
@@ -113,9 +112,9 @@
 	return merger.NewReceivedResult(r.GetShard(), fromPeerRecords(r.GetRecords()), int(r.GetCount()), r.GetDigest())
 }
 
-func toBookReply(r asker.Receipt) *peerv1.BookReply {
-	w := &peerv1.BookReply{IdempotencyKey: r.IdempotencyKey()}
-	switch o := r.Outcome().(type) {
+func toBookReply(o tier.Outcome) *peerv1.BookReply {
+	w := &peerv1.BookReply{}
+	switch o := o.(type) {
 	case *tier.Booked:
 		w.Receipt = o.Receipt()
 		w.Repeated = o.Repeated()
@@ -135,11 +134,7 @@
 	return &peerv1.Refusal{Reason: string(r.Reason()), RetryAfterMs: int64(r.RetryAfter())}
 }
 
-func fromBookReply(w *peerv1.BookReply) asker.Receipt {
-	return asker.NewReceipt(fromBookOutcome(w), w.GetIdempotencyKey())
-}
-
-func fromBookOutcome(w *peerv1.BookReply) tier.Outcome {
+func fromBookReply(w *peerv1.BookReply) tier.Outcome {
 	refused := tier.NewRefused(tier.RefuseReason(w.GetRefusal().GetReason()), tier.Millis(w.GetRefusal().GetRetryAfterMs()))
 	switch {
 	case w.GetEarlier():
--- a/cicadagraded/messenger/errors.go
+++ b/cicadagraded/messenger/errors.go
@@ -33,21 +33,12 @@
 	return err
 }
 
-// bookError is sentError, or the owner's rejection of the booking itself.
+// bookError is sentError, or the owner's word that the key is reused.
 func bookError(err error, key string) error {
-	if !connect.IsWireError(err) {
-		return sentError(err)
-	}
-	switch connect.CodeOf(err) {
-	case connect.CodeAlreadyExists:
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeAlreadyExists {
 		return asker.NewKeyReusedError(key)
-	case connect.CodeInvalidArgument:
-		var e *connect.Error
-		errors.As(err, &e)
-		return asker.NewBadKeyError(key, e.Message())
-	default:
-		return sentError(err)
 	}
+	return sentError(err)
 }
 
 // wireBookError is the inverse of bookError.
@@ -56,9 +47,5 @@
 	if errors.As(err, &reused) {
 		return connect.NewError(connect.CodeAlreadyExists, reused)
 	}
-	var bad *asker.BadKeyError
-	if errors.As(err, &bad) {
-		return connect.NewError(connect.CodeInvalidArgument, errors.New(bad.Allowed()))
-	}
 	return connect.NewError(connect.CodeInternal, err)
 }
--- a/cicadagraded/messenger/server.go
+++ b/cicadagraded/messenger/server.go
@@ -21,7 +21,7 @@
 
 // Booker runs bookings on this VM, each at most once.
 type Booker interface {
-	Book(ctx context.Context, b asker.Forwarded) (asker.Receipt, error)
+	Book(ctx context.Context, b asker.Forwarded) (tier.Outcome, error)
 }
 
 // Exchanger answers gossip.
@@ -91,15 +91,16 @@
 	deadline := s.clock.Now() + tier.Millis(m.GetDeadlineMs())
 	b := asker.NewBooking(m.GetRequest(), p, m.GetSet(), m.GetRecordKey(), m.GetBody(), deadline,
 		asker.WithIdempotencyKey(m.GetIdempotencyKey(), m.GetFirst()))
-	receipt, err := s.book(ctx, asker.NewForwarded(b, m.GetShard(), m.GetMinted()))
+	o, err := s.book(ctx, asker.NewForwarded(b, m.GetShard(), m.GetMinted()))
 	if err != nil {
 		return nil, wireBookError(err)
 	}
-	reply := toBookReply(receipt)
+	reply := toBookReply(o)
 	reply.Request = m.GetRequest()
+	reply.IdempotencyKey = m.GetIdempotencyKey()
 	return connect.NewResponse(reply), nil
 }
 
-func (s *Server) book(ctx context.Context, b asker.Forwarded) (asker.Receipt, error) {
+func (s *Server) book(ctx context.Context, b asker.Forwarded) (tier.Outcome, error) {
 	return s.booker.Book(ctx, b)
 }
--- a/cicadagraded/root.go
+++ b/cicadagraded/root.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"cicadagrade.example/tier"
 )
 
 const rootHelp = `cicadagraded runs on each entry VM. It takes callers' searches and bookings,
@@ -13,8 +16,9 @@
 
 // Exit codes.
 const (
-	exitOK     = 0
-	exitFailed = 1
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
 )
 
 // execute runs the command line and returns the exit code.
@@ -26,9 +30,19 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(serveCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cicadagraded:", err)
-		return exitFailed
+		return exitCode(err)
 	}
 	return exitOK
 }
+
+// exitCode tells bad settings from other failures.
+func exitCode(err error) int {
+	var invalid *tier.InvalidError
+	if errors.As(err, &invalid) {
+		return exitSettings
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cicadagraded/status.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"cicadagrade.example/cicadagraded/handler"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+)
+
+// Self is this VM as its peers know it.
+func (d *daemon) Self() tier.VM { return d.gossip.Self() }
+
+// Members lists the VMs known.
+func (d *daemon) Members() []tier.VM { return d.gossip.Members() }
+
+// Reachable reports whether a data centre answers.
+func (d *daemon) Reachable(dataCentre string) bool { return d.gossip.Reachable(dataCentre) }
+
+// Owners lists the owners that run on this VM.
+func (d *daemon) Owners(ctx context.Context) []owner.Status { return d.registry.Statuses(ctx) }
+
+// Documents lists the configuration documents in force here.
+func (d *daemon) Documents() []handler.Document {
+	var out []handler.Document
+	for _, r := range d.config.Status().Documents() {
+		out = append(out, handler.NewDocument(r.Key(), r.Epoch(), r.Revision(), r.Digest()))
+	}
+	return out
+}
+
+// Warnings lists what an operator should look at.
+func (d *daemon) Warnings() []string {
+	var out []string
+	for _, f := range d.config.Status().Flags() {
+		out = append(out, fmt.Sprintf("configuration %s: %s offers revision %d, revision %d stays in force: %s",
+			f.Served().Key(), f.Source(), f.Seen().Revision(), f.Served().Revision(), f.Trouble()))
+	}
+	return out
+}
--- /dev/null
+++ b/cicadagraded/stop.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/claiming"
+	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/tier"
+)
+
+// stopper is the duty that waits for a signal and stops the VM as planned.
+type stopper struct {
+	logger      *log.Logger
+	clock       *tier.Clock
+	gossip      *exchanging.Exchanger
+	inflight    *inflight
+	claiming    *claiming.Claiming
+	servers     []*http.Server
+	balancerLag tier.Millis
+	stopLimit   tier.Millis
+}
+
+// Run returns once the VM may exit. A second signal ends the waiting.
+func (s *stopper) Run(ctx context.Context) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-signals:
+	}
+	return errors.Wrap(s.stop(ctx, signals), "stopper.Run")
+}
+
+// stop tells peers and the balancer, goes on accepting until both have heard,
+// and waits for what is in flight.
+func (s *stopper) stop(ctx context.Context, signals <-chan os.Signal) error {
+	began := s.clock.Now()
+	s.logger.Info("stopping", "balancer-lag-ms", s.balancerLag, "limit-ms", s.stopLimit)
+	s.inflight.ready.Store(false)
+	s.gossip.SetState(tier.VMLeaving)
+	ticker := time.NewTicker(stopPoll.Duration())
+	defer ticker.Stop()
+	for {
+		waited := s.clock.Now() - began
+		if waited >= s.balancerLag && s.inflight.idle() {
+			s.logger.Info("stopped", "took-ms", waited)
+			return s.shutdown(ctx)
+		}
+		if waited >= s.stopLimit {
+			return s.cut("limit")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			return s.cut("second signal")
+		case <-ticker.C:
+		}
+	}
+}
+
+// shutdown closes the servers, so that a request that came last is still
+// answered, and records the outcomes of bookings.
+func (s *stopper) shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.stopLimit.Duration())
+	defer cancel()
+	for _, h := range s.servers {
+		if err := h.Shutdown(ctx); err != nil {
+			return errors.Wrap(err, "stopper.shutdown")
+		}
+	}
+	return errors.Wrap(s.claiming.Flush(ctx), "stopper.shutdown")
+}
+
+// cut ends the stop with work in flight and logs each request that it cuts.
+func (s *stopper) cut(reason string) error {
+	for _, r := range s.inflight.list() {
+		s.logger.Error("cut", "reason", reason, "request", r)
+	}
+	return errors.WithStack(&cutError{reason: reason})
+}
+
+// cutError says that a planned stop cut off requests in flight.
+type cutError struct{ reason string }
+
+func (e *cutError) Error() string { return "stopped with requests in flight: " + e.reason }
