--- a/cicadagraded/watching/fleet_test.go
+++ b/cicadagraded/watching/fleet_test.go
@@ -233,13 +233,14 @@
 }
 
 // eventually waits until a VM is as wanted.
-func (f *fleet) eventually(line, name string, ok func(*watching.Watcher) bool) {
+func (f *fleet) eventually(line, name string, limit time.Duration, ok func(*watching.Watcher) bool) error {
 	w := f.reachableAll()[name].watcher
-	for end := time.Now().Add(patience); !ok(w); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(limit); !ok(w); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			f.t.Fatalf("%s: not so on %s: %+v", line, name, w.Status())
+			return fmt.Errorf("%s: not so on %s: %+v", line, name, w.Status())
 		}
 	}
+	return nil
 }
 
 func serves(w *watching.Watcher, limit string) bool {
--- a/cicadagraded/watching/watching_test.go
+++ b/cicadagraded/watching/watching_test.go
@@ -69,7 +69,9 @@
 	case "cut-store", "cut-peers", "heal":
 		f.cut(w[0], w[1:])
 	default:
-		f.look(line, w)
+		if err := f.look(line, w); err != nil {
+			f.t.Fatal(err)
+		}
 	}
 }
 
@@ -97,27 +99,45 @@
 }
 
 // look waits until VMs are as a line says; "serves" does not wait.
-func (f *fleet) look(line string, w []string) {
-	for _, name := range w[1:] {
-		switch w[0] {
-		case "in-force":
-			if name != w[1] {
-				f.eventually(line, name, func(x *watching.Watcher) bool { return serves(x, w[1]) })
-			}
-		case "flagged":
-			if name != w[1] {
-				f.eventually(line, name, func(x *watching.Watcher) bool { return flagged(x, w[1]) })
-			}
-		case "clear":
-			f.eventually(line, name, func(x *watching.Watcher) bool { return len(x.Status().Flags()) == 0 })
-		case "serves":
-			if name != w[1] && !serves(f.reachableAll()[name].watcher, w[1]) {
-				f.t.Fatalf("%s: not so on %s", line, name)
-			}
-		default:
-			f.t.Fatalf("unknown line %q", line)
+func (f *fleet) look(line string, w []string) error {
+	names := w[2:]
+	var ok func(*watching.Watcher) bool
+	limit := patience
+	switch w[0] {
+	case "serves":
+		limit = 0
+		fallthrough
+	case "in-force":
+		ok = func(x *watching.Watcher) bool { return serves(x, w[1]) }
+	case "flagged":
+		ok = func(x *watching.Watcher) bool { return flagged(x, w[1]) }
+	case "clear":
+		names = w[1:]
+		ok = func(x *watching.Watcher) bool { return len(x.Status().Flags()) == 0 }
+	default:
+		f.t.Fatalf("unknown line %q", line)
+	}
+	for _, name := range names {
+		if err := f.eventually(line, name, limit, ok); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// TestCheckObjectsToARevert: a VM that is replaced while it alone holds the
+// later state takes the restored copy, and the check sees it.
+func TestCheckObjectsToARevert(t *testing.T) {
+	f := newFleet(t)
+	for _, line := range []string{
+		"start a1", "apply 1", "in-force 1 a1", "save monday", "apply 2", "in-force 2 a1",
+		"stop a1", "restart monday", "start a1", "in-force 1 a1",
+	} {
+		f.step(line, strings.Fields(line))
+	}
+	if f.look("serves 2 a1", []string{"serves", "2", "a1"}) == nil {
+		t.Error("the check accepts a revert")
+	}
 }
 
 // reconcile writes what a VM serves back to the store.
--- a/tier/keeper/event.go
+++ b/tier/keeper/event.go
@@ -1,6 +1,10 @@
 package keeper
 
-import "cicadagrade.example/tier/storer"
+import (
+	"fmt"
+
+	"cicadagrade.example/tier/storer"
+)
 
 // Event is what a Keeper reacts to.
 type Event interface{ event() }
@@ -154,3 +158,15 @@
 
 // Source is "store" or the name of the VM that offered it.
 func (f Flag) Source() string { return f.source }
+
+// String tells an operator what is wrong, on one line.
+func (f Flag) String() string {
+	seen := "nothing"
+	if f.seen.revision > 0 {
+		seen = f.seen.String()
+	}
+	if f.trouble == Damaged {
+		seen = "a document that can't be read"
+	}
+	return fmt.Sprintf("%s: %s shows %s, this VM serves %s; reconcile %s", f.trouble, f.source, seen, f.served, f.served.key)
+}
--- a/tier/keeper/keeper.go
+++ b/tier/keeper/keeper.go
@@ -15,9 +15,11 @@
 // Defaults and bounds of a keeper's timing.
 const (
 	DefaultWatchers   = 2
-	settleTime        = 500 * tier.Millis(1) // before a VM decides whether it watches
+	settleTime        = 500 * tier.Millis(1) // before a VM decides whether it watches, and
+	settleTimePerVM   = 10 * tier.Millis(1)  // so much longer for each VM of the deployment, up to
+	maxSettleTime     = 5 * tier.Second
 	minReadSpread     = 200 * tier.Millis(1)
-	readSpreadPerVM   = 1 * tier.Millis(1) // first reads of a fleet of n VMs are spread over n times this
+	readSpreadPerVM   = 2 * tier.Millis(1) // first reads of a fleet of n VMs are spread over n times this
 	retrySpreadPerVM  = 5 * tier.Millis(1)
 	peersFirst        = 2 * tier.Second
 	watcherReadPeriod = 1 * tier.Minute
@@ -171,7 +173,7 @@
 func (k *Keeper) start(now tier.Millis) {
 	k.started = true
 	k.lastList = now - minReadGap
-	k.settleAt = now + settleTime
+	k.settleAt = now + min(maxSettleTime, settleTime+tier.Millis(k.fleet)*settleTimePerVM)
 }
 
 // jitter is a random span from half of m to m.
--- /dev/null
+++ b/tier/keeper/load_test.go
@@ -0,0 +1,199 @@
+package keeper_test
+
+import (
+	"fmt"
+	"testing"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/parser"
+	"cicadagrade.example/tier/storer"
+)
+
+// simulation drives the keepers of whole data centres against a store that
+// answers at once, on a manual clock, and counts the store's calls.
+type simulation struct {
+	now      tier.Millis
+	keepers  []*keeper.Keeper
+	names    []string
+	centre   []int
+	local    [][]string // by data centre
+	said     [][]keeper.Ref
+	values   []storer.Value
+	gossip   bool
+	calls    map[tier.Millis]int // by second
+	total    int
+	document *keeper.State
+}
+
+func newSimulation(centres, perCentre int, gossip bool) *simulation {
+	s := &simulation{gossip: gossip, calls: map[tier.Millis]int{}, local: make([][]string, centres)}
+	s.document = line(nil, "main", 1)[0]
+	s.values = []storer.Value{value(s.document, 1)}
+	for c := range centres {
+		for i := range perCentre {
+			name := fmt.Sprintf("vm-%d-%d", c, i)
+			s.names = append(s.names, name)
+			s.centre = append(s.centre, c)
+			s.local[c] = append(s.local[c], name)
+			s.keepers = append(s.keepers, keeper.New(name,
+				keeper.WithDataCentre(fmt.Sprint(c)), keeper.WithFleet(centres*perCentre), keeper.WithSeed(1)))
+		}
+	}
+	s.said = make([][]keeper.Ref, centres)
+	return s
+}
+
+func (s *simulation) step(i int, e keeper.Event) {
+	for _, a := range s.keepers[i].Step(s.now, e) {
+		switch a := a.(type) {
+		case *keeper.List:
+			s.count()
+			s.step(i, keeper.NewListed(s.values))
+		case *keeper.Watch:
+			s.count()
+		case *keeper.Fetch:
+			peer := s.keepers[s.indexOf(a.VM())]
+			s.step(i, keeper.NewFetched(a.VM(), peer.Answer(a.Have(), false)))
+		}
+	}
+}
+
+func (s *simulation) indexOf(name string) int {
+	for i, n := range s.names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *simulation) count() {
+	s.calls[s.now/tier.Second]++
+	s.total++
+}
+
+// run starts all VMs at once. With gossip, members are known after two
+// seconds, and announcements reach the data centre every quarter second.
+func (s *simulation) run(length tier.Millis) {
+	for s.now = 0; s.now < length; s.now += 10 {
+		for i, k := range s.keepers {
+			if at, ok := k.Next(); s.now == 0 || (ok && at <= s.now) {
+				s.step(i, &keeper.Tick{})
+			}
+			if s.gossip && s.now == 2*tier.Second {
+				s.step(i, keeper.NewMembers(s.local[s.centre[i]], nil))
+			}
+		}
+		if s.gossip && s.now > 2*tier.Second && s.now%250 == 0 && s.now < tier.Minute {
+			s.announce()
+		}
+	}
+}
+
+func (s *simulation) announce() {
+	for i, k := range s.keepers {
+		c := s.centre[i]
+		if refs := k.Index(); k.Watcher() && len(refs) > 0 && s.said[c] == nil {
+			s.said[c] = refs
+			for j := range s.keepers {
+				if s.centre[j] == c && j != i {
+					s.step(j, keeper.NewAnnounced(s.names[i], refs))
+				}
+			}
+		}
+	}
+}
+
+func (s *simulation) worstSecond() int {
+	worst := 0
+	for _, n := range s.calls {
+		worst = max(worst, n)
+	}
+	return worst
+}
+
+// TestBulkRestart: when 8,190 VMs start at once, the store gets fewer than
+// 2,000 calls in any second, also when no VM hears of another; each VM ends
+// with the configuration. Without the spread of first reads it gets more.
+func TestBulkRestart(t *testing.T) {
+	for _, gossip := range []bool{true, false} {
+		s := newSimulation(30, 273, gossip)
+		s.run(30 * tier.Second)
+		t.Logf("gossip %t: %d calls, %d in the worst second", gossip, s.total, s.worstSecond())
+		if s.worstSecond() >= 2000 {
+			t.Errorf("gossip %t: %d calls in a second", gossip, s.worstSecond())
+		}
+		for i, k := range s.keepers {
+			if len(k.Documents()) == 0 {
+				t.Fatalf("gossip %t: no configuration on %s", gossip, s.names[i])
+			}
+		}
+	}
+	broken := newSimulation(30, 273, false)
+	for i := range broken.keepers {
+		broken.keepers[i] = keeper.New(broken.names[i]) // told of no fleet
+	}
+	if broken.run(5 * tier.Second); broken.worstSecond() < 2000 {
+		t.Errorf("the check accepts a bulk restart without a spread: %d", broken.worstSecond())
+	}
+}
+
+// BenchmarkStoreCalls counts the store's calls of an hour without changes.
+func BenchmarkStoreCalls(b *testing.B) {
+	for _, size := range [][2]int{{3, 2}, {1, 30}, {1, 270}} {
+		b.Run(fmt.Sprintf("centres=%d/vms=%d", size[0], size[1]), func(b *testing.B) {
+			var s *simulation
+			for b.Loop() {
+				s = newSimulation(size[0], size[1], true)
+				s.run(tier.Hour)
+			}
+			b.ReportMetric(float64(s.total), "calls/h")
+			b.ReportMetric(float64(s.total)/float64(len(s.keepers)), "calls/vm/h")
+			b.ReportMetric(float64(s.worstSecond()), "worst-calls/s")
+		})
+	}
+}
+
+// BenchmarkUpdateBytes measures what a VM gets for one changed server of a
+// set, whole and as a delta.
+func BenchmarkUpdateBytes(b *testing.B) {
+	for _, servers := range []int{20, 2600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			first, _ := keeper.Next(nil, bigSet(b, servers, 2), keeper.NewAuthor("ana", "9f2d6c1b7a3e4f50", "new set", 0))
+			next, _ := keeper.Next(first, bigSet(b, servers, 4), keeper.NewAuthor("ana", "0a1b2c3d4e5f6071", "more slots", 0))
+			var delta []keeper.Update
+			for b.Loop() {
+				delta = update(next, first.Ref(), first)
+			}
+			whole := update(next, keeper.Ref{})
+			b.ReportMetric(float64(len(delta[0].Delta())), "delta-bytes")
+			b.ReportMetric(float64(len(whole[0].Whole())), "whole-bytes")
+		})
+	}
+}
+
+// bigSet is a set of n servers with a shard each; slots is that of the first.
+func bigSet(b *testing.B, n, slots int) parser.Document {
+	var servers []tier.Backend
+	var shards []tier.Shard
+	width := ^uint64(0)/uint64(n) + 1
+	for i := range n {
+		name := fmt.Sprintf("leaf-%04d", i)
+		opts := []tier.BackendOption{}
+		if i == 0 {
+			opts = append(opts, tier.WithSlots(slots))
+		}
+		servers = append(servers, tier.NewBackend(name, fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), "serra-caxias", opts...))
+		to := uint64(i+1)*width - 1
+		if i == n-1 {
+			to = ^uint64(0)
+		}
+		shards = append(shards, tier.NewShard(fmt.Sprintf("s%d", i), uint64(i)*width, to, name))
+	}
+	set, err := tier.NewShardSet("leafs", tier.WithServers(servers...), tier.WithShards(shards...))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return parser.NewSetDocument(set)
+}
