Check the load targets on both shapes of shard set

The threshold falls by at most a half in an interval and needs more than one refusal. An open gap counts by a quarter. A hedge goes only to a server that would end it soon. A reply that says leaving is believed for 10 s unless the prober confirms it. Slots of a server that left the set and came back count the calls that still run.

--- a/tier/admitter/admitter.go
+++ b/tier/admitter/admitter.go
@@ -69,7 +69,8 @@
 }
 
 // Admit decides on a request that needs all the owners whose thresholds are
-// given: the strictest counts. It returns true, or false and when to retry.
+// given: the strictest counts. It returns true, or false and when to retry,
+// spread over half as long again.
 func (a *Admitter) Admit(now tier.Millis, r tier.Rank, owners ...Published) (tier.Millis, bool) {
 	fraction, after := 1.0, tier.Millis(0)
 	for _, p := range owners {
@@ -85,5 +86,5 @@
 		a.share[r]--
 		return 0, true
 	}
-	return max(1, after), false
+	return 1 + after + tier.Millis(float64(after)*a.share[r]/2), false
 }
--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -7,6 +7,7 @@
 // Limits of admission.
 const (
 	drainWeight    = 1.0 / 16 // of the newest gap in the average
+	pendingWeight  = 1.0 / 4  // of a gap that has not ended yet
 	drainMemory    = 5 * tier.Second
 	serviceWeight  = 1.0 / 64 // of the newest latency in a rank's average
 	patienceWeight = 1.0 / 16 // of the newest departure
@@ -40,8 +41,8 @@
 	if idle > drainMemory && !w.again {
 		return 0
 	}
-	if w.again && float64(idle) > 2*w.gap {
-		return float64(idle)
+	if w.again && float64(idle) > w.gap {
+		return w.gap + pendingWeight*(float64(idle)-w.gap)
 	}
 	return w.gap
 }
--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -178,6 +178,9 @@
 			continue
 		}
 		s := known[b.Name()]
+		if s == nil {
+			s = d.calledServer(b.Name())
+		}
 		if s == nil {
 			s = newServer(b, d.random)
 		}
@@ -188,6 +191,17 @@
 	d.applyShares()
 }
 
+// calledServer finds a server that left the set while calls ran on it, so
+// that they still count when it comes back.
+func (d *Dispatcher) calledServer(name string) *server {
+	for _, c := range d.calls {
+		if c.server.backend.Name() == name {
+			return c.server
+		}
+	}
+	return nil
+}
+
 func (d *Dispatcher) buildShards() {
 	known := d.shards
 	d.shards = map[string]*shard{}
--- a/tier/dispatcher/picker.go
+++ b/tier/dispatcher/picker.go
@@ -10,6 +10,14 @@
 // a server may take.
 const maxLook = 8
 
+// maxHedgeCost bounds the expected latency of a server that is used for a
+// hedge, in hedge delays.
+const maxHedgeCost = 2.0
+
+// unmeasuredWait is the time between looks at a call while too few latencies
+// are known for hedging.
+const unmeasuredWait = 10 * tier.Millis(1)
+
 // fillAll starts what can start anywhere.
 func (d *Dispatcher) fillAll() {
 	for _, m := range d.set.Shards() {
@@ -127,6 +135,9 @@
 	if d.now >= t.part.deadline || !d.free(s, r) || !t.eligible(s) {
 		return false
 	}
+	if len(t.running) > 0 && !d.worthHedging(s) {
+		return false
+	}
 	mine := d.cost(s, r)
 	for _, o := range t.shard.replicas {
 		if o != s && d.limit(o) > 0 && t.eligible(o) && d.cost(o, r) < mine {
@@ -137,6 +148,13 @@
 	return true
 }
 
+// worthHedging reports whether a second call on a server would likely end
+// soon.
+func (d *Dispatcher) worthHedging(s *server) bool {
+	delay, ok := d.hedger.Delay()
+	return !ok || s.expected(d.now) <= maxHedgeCost*float64(delay)
+}
+
 // reconsider sets a timer for a server that was left idle for a cheaper one,
 // in case that one does not answer.
 func (d *Dispatcher) reconsider(s *server, after float64) {
@@ -227,11 +245,25 @@
 
 func (d *Dispatcher) timeHedge(c *call) {
 	t := c.task
-	delay, ok := d.hedger.Delay()
-	if !ok || len(t.running) > 1 || !t.part.repeatable || !t.part.profile.Hedge() {
+	if len(t.running) > 1 || !t.part.repeatable || !t.part.profile.Hedge() {
 		return
 	}
-	if at := d.now + delay; at < t.part.deadline {
+	at := d.now + unmeasuredWait
+	if delay, ok := d.hedger.Delay(); ok {
+		at = max(d.now+1, c.started+delay)
+	}
+	if at < t.part.deadline {
 		d.timers.add(timer{at: at, kind: timerHedge, call: c})
 	}
 }
+
+// hedgeDue hedges a call, or waits on if the delay is still unknown or has
+// grown.
+func (d *Dispatcher) hedgeDue(c *call) {
+	if delay, ok := d.hedger.Delay(); !ok || d.now < c.started+delay {
+		d.timeHedge(c)
+		return
+	}
+	d.wantHedge(c)
+	d.fillShard(c.task.shard)
+}
--- a/tier/dispatcher/pressure.go
+++ b/tier/dispatcher/pressure.go
@@ -11,6 +11,8 @@
 	minFraction      = 0.01 // keeps some requests coming, to notice the end of a flood
 	overOffer        = 1.1  // requests let through for each that was accepted
 	fractionStep     = 0.02
+	fractionDrop     = 0.5 // most that a fraction falls in one interval
+	steadying        = 4   // accepted arrivals supposed besides those counted, so that one refusal says little
 )
 
 // pressure counts what arrives and what is refused for load, by rank, and
@@ -64,8 +66,8 @@
 	if refusals == 0 {
 		return min(1, f*overOffer+fractionStep)
 	}
-	accepted := float64(arrivals-refusals) / float64(arrivals)
-	return max(minFraction, min(1, f*accepted*overOffer))
+	accepted := float64(arrivals-refusals+steadying) / float64(arrivals+steadying)
+	return max(minFraction, f*fractionDrop, min(1, f*accepted*overOffer))
 }
 
 func (p *pressure) threshold() admitter.Threshold {
--- a/tier/dispatcher/reply.go
+++ b/tier/dispatcher/reply.go
@@ -85,7 +85,10 @@
 			d.timers.add(timer{at: until, kind: timerServer, server: s})
 		}
 	case NotRunLeaving:
-		s.state, s.since = tier.BackendLeaving, d.now
+		if s.state != tier.BackendLeaving {
+			s.state, s.since, s.supposed = tier.BackendLeaving, d.now, true
+			d.timers.add(timer{at: d.now + supposedFor, kind: timerSupposed, server: s})
+		}
 		d.dropUnservable()
 	case NotRunWrongSnapshot:
 		s.dropVersion(c.task.id, c.task.part.snapshot)
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -9,10 +9,11 @@
 
 // Limits of what is kept of a server.
 const (
-	latencyWeight  = 0.2             // of the newest latency in the average
-	latencyHalving = 5 * tier.Second // in which an unrenewed latency falls by half
-	maxCredit      = 1 * tier.Second // slot time that a floor saves up
-	minLatency     = 0.5             // in milliseconds, below what the clock tells apart
+	latencyWeight  = 0.2              // of the newest latency in the average
+	latencyHalving = 5 * tier.Second  // in which an unrenewed latency falls by half
+	maxCredit      = 1 * tier.Second  // slot time that a floor saves up
+	supposedFor    = 10 * tier.Second // a state that only a reply told
+	minLatency     = 0.5              // in milliseconds, below what the clock tells apart
 )
 
 // Factors on the expected latency of servers that are not plainly live.
@@ -61,6 +62,7 @@
 	ordinal  int
 	state    tier.BackendState
 	since    tier.Millis // of the state
+	supposed bool        // only a reply told the state
 	shards   []*shard
 	limiter  *limiter.Limiter
 	base     int // slots of the share before the present one
@@ -261,7 +263,11 @@
 
 func (d *Dispatcher) backendChanged(e *BackendChanged) {
 	s := d.servers[e.server]
-	if s == nil || s.state == e.state {
+	if s == nil {
+		return
+	}
+	s.supposed = false
+	if s.state == e.state {
 		return
 	}
 	s.state, s.since = e.state, d.now
@@ -275,6 +281,15 @@
 	d.fillShardsOf(s)
 }
 
+// endSupposed ends a state that only a reply told.
+func (d *Dispatcher) endSupposed(s *server) {
+	if s.supposed && d.now >= s.since+supposedFor {
+		s.supposed = false
+		s.state, s.since = tier.BackendUnknown, d.now
+		d.fillAround(s)
+	}
+}
+
 // hedgeAll lets the calls on a lost server be hedged at once.
 func (d *Dispatcher) hedgeAll(s *server) {
 	for _, c := range s.running {
--- a/tier/dispatcher/timers.go
+++ b/tier/dispatcher/timers.go
@@ -13,6 +13,7 @@
 	timerHedge                     // of a call
 	timerRetry                     // of a task
 	timerServer                    // a server may take more work
+	timerSupposed                  // a state told by a reply ends
 	timerTakeover                  // the full share may be used
 )
 
@@ -107,12 +108,13 @@
 		case timerDeadline:
 			d.deadlinePassed(t.part)
 		case timerHedge:
-			d.wantHedge(t.call)
-			d.fillShard(t.call.task.shard)
+			d.hedgeDue(t.call)
 		case timerRetry:
 			d.wantRetry(t.task)
 		case timerServer:
 			d.fillAround(t.server)
+		case timerSupposed:
+			d.endSupposed(t.server)
 		case timerTakeover:
 			d.applyShares()
 			d.fillAll()
--- a/tier/measurer/run.go
+++ b/tier/measurer/run.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	for _, b := range set.Servers() {
-		r.servers[b.Name()] = &server{slots: slots, factor: 1}
+		r.servers[b.Name()] = &server{slots: r.scenario.shape.slots, factor: 1}
 	}
 	r.servers[serverName(0)].factor = r.scenario.straggler
 	for _, h := range set.Shards() {
@@ -123,7 +123,7 @@
 		r.plan(k)
 	}
 	if s := r.scenario; s.sheddingTo > 0 {
-		r.add(happening{at: s.sheddingFrom, kind: shedding, shed: slots / 2})
+		r.add(happening{at: s.sheddingFrom, kind: shedding, shed: s.shape.slots / 2})
 		r.add(happening{at: s.sheddingTo, kind: shedding})
 	}
 	if r.scenario.way == Owner {
