Keep announcements of VMs that are not live yet

Cause: the daemon tells the live VMs ten times a second; what a VM had announced while joining was forgotten, and was never announced again. Change: announcements are kept and count once their VM is live; members that have not changed are not told to the keeper. Conclusion: a test pins it.

--- a/cicadagraded/watching/index.go
+++ b/cicadagraded/watching/index.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -85,30 +86,33 @@
 		w.heard[vm] = map[string][]keeper.Ref{}
 	}
 	w.heard[vm][key] = refs
+	if len(refs) == 0 {
+		delete(w.heard[vm], key)
+	}
 	var all []keeper.Ref
 	for _, chunk := range w.heard[vm] {
 		all = append(all, chunk...)
 	}
+	if len(all) == 0 {
+		delete(w.heard, vm)
+	}
 	return all
 }
 
 // OnMembers takes the names of the live VMs of this data centre, with this
-// one, and of those elsewhere.
+// one, and of those elsewhere, each sorted.
 func (w *Watcher) OnMembers(local, remote []string) {
-	w.forget(append(append([]string(nil), local...), remote...))
-	w.step(keeper.NewMembers(local, remote))
+	if w.keepMembers(local, remote) {
+		w.step(keeper.NewMembers(local, remote))
+	}
 }
 
-func (w *Watcher) forget(live []string) {
+// keepMembers reports whether the members are others than before.
+func (w *Watcher) keepMembers(local, remote []string) bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	known := make(map[string]bool, len(live))
-	for _, vm := range live {
-		known[vm] = true
-	}
-	for vm := range w.heard {
-		if !known[vm] {
-			delete(w.heard, vm)
-		}
-	}
+	same := w.told && slices.Equal(local, w.local) && slices.Equal(remote, w.remote)
+	w.told = true
+	w.local, w.remote = slices.Clone(local), slices.Clone(remote)
+	return !same
 }
--- a/cicadagraded/watching/watching.go
+++ b/cicadagraded/watching/watching.go
@@ -47,6 +47,9 @@
 	keeper   *keeper.Keeper
 	heard    map[string]map[string][]keeper.Ref // by VM and gossip key
 	endWatch context.CancelFunc
+	told     bool // members were told
+	local    []string
+	remote   []string
 
 	view    atomic.Pointer[view]
 	lists   *ring.Ring[*keeper.List]
--- a/tier/keeper/fetch.go
+++ b/tier/keeper/fetch.go
@@ -69,7 +69,7 @@
 func (k *Keeper) sources(now tier.Millis) (local, remote []string, retry tier.Millis) {
 	retry = never
 	for vm := range k.announced {
-		if len(k.wanted(vm)) == 0 {
+		if !k.usable(vm) || len(k.wanted(vm)) == 0 {
 			continue
 		}
 		switch {
@@ -154,8 +154,8 @@
 }
 
 func (k *Keeper) announcedByOthers(r Ref) bool {
-	for _, refs := range k.announced {
-		if o, ok := refs[r.key]; ok && !r.Above(o) {
+	for vm, refs := range k.announced {
+		if o, ok := refs[r.key]; ok && !r.Above(o) && k.usable(vm) {
 			return true
 		}
 	}
--- a/tier/keeper/keeper.go
+++ b/tier/keeper/keeper.go
@@ -30,6 +30,7 @@
 	maxBackoff        = 5 * tier.Second
 	maxFailures       = 10
 	steadyWatch       = 10 * tier.Second // a watch that lasts longer resets the backoff
+	maxAnnounced      = 4096             // VMs whose announcements are kept
 	fetchSpread       = 50 * tier.Millis(1)
 	fetchRetry        = 300 * tier.Millis(1)
 )
@@ -54,6 +55,7 @@
 	members   []string // of this data centre
 	fleet     int      // VMs of the deployment
 	local     map[string]bool
+	live      map[string]bool           // nil before members were told
 	announced map[string]map[string]Ref // by VM and key
 
 	settled   bool
--- a/tier/keeper/keeper_test.go
+++ b/tier/keeper/keeper_test.go
@@ -159,3 +159,30 @@
 		t.Errorf("a delta on another base was taken: %v", got[0].Ref())
 	}
 }
+
+// TestAnnouncementOutlivesJoining: what a VM announced before it was live is
+// fetched once it is, without another announcement.
+func TestAnnouncementOutlivesJoining(t *testing.T) {
+	s := line(nil, "main", 1)[0]
+	k := keeper.New("a")
+	k.Step(0, keeper.NewMembers([]string{"a"}, nil))
+	k.Step(0, keeper.NewAnnounced("b", []keeper.Ref{s.Ref()}))
+	k.Step(10, keeper.NewMembers([]string{"a"}, nil))
+	if got := fetches(k, 200); got != 0 {
+		t.Errorf("%d fetches from a VM that is not live", got)
+	}
+	k.Step(210, keeper.NewMembers([]string{"a", "b"}, nil))
+	if got := fetches(k, 400); got != 1 {
+		t.Errorf("%d fetches from a VM that became live", got)
+	}
+}
+
+func fetches(k *keeper.Keeper, now tier.Millis) int {
+	n := 0
+	for _, a := range k.Step(now, &keeper.Tick{}) {
+		if _, ok := a.(*keeper.Fetch); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/tier/keeper/plan.go
+++ b/tier/keeper/plan.go
@@ -5,32 +5,37 @@
 	"cicadagrade.example/tier/picker"
 )
 
-// setMembers takes the live VMs and forgets what the others announced.
+// setMembers takes the live VMs. What the others announced is kept, in case
+// they become live, but not used.
 func (k *Keeper) setMembers(e *Members) {
 	k.members = e.local
 	k.fleet = max(k.fleet, len(e.local)+len(e.remote))
 	k.local = map[string]bool{}
-	live := map[string]bool{}
+	k.live = map[string]bool{}
 	for _, vm := range e.local {
 		k.local[vm] = true
-		live[vm] = true
+		k.live[vm] = true
 	}
 	for _, vm := range e.remote {
-		live[vm] = true
+		k.live[vm] = true
 	}
 	for vm := range k.announced {
-		if !live[vm] {
+		if len(k.announced) > maxAnnounced && !k.live[vm] {
 			delete(k.announced, vm)
 			delete(k.badPeers, vm)
 		}
 	}
 	for key, f := range k.flags {
-		if f.source != storeSource && !live[f.source] {
+		if f.source != storeSource && !k.live[f.source] {
 			delete(k.flags, key)
 		}
 	}
 }
 
+// usable reports whether what a VM announced counts; before members are told,
+// all count.
+func (k *Keeper) usable(vm string) bool { return k.live == nil || k.live[vm] }
+
 // picked reports whether rendezvous hashing makes this VM a watcher. Alone
 // or untold, it is one. The score is that of the gossip's contacts, whose
 // announcements reach the other data centres.
