Let a search outlive a map or version that changes under it

Cause: a running plan did not look at the view again, so that after a repartition or a version's end it failed although the view showed what goes on; the daemon sends no SetChanged. One that can be answered never waits. Conclusion: splits and roll-outs cost a search a pause, not a failure.

--- a/tier/planner/finish.go
+++ b/tier/planner/finish.go
@@ -8,15 +8,29 @@
 // conclude ends the plan once nothing more can be gained or the time is up.
 func (p *Plan) conclude(now tier.Millis) []Action {
 	best := p.best()
+	p.waiting = false
 	if best != nil && now < p.end() && p.canGain(best) {
 		return nil
 	}
+	if best != nil && now < p.end() && p.mayImprove(now, best) {
+		p.waiting, p.pollAt = true, now+viewPoll
+		return nil
+	}
 	if now < p.end() {
 		p.giveUpOpen()
 	}
 	return p.finish(p.outcome(now, best))
 }
 
+// mayImprove reports whether a search that can't be answered should wait for
+// the view: its snapshot went, and what goes on is not yet known here.
+func (p *Plan) mayImprove(now tier.Millis, best *merger.Merge) bool {
+	if p.reruns == 0 || !p.lost || best.Fraction() >= p.profile.MinCoverage() {
+		return false
+	}
+	return now < p.lostAt+p.capped(p.patience) && now < p.partDeadline(p.home)
+}
+
 // giveUpOpen notes that the open parts were not waited for.
 func (p *Plan) giveUpOpen() {
 	for _, t := range p.parts {
--- a/tier/planner/pin.go
+++ b/tier/planner/pin.go
@@ -107,14 +107,10 @@
 	}
 }
 
-// versions lists what a data centre can serve of a shard under a map. What
-// replies said goes before the view.
+// versions lists what a data centre can serve of a shard under a map.
 func (p *Plan) versions(set *tier.ShardSet, dataCentre, shard string) []tier.Version {
 	at := place{dataCentre, shard}
-	epoch, held := p.view.Versions(set.Name(), dataCentre, shard)
-	if f, ok := p.fresh[at]; ok {
-		epoch, held = f.epoch, f.versions
-	}
+	epoch, held := p.held(set, at)
 	if epoch != set.Epoch() {
 		return nil
 	}
@@ -127,6 +123,26 @@
 	return out
 }
 
+// held is what a data centre holds of a shard. What a reply said goes before
+// the view, but for a later map or version that the view shows.
+func (p *Plan) held(set *tier.ShardSet, at place) (tier.Epoch, []tier.Version) {
+	epoch, held := p.view.Versions(set.Name(), at.dataCentre, at.shard)
+	f, ok := p.fresh[at]
+	switch {
+	case !ok || f.epoch < epoch:
+		return epoch, held
+	case f.epoch > epoch || len(f.versions) == 0:
+		return f.epoch, f.versions
+	}
+	out := slices.Clone(f.versions)
+	for _, v := range held {
+		if v > slices.Max(f.versions) {
+			out = append(out, v)
+		}
+	}
+	return epoch, out
+}
+
 // dataCentres lists where replicas of a shard lie: home first, then in the
 // order of the replicas.
 func (p *Plan) dataCentres(set *tier.ShardSet, h tier.Shard) []string {
--- a/tier/planner/planner.go
+++ b/tier/planner/planner.go
@@ -15,6 +15,8 @@
 	DefaultAnswerReserve = 2 * tier.Millis(1)
 	DefaultHomeReserve   = 5 * tier.Millis(1)
 	DefaultAwayReserve   = 30 * tier.Millis(1)
+	DefaultPatience      = 300 * tier.Millis(1)
+	viewPoll             = 20 * tier.Millis(1)
 )
 
 // Plan is the state machine of one search. It is not safe for concurrent
@@ -28,6 +30,7 @@
 	answerReserve tier.Millis
 	homeReserve   tier.Millis
 	awayReserve   tier.Millis
+	patience      tier.Millis
 	budget        *Budget
 	reruns        int
 
@@ -35,6 +38,10 @@
 	round    *round
 	rounds   []*round
 	pinned   map[tier.Snapshot]bool
+	waiting  bool        // for the view to show a snapshot that can be had
+	lost     bool        // a shard of this round was lost to its snapshot
+	lostAt   tier.Millis // when that was first seen
+	pollAt   tier.Millis
 	fresh    map[place]Held
 	gone     map[servedAt]bool
 	parts    map[uint64]*part
@@ -68,6 +75,10 @@
 	return func(p *Plan) { p.answerReserve, p.homeReserve, p.awayReserve = answer, home, away }
 }
 
+// WithPatience sets how long a search that its snapshot failed waits for the
+// view to show a better one. A search that can be answered never waits.
+func WithPatience(m tier.Millis) Option { return func(p *Plan) { p.patience = m } }
+
 // New returns the plan of a search that has to end by deadline. The first
 // Step, with a Tick, starts it. Home is the own data centre.
 func New(now tier.Millis, home string, profile *tier.Profile, set *tier.ShardSet, v View, deadline tier.Millis, opts ...Option) *Plan {
@@ -96,10 +107,16 @@
 	p.answerReserve = DefaultAnswerReserve
 	p.homeReserve = DefaultHomeReserve
 	p.awayReserve = DefaultAwayReserve
+	p.patience = DefaultPatience
 }
 
 // Next is when the next Tick is due, if the plan has not ended.
-func (p *Plan) Next() (tier.Millis, bool) { return p.end(), !p.done }
+func (p *Plan) Next() (tier.Millis, bool) {
+	if p.waiting {
+		return min(p.pollAt, p.end()), !p.done
+	}
+	return p.end(), !p.done
+}
 
 func (p *Plan) end() tier.Millis { return p.deadline - p.capped(p.answerReserve) }
 
@@ -154,14 +171,24 @@
 // rerun starts another round when shards of this one were lost for its
 // snapshot and another snapshot promises more.
 func (p *Plan) rerun(now tier.Millis) []Action {
-	if p.round == nil || p.reruns == 0 || !p.lostToSnapshot() || p.partDeadline(p.home) <= now {
+	if p.round == nil || p.reruns == 0 || p.partDeadline(p.home) <= now {
 		return nil
 	}
+	if s, ok := p.view.Set(p.maps[0].Name()); ok {
+		p.setChanged(s)
+	}
+	if !p.lostToSnapshot() {
+		return nil
+	}
+	if !p.lost {
+		p.lost, p.lostAt = true, now
+	}
 	n, ok := p.choose()
 	if !ok || n.fraction() <= p.round.potential() || !p.budget.spend(len(n.set.Shards())) {
 		return nil
 	}
 	p.reruns--
+	p.lost = false
 	p.counters.reruns++
 	return p.run(now, n)
 }
--- a/tier/planner/round.go
+++ b/tier/planner/round.go
@@ -102,10 +102,7 @@
 }
 
 func (p *Plan) holdsAny(set *tier.ShardSet, dataCentre, shard string) bool {
-	if f, ok := p.fresh[place{dataCentre, shard}]; ok {
-		return len(f.versions) > 0
-	}
-	_, held := p.view.Versions(set.Name(), dataCentre, shard)
+	_, held := p.held(set, place{dataCentre, shard})
 	return len(held) > 0
 }
 
--- a/tier/planner/script_test.go
+++ b/tier/planner/script_test.go
@@ -46,7 +46,9 @@
 //	profile MIN-COVERAGE DEADLINE
 //	map EPOCH SHARD=DC[,DC...] ...     the shard map, first home (a)
 //	hold DC EPOCH.VERSION SHARD ...    what a data centre can serve
-//	cut DC, mend DC, at MS, tick, gone, adopt
+//	cut DC, mend DC, at MS, tick, gone
+//	adopt                              tells the plan of the last map
+//	force                              has the view show the last map
 //	reply PART SNAPSHOT CALLS RESULT ... [held SHARD=EPOCH.VERSION[+VERSION] ...]
 //	refuse PART REASON, fail PART REASON
 //
@@ -82,6 +84,8 @@
 		s.view.hold(w[1], snapshotOf(s.t, w[2]), w[3:])
 	case "cut":
 		s.view.cut[w[1]] = true
+	case "force":
+		s.view.set = s.next
 	case "mend":
 		delete(s.view.cut, w[1])
 	case "at":
@@ -156,6 +160,9 @@
 			}
 		}
 	}
+	if at, more := s.plan.Next(); more && at < s.profile.Deadline()-2 {
+		fmt.Fprintf(&s.out, "  next tick at %d\n", at)
+	}
 	if c := s.plan.Counters(); c.Dropped()+c.Rejected() > 0 {
 		fmt.Fprintf(&s.out, "  dropped %d, rejected %d\n", c.Dropped(), c.Rejected())
 	}
