Search the former shard map until the next one is held

Cause: a front that took a new map found no versions under it, so every search of the set was refused until the owner's next report, and until the first probe after it. Change: the locator keeps the former map and each owner's last report under it; the planner pins it through EarlierView while it promises more. Conclusion: a repartition no longer refuses searches at the fronts. Shards that a new map lacks are still not served by an owner that has it.

--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -23,6 +23,7 @@
 	mu        sync.Mutex
 	members   []tier.VM
 	sets      map[string]*tier.ShardSet
+	earlier   map[string]*tier.ShardSet // the former shard map of a set
 	reports   map[reportKey]heardReport
 	admitters map[string]*admitter.Admitter
 	reachable map[string]bool
@@ -31,15 +32,29 @@
 // reportKey names the report of an owner on its set.
 type reportKey struct{ set, vm string }
 
-// heardReport is a report with the time at which this VM heard it.
+// heardReport is a report with the time at which this VM heard it, and the
+// last one under a former shard map.
 type heardReport struct {
 	report owner.Report
+	former owner.Report
 	heard  tier.Millis
 }
 
+// under is the report of a shard map, if there is one.
+func (h heardReport) under(e tier.Epoch) (owner.Report, bool) {
+	switch e {
+	case h.report.Epoch():
+		return h.report, true
+	case h.former.Epoch():
+		return h.former, true
+	}
+	return owner.Report{}, false
+}
+
 // view is one consistent state; it never changes.
 type view struct {
 	sets      map[string]*tier.ShardSet
+	earlier   map[string]*tier.ShardSet
 	places    map[placeKey]*place
 	reachable map[string]bool
 }
@@ -63,6 +78,7 @@
 	l := &Locator{
 		clock:     clock,
 		sets:      map[string]*tier.ShardSet{},
+		earlier:   map[string]*tier.ShardSet{},
 		reports:   map[reportKey]heardReport{},
 		admitters: map[string]*admitter.Admitter{},
 		reachable: map[string]bool{},
@@ -87,6 +103,11 @@
 	if maps.Equal(bySet, l.sets) && slices.Equal(members, l.members) && maps.Equal(now, l.reachable) {
 		return
 	}
+	for name, s := range bySet {
+		if old, ok := l.sets[name]; ok && old.Epoch() < s.Epoch() {
+			l.earlier[name] = old
+		}
+	}
 	l.sets, l.members, l.reachable = bySet, members, now
 	l.rebuild()
 }
@@ -97,7 +118,12 @@
 	defer l.mu.Unlock()
 	k := reportKey{set: set, vm: vm}
 	if ok {
-		l.reports[k] = heardReport{report: r, heard: l.clock.Now()}
+		last := l.reports[k]
+		h := heardReport{report: r, former: last.former, heard: l.clock.Now()}
+		if last.report.Epoch() < r.Epoch() {
+			h.former = last.report
+		}
+		l.reports[k] = h
 	} else {
 		delete(l.reports, k)
 	}
@@ -106,7 +132,7 @@
 
 // rebuild makes the next view. The caller holds mu.
 func (l *Locator) rebuild() {
-	v := &view{sets: l.sets, places: map[placeKey]*place{}, reachable: l.reachable}
+	v := &view{sets: l.sets, earlier: maps.Clone(l.earlier), places: map[placeKey]*place{}, reachable: l.reachable}
 	for _, s := range l.sets {
 		for _, d := range s.DataCentres() {
 			v.places[placeKey{s.Name(), d}] = l.place(s, d)
@@ -122,16 +148,30 @@
 		return
 	}
 	last := l.current.Load()
-	v := &view{sets: last.sets, places: maps.Clone(last.places), reachable: last.reachable}
+	v := &view{sets: last.sets, earlier: last.earlier, places: maps.Clone(last.places), reachable: last.reachable}
 	for _, d := range s.DataCentres() {
 		v.places[placeKey{name, d}] = l.place(s, d)
 	}
 	l.current.Store(v)
 }
 
-// place puts together what the owners of a set in a data centre report. The
-// reports of VMs that only ran parts for a while do not count.
+// place is what is known of a set in a data centre: under the map in force
+// or, until servers are known to hold that one, under the former.
 func (l *Locator) place(s *tier.ShardSet, dataCentre string) *place {
+	p := l.placeUnder(s, dataCentre)
+	former, ok := l.earlier[s.Name()]
+	if !ok || len(p.versions) > 0 {
+		return p
+	}
+	if f := l.placeUnder(former, dataCentre); len(f.versions) > 0 {
+		return f
+	}
+	return p
+}
+
+// placeUnder puts together what the owners of a set in a data centre report.
+// The reports of VMs that only ran parts for a while do not count.
+func (l *Locator) placeUnder(s *tier.ShardSet, dataCentre string) *place {
 	p := &place{
 		candidates: picker.Owners(s.Name(), dataCentre, l.members, max(maxCandidates, s.Owners())),
 		epoch:      s.Epoch(),
@@ -139,10 +179,12 @@
 	}
 	for i, vm := range p.candidates {
 		h, ok := l.reports[reportKey{s.Name(), vm.Name()}]
-		if !ok || h.report.Epoch() != s.Epoch() {
+		if !ok {
 			continue
 		}
-		p.merge(s, h.report)
+		if r, ok := h.under(s.Epoch()); ok {
+			p.merge(s, r)
+		}
 		if i < s.Owners() {
 			p.thresholds = append(p.thresholds, admitter.NewPublished(h.report.Threshold(), h.heard))
 		}
@@ -167,6 +209,12 @@
 	return s, ok
 }
 
+// Earlier finds the shard map that was in force before the present one.
+func (l *Locator) Earlier(name string) (*tier.ShardSet, bool) {
+	s, ok := l.current.Load().earlier[name]
+	return s, ok
+}
+
 // Versions lists the index versions of a shard that servers of a data centre
 // hold, and the epoch under which they hold it.
 func (l *Locator) Versions(set, dataCentre, shard string) (tier.Epoch, []tier.Version) {
--- /dev/null
+++ b/cicadagraded/locator/locator_test.go
@@ -0,0 +1,56 @@
+package locator_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"cicadagrade.example/cicadagraded/locator"
+	"cicadagrade.example/cicadagraded/owner"
+	"cicadagrade.example/tier"
+)
+
+func newSet(t *testing.T, e tier.Epoch, shard string) *tier.ShardSet {
+	s, err := tier.NewShardSet("portao", tier.WithEpoch(e),
+		tier.WithServers(tier.NewBackend("a", "127.0.0.1:1", "serra-caxias")),
+		tier.WithShards(tier.NewShard(shard, 0, math.MaxUint64, "a")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// report is what an owner publishes under an epoch.
+func report(t *testing.T, e tier.Epoch, holdings string) owner.Report {
+	r, err := owner.DecodeReport(fmt.Appendf(nil, `{"epoch":%d,"holdings":[%s]}`, e, holdings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestFormerMapUntilTheNextIsHeld holds that a set stays searchable under its
+// former map until an owner tells that servers hold the next one.
+func TestFormerMapUntilTheNextIsHeld(t *testing.T) {
+	l := locator.New(tier.NewManualClock(0).Clock())
+	members := []tier.VM{tier.NewVM("caxias-1", "serra-caxias", "127.0.0.1:2", tier.WithVMState(tier.VMLive))}
+	reachable := func(string) bool { return true }
+	check := func(when, shard string, epoch tier.Epoch, versions int) {
+		t.Helper()
+		if e, v := l.Versions("portao", "serra-caxias", shard); e != epoch || len(v) != versions {
+			t.Errorf("%s: epoch %d, versions %v, want epoch %d", when, e, v, epoch)
+		}
+	}
+	l.Update([]*tier.ShardSet{newSet(t, 1, "old")}, members, reachable)
+	l.Reported("portao", "caxias-1", report(t, 1, `{"versions":[7],"shards":["old"]}`), true)
+	check("at first", "old", 1, 1)
+	l.Update([]*tier.ShardSet{newSet(t, 2, "new")}, members, reachable)
+	check("before the owner's report", "old", 1, 1)
+	if s, ok := l.Earlier("portao"); !ok || s.Epoch() != 1 {
+		t.Errorf("the former map is not kept: %v", s)
+	}
+	l.Reported("portao", "caxias-1", report(t, 2, ""), true)
+	check("before a server holds it", "old", 1, 1)
+	l.Reported("portao", "caxias-1", report(t, 2, `{"versions":[7],"shards":["new"]}`), true)
+	check("once it is held", "new", 2, 1)
+}
--- a/tier/planner/fakes_test.go
+++ b/tier/planner/fakes_test.go
@@ -20,6 +20,7 @@
 	versions map[string][]tier.Version
 	cut      map[string]bool
 	set      *tier.ShardSet // in force, if it is not the plan's
+	former   *tier.ShardSet
 }
 
 func newFakeView() *fakeView {
@@ -38,6 +39,8 @@
 
 func (v *fakeView) Set(string) (*tier.ShardSet, bool) { return v.set, v.set != nil }
 
+func (v *fakeView) Earlier(string) (*tier.ShardSet, bool) { return v.former, v.former != nil }
+
 func (v *fakeView) Versions(_, dataCentre, shard string) (tier.Epoch, []tier.Version) {
 	k := dataCentre + "/" + shard
 	return v.epochs[k], v.versions[k]
--- a/tier/planner/pin.go
+++ b/tier/planner/pin.go
@@ -17,6 +17,14 @@
 	Reachable(dataCentre string) bool
 }
 
+// EarlierView is a View that also keeps the shard map that was in force
+// before the present one. A plan pins it while no server is known to hold the
+// present one.
+type EarlierView interface {
+	View
+	Earlier(name string) (*tier.ShardSet, bool)
+}
+
 type place struct{ dataCentre, shard string }
 
 type servedAt struct {
--- a/tier/planner/planner.go
+++ b/tier/planner/planner.go
@@ -95,6 +95,11 @@
 		parts:    map[uint64]*part{},
 	}
 	p.Defaults()
+	if e, ok := v.(EarlierView); ok {
+		if former, ok := e.Earlier(set.Name()); ok && former.Epoch() < set.Epoch() {
+			p.maps = append(p.maps, former)
+		}
+	}
 	for _, o := range opts {
 		o(p)
 	}
--- a/tier/planner/script_test.go
+++ b/tier/planner/script_test.go
@@ -47,6 +47,7 @@
 //	map EPOCH SHARD=DC[,DC...] ...     the shard map, first home (a)
 //	hold DC EPOCH.VERSION SHARD ...    what a data centre can serve
 //	cut DC, mend DC, at MS, tick, gone
+//	former                             has the last map be the former one
 //	adopt                              tells the plan of the last map
 //	force                              has the view show the last map
 //	reply PART SNAPSHOT CALLS RESULT ... [held SHARD=EPOCH.VERSION[+VERSION] ...]
@@ -84,6 +85,8 @@
 		s.view.hold(w[1], snapshotOf(s.t, w[2]), w[3:])
 	case "cut":
 		s.view.cut[w[1]] = true
+	case "former":
+		s.view.former, s.set = s.set, nil
 	case "force":
 		s.view.set = s.next
 	case "mend":
