--- a/standin/loader/summary.go
+++ b/standin/loader/summary.go
@@ -32,11 +32,12 @@
 func newSummary(r *Run) *summary {
 	s := &summary{run: r}
 	s.out = reporter.Result{
-		Workload:   r.workload.name,
-		Deployment: r.deployment.Name(),
-		Seed:       r.workload.seed,
-		Violations: []checker.Violation{},
-		Unchecked:  []string{},
+		Workload:       r.workload.name,
+		Deployment:     r.deployment.Name(),
+		Seed:           r.workload.seed,
+		Violations:     []checker.Violation{},
+		ViolationKinds: map[string]int{},
+		Unchecked:      []string{},
 	}
 	for _, f := range r.workload.phases {
 		var streams, ranks []*tally
@@ -81,6 +82,9 @@
 
 func (s *summary) violate(list []checker.Violation) {
 	s.out.ViolationCount += len(list)
+	for _, v := range list {
+		s.out.ViolationKinds[string(v.Kind)]++
+	}
 	room := maxViolations - len(s.out.Violations)
 	s.out.Violations = append(s.out.Violations, list[:min(len(list), room)]...)
 }
--- a/standin/reporter/result.go
+++ b/standin/reporter/result.go
@@ -23,8 +23,9 @@
 	Phases         []Phase             `json:"phases"`
 	Sets           []SetLoad           `json:"sets"`
 	ViolationCount int                 `json:"violation-count"`
-	Violations     []checker.Violation `json:"violations"`
-	Unchecked      []string            `json:"unchecked"` // checks that could not be made, and why
+	ViolationKinds map[string]int      `json:"violation-kinds"`
+	Violations     []checker.Violation `json:"violations"` // the first of them
+	Unchecked      []string            `json:"unchecked"`  // checks that could not be made, and why
 }
 
 // Phase is the result of one phase. Requests count in the phase in which
--- a/standin/reporter/table.go
+++ b/standin/reporter/table.go
@@ -35,6 +35,9 @@
 	}
 	p.line("")
 	p.line("violations: %d", r.ViolationCount)
+	for _, k := range slices.Sorted(maps.Keys(r.ViolationKinds)) {
+		p.line("%s: %d", k, r.ViolationKinds[k])
+	}
 	for _, v := range r.Violations[:min(len(r.Violations), maxListed)] {
 		p.line("%s %s: %s", v.Kind, v.RequestID, v.Detail)
 	}
