Spend fewer bytes of gossip where much is news at once

A start or a replacement of many VMs sent the same entries several times over: news was pushed at the full count however much of it there was, and a VM met by a push had to be pulled again since the versions below its first entry were not known to be overwritten. The count of pushes now falls with the length of the news, a VM's own entry names the lowest version that counts, and requests list more members while much is missing.

A former VM came back to life when a late write of its arrived after another had taken its address (found by the property test, now a test of its own).

--- a/tier/gossiper/exchange.go
+++ b/tier/gossiper/exchange.go
@@ -31,7 +31,7 @@
 func (g *Gossiper) window(to *record, room int) []Digest {
 	out := []Digest{NewDigest("", g.statusSum(), g.sharedSum())}
 	names := g.offered(to)
-	n := digestWindow
+	n := g.wide
 	if g.catchingUp() && g.now >= g.nextWhole {
 		g.nextWhole = g.now + tier.Millis(len(names))*wholeWait
 		n = len(names)
@@ -148,12 +148,14 @@
 
 // exchange answers a peer's request.
 func (g *Gossiper) exchange(m *Message) {
+	known := g.records[m.sender]
+	stranger := known == nil || known.dead || len(m.digests) > 0 && len(m.digests) < fewDigests
 	g.hear(m, m.digests, nil)
 	from := g.records[m.sender]
 	if from != nil {
 		g.heardFrom(from.vm.DataCentre())
 	}
-	g.act(&Reply{message: g.answer(m, from)})
+	g.act(&Reply{message: g.answer(m, from, stranger)})
 }
 
 // hear takes what a message says. Marks are the digests of a reply.
@@ -195,10 +197,12 @@
 // catchingUp reports whether this VM started or resumed a moment ago.
 func (g *Gossiper) catchingUp() bool { return g.stale || g.now < g.staleSince+g.catchUp }
 
-func (g *Gossiper) answer(m *Message, from *record) *Message {
+// answer composes the reply to m. A stranger is told of some members even when
+// the bytes are spent.
+func (g *Gossiper) answer(m *Message, from *record, stranger bool) *Message {
 	out := &Message{sender: g.name, incarnation: g.own.incarnation}
 	room := g.bucket.room() - out.Size()
-	if from == nil || len(m.digests) > 0 && len(m.digests) < fewDigests {
+	if stranger {
 		room = max(room, newcomerRoom)
 	}
 	if from != nil && m.incarnation == from.incarnation {
@@ -356,21 +360,42 @@
 	}
 	delete(g.sent, number)
 	if m.sender == g.name {
+		g.buryMoved(f)
 		return
 	}
 	g.hear(m, nil, m.digests)
 	for _, d := range m.digests {
 		if r, ok := g.records[d.origin]; ok && r != g.own && r.incarnation == d.incarnation {
-			r.version = max(r.version, min(d.version, r.highest))
+			r.advance(d.version)
 		}
 	}
+	g.widen(len(m.digests))
 	if number > g.staleNumber {
 		g.stale = false
 	}
-	if old, ok := g.records[f.name]; ok && f.name != m.sender && !old.dead && old.vm.Address() == f.address {
-		g.bury(old)
+	if f.name != m.sender {
+		g.buryMoved(f)
 	}
 	if r, ok := g.records[m.sender]; ok {
 		g.heardFrom(r.vm.DataCentre())
 	}
 }
+
+// widen lets requests list more while replies show that much is missing.
+func (g *Gossiper) widen(pulled int) {
+	if pulled >= manyPulled {
+		g.wide = min(2*g.wide, maxWindow)
+		g.hurry()
+		return
+	}
+	g.wide = max(g.wide/2, digestWindow)
+}
+
+// buryMoved declares dead whoever was asked at an address where another VM
+// answered.
+func (g *Gossiper) buryMoved(f flight) {
+	r, ok := g.records[f.name]
+	if ok && !r.dead && r != g.own && r.vm.Address() == f.address {
+		g.bury(r)
+	}
+}
--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -43,6 +43,7 @@
 	nextRound   tier.Millis
 	lastDigests tier.Millis
 	nextWhole   tier.Millis
+	wide        int // digests in the next request
 	rounds      uint64
 	nextPool    tier.Millis
 	poolWait    tier.Millis
@@ -76,6 +77,7 @@
 		links:   map[string]*link{},
 		sent:    map[uint64]flight{},
 		stale:   true,
+		wide:    digestWindow,
 	}
 	g.Defaults()
 	for _, o := range opts {
@@ -84,7 +86,7 @@
 	if err := g.Validate(); err != nil {
 		return nil, errors.Wrap(err, "New")
 	}
-	if _, err := decodeVM(self.Name(), self.Incarnation(), encodeVM(self)); err != nil {
+	if _, _, err := decodeVM(self.Name(), self.Incarnation(), encodeVM(self, 1)); err != nil {
 		return nil, errors.Wrap(err, "New")
 	}
 	g.random = rand.New(rand.NewPCG(g.seed, uint64(self.Incarnation())))
@@ -93,7 +95,7 @@
 	g.own.vm = self.With(tier.WithIncarnation(g.own.incarnation))
 	g.own.known = true
 	g.own.shown = g.own.vm
-	g.write(keyVM, encodeVM(g.own.vm))
+	g.writeVM()
 	return g, nil
 }
 
@@ -168,7 +170,7 @@
 		return
 	}
 	g.own.vm = g.own.vm.With(tier.WithVMState(s))
-	g.write(keyVM, encodeVM(g.own.vm))
+	g.writeVM()
 	g.show(g.own)
 }
 
@@ -184,13 +186,15 @@
 	g.hurry()
 }
 
+func (g *Gossiper) writeVM() { g.write(keyVM, encodeVM(g.own.vm, g.own.lowest(keyVM))) }
+
 // renew takes a life above i, under which this VM writes everything again.
 func (g *Gossiper) renew(i tier.Incarnation) {
 	old := g.own.entries
 	state := g.own.vm.State()
 	g.own.reset(i + 1)
 	g.own.vm = g.own.vm.With(tier.WithVMState(state))
-	g.write(keyVM, encodeVM(g.own.vm))
+	g.writeVM()
 	for _, k := range sortedKeys(old) {
 		if k != keyVM {
 			g.write(k, old[k].value)
@@ -203,7 +207,7 @@
 func (g *Gossiper) refute(version uint64) {
 	if version >= g.own.highest {
 		g.own.highest = version
-		g.write(keyVM, encodeVM(g.own.vm))
+		g.writeVM()
 		return
 	}
 	g.news.add(g.name, keyVM, g.spread())
@@ -217,7 +221,14 @@
 	}
 }
 
-func (g *Gossiper) spread() int { return g.news.spread(len(g.records)) }
+// spread is how often a value just read is pushed on; little when the bytes
+// are spent.
+func (g *Gossiper) spread() int {
+	if !g.bucket.plenty() {
+		return 1
+	}
+	return g.news.spread(len(g.records))
+}
 
 func (g *Gossiper) act(a Action) { g.actions = append(g.actions, a) }
 
--- a/tier/gossiper/gossiper_test.go
+++ b/tier/gossiper/gossiper_test.go
@@ -211,3 +211,19 @@
 		t.Errorf("incarnation %d is not above the former life", got)
 	}
 }
+
+// TestFormerNameStaysDead: what arrives late of a VM whose address another VM
+// took does not bring it back.
+func TestFormerNameStaysDead(t *testing.T) {
+	now := newHolder(t)
+	former := testVM("caxias", 9, 0)
+	former = tier.NewVM("caxias-former", "caxias", former.Address(), tier.WithIncarnation(former.Incarnation()-1000))
+	for version := uint64(1); version < 4; version++ {
+		now.take(NewEntry(former.Name(), former.Incarnation(), version, keyVM, encodeVM(former, 1)))
+		for _, v := range now.Members() {
+			if v.Name() == former.Name() && v.State() != tier.VMDead {
+				t.Fatalf("version %d: %v", version, v)
+			}
+		}
+	}
+}
--- a/tier/gossiper/measure_test.go
+++ b/tier/gossiper/measure_test.go
@@ -23,18 +23,39 @@
 }
 
 func measure(b *testing.B, n int) {
-	w := newNetwork(b, uint64(n))
-	for i := range n {
-		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address(), testVM("caxias", n/2, 0).Address())
-	}
-	b.ReportMetric(float64(w.mustAgree(5*tier.Minute, "start of all")), "start-ms")
+	w := startAll(b, n)
+	w.mustAgree(5*tier.Minute, "start of all")
 	w.run(5*tier.Minute, nil)
 	measureIdle(b, w, "idle")
 	measureChanges(b, w)
 	measureLoad(b, w)
 	w.run(tier.Minute, nil)
 	measureDeaths(b, w)
-	measureReplacement(b, w)
+}
+
+// BenchmarkReplacement measures the start of n members at once, and the
+// replacement of half of them under the same addresses:
+//
+//	go test ./gossiper -run '^$' -bench Replacement -benchtime 1x
+func BenchmarkReplacement(b *testing.B) {
+	for _, n := range []int{7, 30, 100, 270} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				w := startAll(b, n)
+				b.ReportMetric(float64(w.mustAgree(5*tier.Minute, "start of all")), "start-ms")
+				w.run(tier.Minute, nil)
+				measureReplacement(b, w)
+			}
+		})
+	}
+}
+
+func startAll(b *testing.B, n int) *network {
+	w := newNetwork(b, uint64(n))
+	for i := range n {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address(), testVM("caxias", n/2, 0).Address())
+	}
+	return w
 }
 
 // measureIdle reports bytes and processor time for each VM, over a minute.
--- a/tier/gossiper/network_test.go
+++ b/tier/gossiper/network_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"cicadagrade.example/tier"
@@ -192,24 +193,21 @@
 // agree reports whether every node holds exactly the running nodes as not
 // dead, in their lives and states.
 func (w *network) agree() bool {
-	want := map[string]tier.VM{}
-	for _, n := range w.nodes {
-		want[n.name] = n.Self()
-	}
 	for _, n := range w.nodes {
 		alive := 0
-		for _, v := range n.Members() {
-			if v.State() == tier.VMDead {
-				continue
+		for _, r := range n.records {
+			if r.known && !r.dead {
+				alive++
 			}
-			if want[v.Name()] != v {
-				return false
-			}
-			alive++
 		}
-		if alive != len(want) {
+		if alive != len(w.nodes) {
 			return false
 		}
+		for _, o := range w.nodes {
+			if r, ok := n.records[o.name]; !ok || r.state() != o.Self() {
+				return false
+			}
+		}
 	}
 	return true
 }
@@ -218,25 +216,21 @@
 	w.t.Helper()
 	from := w.now()
 	if !w.agree() && !w.run(limit, w.agree) {
-		w.explain()
-		w.t.Fatalf("%s: members differ after %d ms", what, limit)
+		w.t.Fatalf("%s: members differ after %d ms:\n%s", what, limit, w.views())
 	}
 	return w.now() - from
 }
 
-// explain prints how the views differ, to make a failure readable.
-func (w *network) explain() {
-	lines := 0
-	for _, n := range w.nodes {
-		w.t.Logf("%s knows %d, tokens %.0f", n.name, len(n.records), n.bucket.tokens)
+// views tells how the first few views differ, to make a failure readable.
+func (w *network) views() string {
+	var b strings.Builder
+	for _, n := range w.nodes[:min(len(w.nodes), 8)] {
+		fmt.Fprintf(&b, "%v knows %d, tokens %.0f\n", n.Self(), len(n.records), n.bucket.tokens)
 		for _, v := range n.Members() {
-			o := w.at[v.Address()]
-			if o == nil || o.Self() != v {
-				w.t.Logf("%s holds %v", n.name, v)
+			if o := w.at[v.Address()]; (o == nil || o.Self() != v) && v.State() != tier.VMDead {
+				fmt.Fprintf(&b, "  holds %v\n", v)
 			}
 		}
-		if lines++; lines > 7 {
-			return
-		}
 	}
+	return b.String()
 }
--- a/tier/gossiper/options.go
+++ b/tier/gossiper/options.go
@@ -13,7 +13,9 @@
 
 	maxMessage      = 16 << 10
 	messageOverhead = 250 // headers of a request or a reply
-	digestWindow    = 16  // digests in a request, once caught up
+	digestWindow    = 16  // digests in a request when little is missing
+	maxWindow       = 128 // digests in a request when much is missing
+	manyPulled      = 3   // writers in a reply from which much is missing
 	fewDigests      = 5   // fewer in a request come from a newcomer
 	newcomerRoom    = 512 // for entries in a reply to a newcomer, at least
 	maxNumber       = 1 << 62
@@ -82,7 +84,7 @@
 	c.fast = tier.Second / 4
 	c.pause = 2 * tier.Second
 	c.suspicion = 5 * tier.Second / 2
-	c.catchUp = 5 * tier.Second
+	c.catchUp = 10 * tier.Second
 	c.forget = 2 * tier.Hour
 	c.linkTimeout = 5 * tier.Second
 	c.flightLimit = 30 * tier.Second
--- a/tier/gossiper/record.go
+++ b/tier/gossiper/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -67,10 +68,29 @@
 	}
 	r.entries[e.key] = written{version: e.version, value: e.value}
 	r.highest = max(r.highest, e.version)
+	r.advance(r.version)
+	return true
+}
+
+// advance takes note that nothing is missing up to a version, and goes on over
+// what is held above it.
+func (r *record) advance(version uint64) {
+	r.version = max(r.version, min(version, r.highest))
 	for r.holds(r.version + 1) {
 		r.version++
 	}
-	return true
+}
+
+// lowest is the lowest version that was not overwritten, once the entry of
+// that key is written again.
+func (r *record) lowest(key string) uint64 {
+	low := r.highest + 1
+	for k, w := range r.entries {
+		if k != key {
+			low = min(low, w.version)
+		}
+	}
+	return low
 }
 
 func (r *record) holds(version uint64) bool {
@@ -115,33 +135,37 @@
 	return NewEntry(r.vm.Name(), r.incarnation, max(r.suspectAt, 1), key, nil)
 }
 
-// vmJSON is a VM's state, data centre and address.
-type vmJSON [3]string
+// vmJSON is a VM's state, data centre and address, and the lowest version of
+// what it has written and not overwritten.
+type vmJSON [4]string
 
-func encodeVM(v tier.VM) []byte {
-	b, _ := json.Marshal(vmJSON{v.State().String(), v.DataCentre(), v.Address()})
+func encodeVM(v tier.VM, lowest uint64) []byte {
+	b, _ := json.Marshal(vmJSON{v.State().String(), v.DataCentre(), v.Address(), strconv.FormatUint(lowest, 10)})
 	return b
 }
 
 // decodeVM reads what a VM says of itself.
-func decodeVM(name string, i tier.Incarnation, b []byte) (tier.VM, error) {
+func decodeVM(name string, i tier.Incarnation, b []byte) (tier.VM, uint64, error) {
 	var j vmJSON
 	if err := json.Unmarshal(b, &j); err != nil {
-		return tier.VM{}, errors.Wrap(err, "decodeVM")
+		return tier.VM{}, 0, errors.Wrap(err, "decodeVM")
 	}
 	var l []tier.FieldProblem
-	state := slices.IndexFunc([]tier.VMState{tier.VMJoining, tier.VMLive, tier.VMLeaving}, func(s tier.VMState) bool { return s.String() == j[0] })
-	if state < 0 {
-		l = append(l, tier.NewFieldProblem("state", j[0], "joining, live or leaving"))
-	}
-	if !tier.ValidName(j[1]) {
-		l = append(l, tier.NewFieldProblem("data-centre", j[1], "a name"))
-	}
-	if a, err := netip.ParseAddrPort(j[2]); err != nil || a.Port() == 0 {
-		l = append(l, tier.NewFieldProblem("address", j[2], "an IP number and port"))
+	check := func(ok bool, path, value, allowed string) {
+		if !ok {
+			l = append(l, tier.NewFieldProblem(path, value, allowed))
+		}
 	}
+	said := []tier.VMState{tier.VMJoining, tier.VMLive, tier.VMLeaving}
+	state := slices.IndexFunc(said, func(s tier.VMState) bool { return s.String() == j[0] })
+	check(state >= 0, "state", j[0], "joining, live or leaving")
+	check(tier.ValidName(j[1]), "data-centre", j[1], "a name")
+	address, err := netip.ParseAddrPort(j[2])
+	check(err == nil && address.Port() > 0, "address", j[2], "an IP number and port")
+	lowest, err := strconv.ParseUint(j[3], 10, 62)
+	check(err == nil, "lowest-version", j[3], "a version")
 	if err := tier.NewInvalidError("VM "+name, l); err != nil {
-		return tier.VM{}, errors.Wrap(err, "decodeVM")
+		return tier.VM{}, 0, errors.Wrap(err, "decodeVM")
 	}
-	return tier.NewVM(name, j[1], j[2], tier.WithIncarnation(i), tier.WithVMState(tier.VMState(state))), nil
+	return tier.NewVM(name, j[1], j[2], tier.WithIncarnation(i), tier.WithVMState(said[state])), lowest, nil
 }
--- a/tier/gossiper/round.go
+++ b/tier/gossiper/round.go
@@ -29,7 +29,7 @@
 	if g.bucket.tokens < 2*messageOverhead {
 		return
 	}
-	digests := g.now >= g.lastDigests+g.idle*9/10 || g.stale
+	digests := g.now >= g.lastDigests+g.idle*9/10 || g.stale || g.wide > digestWindow
 	if digests {
 		g.lastDigests = g.now
 	}
--- a/tier/gossiper/rumour.go
+++ b/tier/gossiper/rumour.go
@@ -43,16 +43,14 @@
 // maxDebt is how far a bucket goes below empty, in bytes.
 const maxDebt = 2 * messageOverhead
 
-// bulk is how much news at once is left to be pulled rather than pushed.
-const bulk = 24
+// fewNews is how much news at once is still pushed at about the full count.
+const fewNews = 8
 
-// spread is how often news is sent among n members. When much of it comes at
-// once, each is sent fewer times, and the exchange of digests does the rest.
+// spread is how often news is sent among n members. The more of it there is,
+// the fewer times each is sent, and the exchange of digests does the rest.
 func (l *rumours) spread(n int) int {
-	if len(l.list) > bulk {
-		return pulledCopies
-	}
-	return bits.Len(uint(n)) + 3
+	full := bits.Len(uint(n)) + 3
+	return max(1, full*fewNews/(fewNews+len(l.list)))
 }
 
 // bucket bounds the bytes sent by a rate and a burst.
--- a/tier/gossiper/table.go
+++ b/tier/gossiper/table.go
@@ -85,9 +85,8 @@
 	if !r.take(e) {
 		return
 	}
-	if e.version > r.suspectAt {
-		r.suspectAt = 0
-		r.dead = false
+	if r.suspectAt > 0 && e.version > r.suspectAt {
+		g.clear(r)
 	}
 	g.news.add(e.origin, e.key, n)
 	g.hurry()
@@ -99,6 +98,14 @@
 	g.show(r)
 }
 
+// clear ends a suspicion or a death that a newer write refuted.
+func (g *Gossiper) clear(r *record) {
+	r.suspectAt = 0
+	r.dead = false
+	g.ranks, g.others = nil, nil
+	g.settleAddress(r)
+}
+
 // newLife voids what a VM's former life published.
 func (g *Gossiper) newLife(r *record, i tier.Incarnation) {
 	old := r.entries
@@ -112,10 +119,11 @@
 }
 
 func (g *Gossiper) takeVM(r *record, e Entry) {
-	v, err := decodeVM(e.origin, e.incarnation, e.value)
+	v, lowest, err := decodeVM(e.origin, e.incarnation, e.value)
 	if err != nil {
 		return
 	}
+	r.advance(max(min(lowest, e.version), 1) - 1)
 	moved := v.Address() != r.vm.Address()
 	r.vm = v
 	r.known = true
@@ -132,7 +140,7 @@
 func (g *Gossiper) settleAddress(r *record) {
 	for _, name := range g.names {
 		o := g.records[name]
-		if o == r || o.dead || !o.known || o.vm.Address() != r.vm.Address() {
+		if o == r || o.dead || !o.known || !r.known || o.vm.Address() != r.vm.Address() {
 			continue
 		}
 		switch {
