--- a/standin/backends.go
+++ b/standin/backends.go
@@ -25,9 +25,10 @@
 "data-centre" (all when left out) and sets "slow-factor", "health-lag-ms",
 "health-state", "serve-version" with "disguise", "reply" (truncated,
 corrupted, repeated, crossed) with "reply-fraction", "call" (hang,
-drop-before, drop-after) with "call-fraction", "state" (cold, live, shedding,
-leaving), "publish", "drop" (index versions), "learn" (a set document),
-"forget" (an epoch), "clear".`
+drop-before, drop-after) with "call-fraction", "down" (lost: refuses every
+connection), "state" (cold, live, shedding, leaving), "publish", "drop" (index
+versions), "learn" (a set document), "forget" (an epoch), "clear" (no faults;
+state, versions and maps stay).`
 
 type backendsFlags struct {
 	deployment string
--- a/standin/leafserver/control.go
+++ b/standin/leafserver/control.go
@@ -28,6 +28,7 @@
 	ReplyFraction *float64        `json:"reply-fraction,omitempty"`
 	Call          *CallFault      `json:"call,omitempty"`
 	CallFraction  *float64        `json:"call-fraction,omitempty"`
+	Down          *bool           `json:"down,omitempty"`
 	State         string          `json:"state,omitempty"`
 	Publish       tier.Version    `json:"publish,omitempty"`
 	Drop          tier.Version    `json:"drop,omitempty"`
@@ -186,6 +187,7 @@
 		changed++
 		s.faults.change(o.change)
 		s.hold(o, learned)
+		s.setDown(o)
 		if ok {
 			s.SetState(state)
 		}
@@ -223,6 +225,15 @@
 	}
 }
 
+// setDown loses the server, or brings it back.
+func (s *Server) setDown(o faultOrder) {
+	l := s.listener.Load()
+	if l == nil || (o.Down == nil && !o.Clear) {
+		return
+	}
+	l.setDown(o.Down != nil && *o.Down)
+}
+
 // hold changes what the server holds.
 func (s *Server) hold(o faultOrder, learned *tier.ShardSet) {
 	if learned != nil {
--- a/standin/leafserver/listener.go
+++ b/standin/leafserver/listener.go
@@ -17,10 +17,14 @@
 	openMax atomic.Int64
 	made    atomic.Int64
 	refused atomic.Int64
+
+	mu    sync.Mutex
+	down  bool
+	conns map[net.Conn]struct{}
 }
 
 func newBoundedListener(l net.Listener, limit int, cost time.Duration) *boundedListener {
-	return &boundedListener{Listener: l, limit: int64(limit), cost: cost}
+	return &boundedListener{Listener: l, limit: int64(limit), cost: cost, conns: map[net.Conn]struct{}{}}
 }
 
 // Accept returns the next connection within the limit; it closes the others.
@@ -30,14 +34,44 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Load() >= l.limit {
-			l.refused.Add(1)
-			_ = c.Close()
-			continue
+		if l.enter(c) {
+			return &costlyConn{Conn: c, ready: time.Now().Add(l.cost), l: l}, nil
 		}
-		raise(&l.openMax, l.open.Add(1))
-		l.made.Add(1)
-		return &costlyConn{Conn: c, ready: time.Now().Add(l.cost), l: l}, nil
+		l.refused.Add(1)
+		_ = c.Close()
+	}
+}
+
+// enter counts a connection in, unless the server is down or full.
+func (l *boundedListener) enter(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || l.open.Load() >= l.limit {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	raise(&l.openMax, l.open.Add(1))
+	l.made.Add(1)
+	return true
+}
+
+func (l *boundedListener) leave(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	l.open.Add(-1)
+}
+
+// setDown closes every connection and refuses new ones while down.
+func (l *boundedListener) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	if !down {
+		return
+	}
+	for c := range l.conns {
+		_ = c.Close()
 	}
 }
 
@@ -60,6 +94,6 @@
 
 // Close gives the connection's place back.
 func (c *costlyConn) Close() error {
-	c.once.Do(func() { c.l.open.Add(-1) })
+	c.once.Do(func() { c.l.leave(c.Conn) })
 	return c.Conn.Close()
 }
--- a/standin/leafserver/server_test.go
+++ b/standin/leafserver/server_test.go
@@ -190,6 +190,30 @@
 	}
 }
 
+// TestLostServerComesBack takes a server down under a call that hangs.
+func TestLostServerComesBack(t *testing.T) {
+	b := newBench(t)
+	b.order(faultOrder{Call: ptr(CallHang), CallFraction: ptr(1.0)})
+	var g errgroup.Group
+	g.Go(func() error {
+		if _, code := b.search(context.Background(), 1); code == 0 {
+			t.Error("the hung call was answered")
+		}
+		return nil
+	})
+	b.until("the call hangs", func() bool { return b.server.gate.inUse() == 1 })
+	b.order(faultOrder{Down: ptr(true)})
+	_ = g.Wait()
+	b.order(faultOrder{Call: ptr(CallServed)})
+	if _, code := b.search(context.Background(), 1); code == 0 {
+		t.Error("a server that is down answered")
+	}
+	b.order(faultOrder{Down: ptr(false)})
+	if _, code := b.search(context.Background(), 1); code != 0 {
+		t.Errorf("back again: %v", code)
+	}
+}
+
 // TestRepartitionIsLearned holds the shard of two maps at once, then forgets
 // the older map.
 func TestRepartitionIsLearned(t *testing.T) {
--- a/standin/relay/link.go
+++ b/standin/relay/link.go
@@ -65,6 +65,15 @@
 // Name is the link's name.
 func (l *Link) Name() string { return l.name }
 
+// From is the place that its connections come from.
+func (l *Link) From() string { return l.from }
+
+// Listen is where it listens.
+func (l *Link) Listen() string { return l.listen }
+
+// Target is where its connections go.
+func (l *Link) Target() string { return l.target }
+
 // Set changes how the link behaves from now on.
 func (l *Link) Set(c Condition) {
 	l.mu.Lock()
