Count an owner's takeover time from its first event

Cause: the time was counted from the clock's zero, so that an owner made later than three seconds into its VM's life used its full share at once. Change: the first Step begins it. Script takeover.script shows it at a late clock, with shares that shrink and grow and an owner that leaves.

--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 	random     *rand.Rand
 
 	now     tier.Millis
+	begun   bool
 	leaving bool
 	left    tier.Millis // when leaving began
 	shared  tier.Millis // when the present share was given
@@ -87,6 +88,7 @@
 		o(d)
 	}
 	d.buildMap()
+	d.timers = timerHeap{}
 	return d
 }
 
@@ -109,6 +111,7 @@
 func (d *Dispatcher) Step(now tier.Millis, e Event) []Action {
 	d.now = max(d.now, now)
 	d.actions = nil
+	d.begin()
 	d.expire()
 	switch e := e.(type) {
 	case *Submit:
@@ -135,6 +138,14 @@
 	return d.actions
 }
 
+// begin counts the takeover time from the first Step.
+func (d *Dispatcher) begin() {
+	if !d.begun {
+		d.begun, d.shared = true, d.now
+		d.applyShares()
+	}
+}
+
 // Next is when the next Tick is due; false while there is nothing to wait for.
 func (d *Dispatcher) Next() (tier.Millis, bool) {
 	at, ok := d.timers.next()
