--- a/standin/link.go
+++ b/standin/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -34,37 +33,7 @@
 			return serveWithControl(c.Context(), r.Serve, r.ControlAddress(), r.Control())
 		},
 	}
-	c.PersistentFlags().StringVar(&config, "config", "", "file of the links (required)")
-	_ = c.MarkPersistentFlagRequired("config")
-	c.AddCommand(dialCommand(&config))
-	return c
-}
-
-func dialCommand(config *string) *cobra.Command {
-	var from string
-	c := &cobra.Command{
-		Use:   "dial",
-		Short: "Print what the VMs of a data centre dial in place of other addresses",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			r, err := relay.Read(*config)
-			if err != nil {
-				return errors.Wrap(err, "dial")
-			}
-			var pairs []string
-			for _, l := range r.Links() {
-				if l.From() == from {
-					pairs = append(pairs, l.Target()+"="+l.Listen())
-				}
-			}
-			if len(pairs) == 0 {
-				return errors.Errorf("no link leaves %q", from)
-			}
-			fmt.Fprintln(c.OutOrStdout(), strings.Join(pairs, ","))
-			return nil
-		},
-	}
-	c.Flags().StringVar(&from, "from", "", "the data centre (required)")
-	_ = c.MarkFlagRequired("from")
+	c.Flags().StringVar(&config, "config", "", "file of the links (required)")
+	_ = c.MarkFlagRequired("config")
 	return c
 }
--- a/standin/relay/link.go
+++ b/standin/relay/link.go
@@ -65,14 +65,11 @@
 // Name is the link's name.
 func (l *Link) Name() string { return l.name }
 
-// From is the place that its connections come from.
+// From is the place that the link's callers are in.
 func (l *Link) From() string { return l.from }
 
-// Listen is where it listens.
-func (l *Link) Listen() string { return l.listen }
-
-// Target is where its connections go.
-func (l *Link) Target() string { return l.target }
+// Addresses are where the link listens and where it leads.
+func (l *Link) Addresses() (listen, target string) { return l.listen, l.target }
 
 // Set changes how the link behaves from now on.
 func (l *Link) Set(c Condition) {
