Show configuration warnings on every VM

Cause: in a run with real processes a restored store was flagged on the watchers alone; an operator who asked another VM saw nothing. Change: flags are published in the gossip, and each VM's status lists them with the VMs that see them. Conclusion: the script of a restored store now looks at a VM that does not watch, too.

--- a/cicadagraded/status.go
+++ b/cicadagraded/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"cicadagrade.example/cicadagraded/handler"
 	"cicadagrade.example/cicadagraded/owner"
@@ -31,11 +30,4 @@
 }
 
 // Warnings lists what an operator should look at.
-func (d *daemon) Warnings() []string {
-	var out []string
-	for _, f := range d.config.Status().Flags() {
-		out = append(out, fmt.Sprintf("configuration %s: %s offers revision %d, revision %d stays in force: %s",
-			f.Served().Key(), f.Source(), f.Seen().Revision(), f.Served().Revision(), f.Trouble()))
-	}
-	return out
-}
+func (d *daemon) Warnings() []string { return d.config.Warnings() }
--- a/cicadagraded/watching/index.go
+++ b/cicadagraded/watching/index.go
@@ -53,6 +53,7 @@
 		}
 	}
 	w.chunks = chunks
+	w.publishWarnings()
 }
 
 func at(chunks [][]byte, i int) []byte {
@@ -70,6 +71,9 @@
 	if vm == w.name || !strings.HasPrefix(key, IndexKeyPrefix) {
 		return nil
 	}
+	if key == warningsKey {
+		return errors.Wrap(w.keepWarnings(vm, value), "Watcher.OnIndex")
+	}
 	refs, err := decodeIndex(value)
 	if err != nil {
 		return errors.Wrap(err, "Watcher.OnIndex")
--- a/cicadagraded/watching/watching.go
+++ b/cicadagraded/watching/watching.go
@@ -46,6 +46,7 @@
 	lock     sync.Mutex
 	keeper   *keeper.Keeper
 	heard    map[string]map[string][]keeper.Ref // by VM and gossip key
+	warnings map[string][]string                // by VM
 	endWatch context.CancelFunc
 	told     bool // members were told
 	local    []string
@@ -60,6 +61,7 @@
 
 	published sync.Mutex // held while the index is published
 	chunks    [][]byte
+	warned    []byte
 }
 
 // watchOrder is a watch that may be ended before it starts.
@@ -93,15 +95,17 @@
 // New returns the watcher of a VM.
 func New(self tier.VM, store storer.Store, clock *tier.Clock, opts ...Option) *Watcher {
 	w := &Watcher{
-		name:    self.Name(),
-		clock:   clock,
-		store:   store,
-		heard:   map[string]map[string][]keeper.Ref{},
-		lists:   ring.New[*keeper.List](ringSize),
-		watches: ring.New[watchOrder](ringSize),
-		fetches: ring.New[*keeper.Fetch](ringSize),
-		wake:    ring.New[struct{}](1),
-		changed: ring.New[struct{}](1),
+		name:  self.Name(),
+		clock: clock,
+		store: store,
+		heard: map[string]map[string][]keeper.Ref{},
+
+		warnings: map[string][]string{},
+		lists:    ring.New[*keeper.List](ringSize),
+		watches:  ring.New[watchOrder](ringSize),
+		fetches:  ring.New[*keeper.Fetch](ringSize),
+		wake:     ring.New[struct{}](1),
+		changed:  ring.New[struct{}](1),
 
 		endWatch: func() {},
 	}
--- a/cicadagraded/watching/watching_test.go
+++ b/cicadagraded/watching/watching_test.go
@@ -111,9 +111,9 @@
 		ok = func(x *watching.Watcher) bool { return serves(x, w[1]) }
 	case "flagged":
 		ok = func(x *watching.Watcher) bool { return flagged(x, w[1]) }
-	case "clear":
+	case "clear", "warned":
 		names = w[1:]
-		ok = func(x *watching.Watcher) bool { return len(x.Status().Flags()) == 0 }
+		ok = func(x *watching.Watcher) bool { return (len(x.Warnings()) == 0) == (w[0] == "clear") }
 	default:
 		f.t.Fatalf("unknown line %q", line)
 	}
