Recover fast after an outage of all servers

Cause: after ten seconds in which every server shed every call, gaps measured in the outage were kept for want of newer ones, and refused work that would have renewed them; servers at one slot grew as slowly as servers that shed above their limit. Change: a measured gap is forgotten after 2 s; only shed replies above a limit of one slow down its growth.

--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -6,11 +6,11 @@
 
 // Limits of admission.
 const (
-	drainWeight    = 1.0 / 16 // of the newest gap in the average
-	pendingWeight  = 1.0 / 4  // of a gap that has not ended yet
-	drainMemory    = 5 * tier.Second
-	serviceWeight  = 1.0 / 64 // of the newest latency in a rank's average
-	patienceWeight = 1.0 / 16 // of the newest departure
+	drainWeight    = 1.0 / 16        // of the newest gap in the average
+	pendingWeight  = 1.0 / 4         // of a gap that has not ended yet
+	drainMemory    = 2 * tier.Second // after which a measured gap is forgotten
+	serviceWeight  = 1.0 / 64        // of the newest latency in a rank's average
+	patienceWeight = 1.0 / 16        // of the newest departure
 	patienceGrowth = 1 + 1.0/256
 	maxPatience    = float64(tier.MaxDeadlineAllowed)
 	usableDeadline = 0.8 // part of the time left that queueing and service may fill
@@ -19,32 +19,40 @@
 // drain measures the gap between starts of a rank's calls for one shard,
 // while more of them wait.
 type drain struct {
-	gap   float64 // in milliseconds; 0 while not measured
-	last  tier.Millis
-	again bool // more waited after the last start
+	gap     float64     // average, in milliseconds
+	sampled tier.Millis // when a gap was last counted
+	last    tier.Millis // start of a call
+	again   bool        // more waited after it
 }
 
 func (w *drain) start(now tier.Millis, left int) {
 	if w.again {
-		g := float64(now - w.last)
-		if w.gap == 0 {
-			w.gap = max(g, minLatency)
+		g := max(minLatency, float64(now-w.last))
+		if !w.fresh(now) {
+			w.gap = g
 		}
 		w.gap += drainWeight * (g - w.gap)
+		w.sampled = now
 	}
 	w.last, w.again = now, left > 0
 }
 
-// measured is the gap to expect, or 0 when it is not known.
-func (w *drain) measured(now tier.Millis) float64 {
-	idle := now - w.last
-	if idle > drainMemory && !w.again {
-		return 0
+// fresh reports whether a gap was counted lately.
+func (w *drain) fresh(now tier.Millis) bool {
+	return w.gap > 0 && now-w.sampled <= drainMemory
+}
+
+// expected is the gap to expect: the measured one, or else the given one. A
+// gap that has not ended yet counts in part.
+func (w *drain) expected(now tier.Millis, otherwise float64) float64 {
+	g := otherwise
+	if w.fresh(now) {
+		g = w.gap
 	}
-	if w.again && float64(idle) > w.gap {
-		return w.gap + pendingWeight*(float64(idle)-w.gap)
+	if open := float64(now - w.last); w.again && open > g {
+		g += pendingWeight * (open - g)
 	}
-	return w.gap
+	return g
 }
 
 func (d *Dispatcher) measureDrain(t *task) {
@@ -115,12 +123,13 @@
 	return 0
 }
 
-// gap is the measured gap between starts of a rank for a shard, or what its
-// replicas' slots and latencies give.
+// gap is the gap to expect between starts of a rank for a shard: as measured,
+// or else what its replicas' slots and latencies give.
 func (d *Dispatcher) gap(h *shard, r tier.Rank) float64 {
-	if g := h.drains[r].measured(d.now); g > 0 {
-		return g
-	}
+	return h.drains[r].expected(d.now, d.unhinderedGap(h))
+}
+
+func (d *Dispatcher) unhinderedGap(h *shard) float64 {
 	rate := 0.0
 	for _, s := range h.replicas {
 		rate += float64(d.limit(s)) / s.expected(d.now) / float64(len(s.shards))
--- a/tier/limiter/limiter.go
+++ b/tier/limiter/limiter.go
@@ -59,16 +59,17 @@
 func (l *Limiter) PausedUntil() tier.Millis { return l.until }
 
 // Shed halves the limit, once for each burst. A server that sheds at a limit
-// of one is paused for a jittered, growing time. Each burst doubles the rounds
-// of calls before the limit grows again.
+// of one is paused for a jittered, growing time. Each burst above that doubles
+// the rounds of calls before the limit grows again.
 func (l *Limiter) Shed(now tier.Millis) {
 	if l.shed && now-l.decreased < DecreaseInterval {
 		return
 	}
 	l.shed, l.decreased = true, now
-	l.rounds = min(MaxRoundsToGrow, 2*l.rounds)
 	if l.limit < 2 {
 		l.lengthenPause(now)
+	} else {
+		l.rounds = min(MaxRoundsToGrow, 2*l.rounds)
 	}
 	l.limit = max(min(1, float64(l.slots)), l.limit*DecreaseFactor)
 }
--- a/tier/measurer/measurer_test.go
+++ b/tier/measurer/measurer_test.go
@@ -81,7 +81,8 @@
 		New("reports flood, reports share 1.0", flood, WithLoad(tier.Reports, 10), WithReportsShare(1)),
 		New("reports flood through one VM", flood, WithLoad(tier.Reports, 10), WithOneEntry()),
 		New("urgent flood, callers leave after 50 ms", flood, WithLoad(tier.Urgent, 10), WithPatience(50)),
-		New("servers shed half of their slots for 10 s of 40", flood, WithShedding(10*tier.Second, 20*tier.Second)),
+		New("servers shed half of their slots for 10 s of 40", flood, WithShedding(1, 10*tier.Second, 20*tier.Second)),
+		New("servers shed everything for 10 s of 40", flood, WithShedding(2, 10*tier.Second, 20*tier.Second)),
 	)
 }
 
--- a/tier/measurer/run.go
+++ b/tier/measurer/run.go
@@ -123,7 +123,7 @@
 		r.plan(k)
 	}
 	if s := r.scenario; s.sheddingTo > 0 {
-		r.add(happening{at: s.sheddingFrom, kind: shedding, shed: s.shape.slots / 2})
+		r.add(happening{at: s.sheddingFrom, kind: shedding, shed: s.shedSlots})
 		r.add(happening{at: s.sheddingTo, kind: shedding})
 	}
 	if r.scenario.way == Owner {
--- a/tier/measurer/scenario.go
+++ b/tier/measurer/scenario.go
@@ -75,8 +75,9 @@
 	oneEntry     bool        // all queries come through one VM
 	reportsShare float64     // of a server's slots
 	patience     tier.Millis // after which callers go away, or 0
-	sheddingFrom tier.Millis // servers shed half of their slots from then
-	sheddingTo   tier.Millis // until then
+	shedSlots    int         // of each server, for which it sheds calls
+	sheddingFrom tier.Millis
+	sheddingTo   tier.Millis
 }
 
 // Option sets one thing of a scenario.
@@ -114,10 +115,10 @@
 // WithPatience makes every caller go away after a time without an answer.
 func WithPatience(m tier.Millis) Option { return func(s *Scenario) { s.patience = m } }
 
-// WithShedding makes every server shed what exceeds half of its stated slots
-// for a span of time.
-func WithShedding(from, to tier.Millis) Option {
-	return func(s *Scenario) { s.sheddingFrom, s.sheddingTo = from, to }
+// WithShedding makes every server shed calls for a number of its slots during
+// a span of time.
+func WithShedding(slots int, from, to tier.Millis) Option {
+	return func(s *Scenario) { s.shedSlots, s.sheddingFrom, s.sheddingTo = slots, from, to }
 }
 
 // New returns a scenario with defaults where no option speaks.
