Spread news at half the pace when the bytes run low

Under a flood of reports the gossip fell back to idle rounds and one push of each value. It now keeps twice the fast interval while some bytes are left.

--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -214,20 +214,25 @@
 	g.hurry()
 }
 
-// hurry brings the next round forward while there is news.
+// hurry brings the next round forward while there is news, the less the fewer
+// bytes are left.
 func (g *Gossiper) hurry() {
-	if g.bucket.plenty() {
+	switch {
+	case g.bucket.plenty():
 		g.nextRound = min(g.nextRound, g.now+g.fast)
+	case g.bucket.tokens > littleLeft:
+		g.nextRound = min(g.nextRound, g.now+2*g.fast)
 	}
 }
 
 // spread is how often a value just read is pushed on; little when the bytes
-// are spent.
+// are nearly spent.
 func (g *Gossiper) spread() int {
+	n := g.news.spread(len(g.records))
 	if !g.bucket.plenty() {
-		return 1
+		return min(n, fewCopies)
 	}
-	return g.news.spread(len(g.records))
+	return n
 }
 
 func (g *Gossiper) act(a Action) { g.actions = append(g.actions, a) }
--- a/tier/gossiper/measure_test.go
+++ b/tier/gossiper/measure_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,7 +31,10 @@
 	measureIdle(b, w, "idle")
 	measureChanges(b, w)
 	measureLeaving(b, w)
-	measureLoad(b, w)
+	measureLoad(b, w, "publishing", max(3, n/10), 60, tier.Second)
+	if n == 7 {
+		measureLoad(b, w, "flood", 5, 350, tier.Second/2)
+	}
 	w.run(tier.Minute, nil)
 	measureDeaths(b, w)
 }
@@ -206,23 +211,44 @@
 	}
 }
 
-// measureLoad reports bytes while a tenth of the VMs, at least 3, publish
-// 60 bytes each second.
-func measureLoad(b *testing.B, w *network) {
-	for i := range max(3, len(w.nodes)/10) {
-		n := w.nodes[i]
+// measureLoad reports bytes, and the age of what other VMs hold, while some
+// VMs publish a value of a size at an interval for three minutes.
+func measureLoad(b *testing.B, w *network, what string, publishers, size int, every tier.Millis) {
+	end := w.now() + 3*tier.Minute
+	for _, n := range w.nodes[:publishers] {
 		var publish func()
-		left := 120
 		publish = func() {
-			w.step(n, NewPublish("set/portao", fmt.Appendf(nil, "%060d", left)))
-			if left--; left > 0 {
-				w.after(tier.Second, publish)
+			value := fmt.Sprintf("%0*d", size, w.now())
+			w.step(n, NewPublish("set/"+n.name, []byte(value)))
+			if w.now() < end {
+				w.after(every, publish)
 			}
 		}
 		w.after(tier.Millis(w.random.IntN(1000)), publish)
 	}
+	w.run(2*tier.Minute, nil)
+	var ages []float64
+	for range 20 {
+		w.run(tier.Second, nil)
+		ages = append(ages, w.ages(publishers)...)
+	}
+	report(b, ages, what+"-age")
+	measureIdle(b, w, what)
 	w.run(tier.Minute, nil)
-	measureIdle(b, w, "publishing")
+}
+
+// ages lists how long ago each VM's publishers wrote what it holds of them.
+func (w *network) ages(publishers int) []float64 {
+	var out []float64
+	for _, n := range w.nodes[:publishers] {
+		for _, o := range w.nodes {
+			if r := o.records[n.name]; o != n && r != nil {
+				written, _ := strconv.ParseInt(strings.TrimLeft(string(r.entries["set/"+n.name].value), "0"), 10, 64)
+				out = append(out, float64(int64(w.now())-written))
+			}
+		}
+	}
+	return out
 }
 
 // measureDeaths reports how long a VM that vanishes is taken for alive, where
--- a/tier/gossiper/rumour.go
+++ b/tier/gossiper/rumour.go
@@ -40,6 +40,12 @@
 // pulledCopies is how often news is pushed that peers mostly know.
 const pulledCopies = 2
 
+// fewCopies is how often news is sent when the bytes are nearly spent.
+const fewCopies = 3
+
+// littleLeft is how many bytes keep a bucket from only idle rounds.
+const littleLeft = 4 * messageOverhead
+
 // maxDebt is how far a bucket goes below empty, in bytes.
 const maxDebt = 2 * messageOverhead
 
