Write deployments of any size, for slopes

The plans of deployments are split from the users' sizes. In results, coverage is the mean over searches alone (bookings cover one shard by nature and drew it down), and streams that ask the VMs of one data centre carry its name.

--- a/standin/deployer/documents.go
+++ b/standin/deployer/documents.go
@@ -5,7 +5,7 @@
 	Seed        uint64               `json:"seed"`
 	Store       string               `json:"store"`
 	Control     string               `json:"control"`
-	Links       string               `json:"links"`
+	Links       string               `json:"links,omitempty"`
 	DataCentres []dataCentreDocument `json:"data-centres"`
 	VMs         []vmDocument         `json:"vms"`
 	Profiles    string               `json:"profiles"`
--- a/standin/deployer/files.go
+++ b/standin/deployer/files.go
@@ -82,14 +82,21 @@
 // Write writes the files of both users' deployments under dir.
 func Write(dir string) error {
 	for _, u := range users() {
-		files, err := u.files()
-		if err != nil {
+		if err := u.write(dir); err != nil {
 			return errors.Wrap(err, "Write")
 		}
-		for name, b := range files {
-			if err := writeFile(filepath.Join(dir, name), b); err != nil {
-				return errors.Wrap(err, "Write")
-			}
+	}
+	return nil
+}
+
+func (u user) write(dir string) error {
+	files, err := u.files()
+	if err != nil {
+		return err
+	}
+	for name, b := range files {
+		if err := writeFile(filepath.Join(dir, name), b); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/standin/deployer/files_test.go
+++ b/standin/deployer/files_test.go
@@ -70,3 +70,21 @@
 		}
 	}
 }
+
+func TestSizedDeployment(t *testing.T) {
+	dir := t.TempDir()
+	if err := WriteSized(dir, NewSizes("sized", 10000, 4, 41, 110)); err != nil {
+		t.Fatal(err)
+	}
+	d, err := Read(filepath.Join(dir, "sized.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, ok := d.Set(sizedSet)
+	if !ok || len(d.VMs()) != 41 || len(set.Shards()) != 110 || len(set.DataCentres()) != 4 {
+		t.Errorf("%d VMs, %v", len(d.VMs()), set)
+	}
+	if err := WriteSized(dir, NewSizes("sized", 1, 4, 2, 1)); err == nil {
+		t.Error("bad sizes were taken")
+	}
+}
--- a/standin/deployer/links.go
+++ b/standin/deployer/links.go
@@ -11,6 +11,9 @@
 	storeDelay  = 1 * tier.Millis(1)
 )
 
+// maxLinkedVMs is how many VMs the ports of the links have room for.
+const maxLinkedVMs = 10
+
 // storePlace is the place of the store in the links' configuration.
 const storePlace = "store"
 
--- a/standin/deployer/repartition.go
+++ b/standin/deployer/repartition.go
@@ -6,7 +6,7 @@
 	"cicadagrade.example/tier"
 )
 
-// splitShards is how many shards a repartition splits in two.
+// splitShards is how many shards a repartition splits in two, at most.
 const splitShards = 5
 
 // repartitioned is the set's next shard map: the first shards are split, and
@@ -14,7 +14,7 @@
 func repartitioned(set *tier.ShardSet) (*tier.ShardSet, error) {
 	var out []tier.Shard
 	for i, s := range set.Shards() {
-		if i >= splitShards {
+		if i >= splitShards || i+1 == len(set.Shards()) {
 			out = append(out, s)
 			continue
 		}
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -19,6 +19,26 @@
 		RunE:  func(*cobra.Command, []string) error { return deployer.Write(dir) },
 	}
 	write.Flags().StringVar(&dir, "dir", "standin/deployment", "directory to write them in")
-	c.AddCommand(write)
+	c.AddCommand(write, sizedCommand())
+	return c
+}
+
+func sizedCommand() *cobra.Command {
+	var dir, name string
+	var portBase, dataCentres, vms, shards int
+	c := &cobra.Command{
+		Use:   "sized",
+		Short: "Write the files of a deployment of given sizes, for a measurement",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return deployer.WriteSized(dir, deployer.NewSizes(name, portBase, dataCentres, vms, shards))
+		},
+	}
+	c.Flags().StringVar(&dir, "dir", ".", "directory to write them in")
+	c.Flags().StringVar(&name, "name", "sized", "name of the deployment")
+	c.Flags().IntVar(&portBase, "port-base", 10000, "first port; the next 5000 belong to the deployment")
+	c.Flags().IntVar(&dataCentres, "data-centres", 3, "number of data centres, each in a region of its own")
+	c.Flags().IntVar(&vms, "vms", 7, "number of entry VMs")
+	c.Flags().IntVar(&shards, "shards", 20, "number of shards of the one set portao, each with two servers")
 	return c
 }
--- a/standin/loader/duty.go
+++ b/standin/loader/duty.go
@@ -116,7 +116,7 @@
 }
 
 func (d *duty) end(e ended) {
-	e.phase, e.stream = d.phase, d.index
+	e.phase, e.stream, e.booking = d.phase, d.index, d.stream.book
 	_ = d.run.ends.Push(context.Background(), e)
 }
 
--- a/standin/loader/tally.go
+++ b/standin/loader/tally.go
@@ -21,6 +21,7 @@
 	phase      int
 	stream     int
 	latency    time.Duration
+	booking    bool
 	inTime     bool
 	answer     *checker.Answer // nil when none came
 	notSent    bool
@@ -31,6 +32,7 @@
 type tally struct {
 	row       reporter.Row
 	latencies *hdrhistogram.Histogram
+	searches  int // answered ones
 	coverage  float64
 }
 
@@ -70,7 +72,10 @@
 
 func (t *tally) answered(e ended) {
 	t.row.Answered++
-	t.coverage += e.answer.Fraction()
+	if !e.booking {
+		t.searches++
+		t.coverage += e.answer.Fraction()
+	}
 	if e.inTime && len(e.violations) == 0 {
 		t.row.InTime++
 	}
@@ -85,7 +90,7 @@
 	r.Max = millis(t.latencies.Max())
 	r.Goodput = float64(r.InTime) / seconds
 	if r.Answered > 0 {
-		r.Coverage = t.coverage / float64(r.Answered)
+		r.Coverage = t.coverage / float64(t.searches)
 	}
 	return r
 }
--- a/standin/loader/workload.go
+++ b/standin/loader/workload.go
@@ -215,6 +215,9 @@
 	if out.book {
 		out.name += "/" + kindBook
 	}
+	if out.dataCentre != "" {
+		out.name += "/" + out.dataCentre
+	}
 	if out.bare {
 		out.name += reporter.BareSuffix
 	}
