Bound a bulk restart without knowing the fleet's size

Cause: the spread of first reads needed the number of all VMs, which no setting gives; a VM alone at its start took itself for the only one. Change: a VM waits until its members have stopped growing before it decides whether it watches; one whose settings name others but that hears of none spreads its first reads over 10 s. The daemon tells the number of seeds.

--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -91,7 +91,8 @@
 	d.config = watching.New(d.self, store, d.clock,
 		watching.WithPeers(d.peer),
 		watching.WithPublisher(gossip.Publish),
-		watching.WithWarnings(d.warn))
+		watching.WithWarnings(d.warn),
+		watching.WithKeeper(keeper.WithSeeds(d.otherSeeds())))
 	d.claiming = claiming.New(store, d.self.Name(), d.self.Incarnation(), d.clock, claiming.WithLive(d.live))
 	d.control = &control{
 		self: d.self, logger: d.logger, gossip: gossip, changes: changes,
@@ -123,6 +124,17 @@
 	return false
 }
 
+// otherSeeds counts the seeds that are not this VM.
+func (d *daemon) otherSeeds() int {
+	n := 0
+	for _, a := range d.settings.seeds {
+		if a != d.self.Address() {
+			n++
+		}
+	}
+	return n
+}
+
 // warn logs a trouble of the configuration.
 func (d *daemon) warn(f keeper.Flag) {
 	d.logger.Warn("configuration", "trouble", f.Trouble(), "key", f.Served().Key(), "served", f.Served().Revision(), "seen", f.Seen().Revision(), "source", f.Source())
--- a/tier/keeper/keeper.go
+++ b/tier/keeper/keeper.go
@@ -15,10 +15,10 @@
 // Defaults and bounds of a keeper's timing.
 const (
 	DefaultWatchers   = 2
-	settleTime        = 500 * tier.Millis(1) // before a VM decides whether it watches, and
-	settleTimePerVM   = 10 * tier.Millis(1)  // so much longer for each VM of the deployment, up to
+	settleTime        = 500 * tier.Millis(1) // without new members, before a VM decides whether it watches
 	maxSettleTime     = 5 * tier.Second
 	minReadSpread     = 200 * tier.Millis(1)
+	aloneReadSpread   = 10 * tier.Second   // for a VM that should have heard of others
 	readSpreadPerVM   = 2 * tier.Millis(1) // first reads of a fleet of n VMs are spread over n times this
 	retrySpreadPerVM  = 5 * tier.Millis(1)
 	peersFirst        = 2 * tier.Second
@@ -53,12 +53,14 @@
 	refused   map[Ref]bool
 
 	members   []string // of this data centre
-	fleet     int      // VMs of the deployment
+	fleet     int      // VMs known at most
+	seeds     int
 	local     map[string]bool
 	live      map[string]bool           // nil before members were told
 	announced map[string]map[string]Ref // by VM and key
 
 	settled   bool
+	startedAt tier.Millis
 	settleAt  tier.Millis
 	watcher   bool
 	watching  bool
@@ -87,9 +89,9 @@
 // WithWatchers sets how many VMs of a data centre watch the store.
 func WithWatchers(n int) Option { return func(k *Keeper) { k.watchers = n } }
 
-// WithFleet sets how many VMs the deployment has, as far as the settings
-// tell: first reads of the store are spread by it.
-func WithFleet(n int) Option { return func(k *Keeper) { k.fleet = n } }
+// WithSeeds sets how many other VMs the settings name. A VM that should hear
+// of others leaves them more time, because many may start at once.
+func WithSeeds(n int) Option { return func(k *Keeper) { k.seeds = n } }
 
 // WithDataCentre names the VM's data centre.
 func WithDataCentre(name string) Option { return func(k *Keeper) { k.dataCentre = name } }
@@ -139,7 +141,7 @@
 	case *WatchEnded:
 		k.watchEnded(now)
 	case *Members:
-		k.setMembers(e)
+		k.setMembers(now, e)
 	case *Announced:
 		k.hear(e, &out)
 	case *Fetched:
@@ -175,7 +177,8 @@
 func (k *Keeper) start(now tier.Millis) {
 	k.started = true
 	k.lastList = now - minReadGap
-	k.settleAt = now + min(maxSettleTime, settleTime+tier.Millis(k.fleet)*settleTimePerVM)
+	k.startedAt = now
+	k.settleAt = now + settleTime
 }
 
 // jitter is a random span from half of m to m.
--- a/tier/keeper/load_test.go
+++ b/tier/keeper/load_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/keeper"
 	"cicadagrade.example/tier/parser"
@@ -39,7 +41,7 @@
 			s.centre = append(s.centre, c)
 			s.local[c] = append(s.local[c], name)
 			s.keepers = append(s.keepers, keeper.New(name,
-				keeper.WithDataCentre(fmt.Sprint(c)), keeper.WithFleet(centres*perCentre), keeper.WithSeed(1)))
+				keeper.WithDataCentre(fmt.Sprint(c)), keeper.WithSeeds(3), keeper.WithSeed(1)))
 		}
 	}
 	s.said = make([][]keeper.Ref, centres)
@@ -134,7 +136,7 @@
 	}
 	broken := newSimulation(30, 273, false)
 	for i := range broken.keepers {
-		broken.keepers[i] = keeper.New(broken.names[i]) // told of no fleet
+		broken.keepers[i] = keeper.New(broken.names[i]) // told of no others
 	}
 	if broken.run(5 * tier.Second); broken.worstSecond() < 2000 {
 		t.Errorf("the check accepts a bulk restart without a spread: %d", broken.worstSecond())
@@ -199,3 +201,79 @@
 	}
 	return parser.NewSetDocument(set)
 }
+
+// TestReadsKeepTheirGap: however a store answers and members change, a VM
+// reads it at most once a second, and watches it at most once for each read.
+func TestReadsKeepTheirGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := keeper.New("a", keeper.WithDataCentre("x"))
+		var reads []tier.Millis
+		now, asked, watched, watches := tier.Millis(0), false, false, 0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += tier.Millis(rapid.IntRange(0, 3000).Draw(t, "pause"))
+			e := storeEvent(t, asked, watched)
+			switch e.(type) {
+			case *keeper.Listed, *keeper.ListFailed:
+				asked = false
+			case *keeper.WatchEnded:
+				watched = false
+			}
+			for _, a := range k.Step(now, e) {
+				switch a.(type) {
+				case *keeper.List:
+					reads, asked = append(reads, now), true
+				case *keeper.Watch:
+					watches, watched = watches+1, true
+				case *keeper.EndWatch:
+					watched = false
+				}
+			}
+		}
+		if err := gap(reads); err != nil || watches > len(reads) {
+			t.Fatalf("%d watches after %d reads, %v", watches, len(reads), err)
+		}
+	})
+}
+
+// storeEvent draws an event; the store only answers what was asked.
+func storeEvent(t *rapid.T, asked, watched bool) keeper.Event {
+	events := []keeper.Event{
+		&keeper.Tick{}, keeper.NewMembers([]string{"a"}, nil), keeper.NewMembers([]string{"a", "b", "c", "d", "e"}, nil),
+	}
+	if asked {
+		events = append(events, &keeper.ListFailed{}, keeper.NewListed(nil))
+	}
+	if watched {
+		events = append(events, &keeper.WatchEnded{})
+	}
+	return rapid.SampledFrom(events).Draw(t, "event")
+}
+
+// gap finds two reads less than a second apart.
+func gap(reads []tier.Millis) error {
+	for i := 1; i < len(reads); i++ {
+		if reads[i]-reads[i-1] < tier.Second {
+			return fmt.Errorf("reads at %d and %d", reads[i-1], reads[i])
+		}
+	}
+	return nil
+}
+
+// TestCheckObjectsToCloseReads shows the check of the gap able to fail: a
+// keeper that is started anew after each failure reads without a pause.
+func TestCheckObjectsToCloseReads(t *testing.T) {
+	var reads []tier.Millis
+	for now := tier.Millis(0); now < 2*tier.Second; now += 100 {
+		k := keeper.New("a")
+		k.Step(now-tier.Second, &keeper.Tick{})
+		k.Step(now-100, &keeper.Tick{})
+		for _, a := range k.Step(now+100, &keeper.Tick{}) {
+			if _, ok := a.(*keeper.List); ok {
+				reads = append(reads, now)
+			}
+		}
+	}
+	if gap(reads) == nil {
+		t.Error("the check accepts reads without a pause")
+	}
+}
--- a/tier/keeper/plan.go
+++ b/tier/keeper/plan.go
@@ -7,9 +7,12 @@
 
 // setMembers takes the live VMs. What the others announced is kept, in case
 // they become live, but not used.
-func (k *Keeper) setMembers(e *Members) {
+func (k *Keeper) setMembers(now tier.Millis, e *Members) {
 	k.members = e.local
-	k.fleet = max(k.fleet, len(e.local)+len(e.remote))
+	if known := len(e.local) + len(e.remote); known > k.fleet {
+		k.fleet = known
+		k.settleAt = min(k.startedAt+maxSettleTime, now+settleTime)
+	}
 	k.local = map[string]bool{}
 	k.live = map[string]bool{}
 	for _, vm := range e.local {
@@ -54,7 +57,10 @@
 
 // planStore starts and ends the watch and reads when it is time.
 func (k *Keeper) planStore(now tier.Millis, out *actions) {
-	if now < k.settleAt {
+	if !k.settled && k.alone() {
+		k.settleAt = k.startedAt + maxSettleTime
+	}
+	if !k.settled && now < k.settleAt {
 		return
 	}
 	if picked := k.picked(); !k.settled || picked != k.watcher {
@@ -70,6 +76,9 @@
 	out.add(&List{})
 }
 
+// alone reports that this VM has never heard of others that it should know.
+func (k *Keeper) alone() bool { return k.fleet <= 1 && k.seeds > 0 }
+
 // changeRole sets the time of the next read. A watcher reads soon, then
 // watches; the others leave peers the time to announce what they hold.
 func (k *Keeper) changeRole(now tier.Millis, out *actions) {
@@ -78,6 +87,9 @@
 		out.add(&EndWatch{})
 	}
 	spread := max(minReadSpread, tier.Millis(k.fleet)*readSpreadPerVM)
+	if k.alone() {
+		spread = aloneReadSpread
+	}
 	switch {
 	case k.watcher:
 		k.readAt(now + k.random64(spread))
@@ -96,7 +108,10 @@
 // retryStore sets the time of the next read after a failure.
 func (k *Keeper) retryStore(now tier.Millis) {
 	limit := maxBackoff
-	if !k.watcher {
+	switch {
+	case k.alone():
+		limit = aloneReadSpread
+	case !k.watcher:
 		limit = max(maxBackoff, tier.Millis(k.fleet)*retrySpreadPerVM)
 	}
 	k.failures = min(k.failures+1, maxFailures)
