--- a/tier/gossiper/gossiper_test.go
+++ b/tier/gossiper/gossiper_test.go
@@ -1,6 +1,9 @@
 package gossiper
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
 	"testing"
 
 	"cicadagrade.example/tier"
@@ -171,8 +174,8 @@
 	return true
 }
 
-func TestPausedVMIsNotFresh(t *testing.T) {
-	w := newNetwork(t, 7)
+// checkPause reports a VM that trusts what it holds too early after a pause.
+func checkPause(w *network) error {
 	for i := range 5 {
 		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
 	}
@@ -182,21 +185,65 @@
 	n.paused = true
 	w.run(30*tier.Second, nil)
 	if n.Fresh(w.now()) {
-		t.Error("fresh right after a pause")
+		return errors.New("fresh right after a pause")
 	}
 	w.cut = splitBy(func(o *node) bool { return o == n })
 	n.paused = false
 	w.run(2*tier.Second, nil)
 	if n.Fresh(w.now()) {
-		t.Error("fresh after a pause before any peer answered")
+		return errors.New("fresh before any peer answered")
 	}
 	w.cut = uncut
 	if !w.run(10*tier.Second, func() bool { return n.Fresh(w.now()) }) {
-		t.Fatal("never fresh again")
+		return errors.New("never fresh again")
 	}
 	w.mustAgree(20*tier.Second, "resume")
-	if got := n.Self().Incarnation(); got <= life {
-		t.Errorf("incarnation %d after being declared dead, had %d", got, life)
+	if n.Self().Incarnation() <= life {
+		return errors.New("kept its life after being declared dead")
+	}
+	return nil
+}
+
+func TestPausedVMIsNotFresh(t *testing.T) {
+	if err := checkPause(newNetwork(t, 7)); err != nil {
+		t.Fatal(err)
+	}
+	blind := []Option{WithPause(tier.Hour), WithSuspicion(tier.Hour)}
+	if checkPause(newNetwork(t, 7, blind...)) == nil {
+		t.Fatal("the check accepts a VM that does not see its pause")
+	}
+}
+
+// checkBytes reports a VM that sends more in a minute than its rate allows
+// while all publish as much as they can.
+func checkBytes(w *network, rate int) error {
+	for i := range 7 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	for i := range 1200 {
+		n := w.nodes[i%7]
+		w.step(n, NewPublish("set/portao", bytes.Repeat([]byte{byte(i)}, 2000)))
+		w.run(100, nil)
+		if i == 600 {
+			for _, n := range w.nodes {
+				n.sent = -int(n.bucket.tokens) - maxDebt
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		if n.sent > 60*rate {
+			return fmt.Errorf("%s sent %d bytes in a minute above what it had saved", n.name, n.sent)
+		}
+	}
+	return nil
+}
+
+func TestBytesAreBounded(t *testing.T) {
+	if err := checkBytes(newNetwork(t, 10), 2400); err != nil {
+		t.Fatal(err)
+	}
+	if checkBytes(newNetwork(t, 10, WithRate(20_000, 48<<10)), 2400) == nil {
+		t.Fatal("the check accepts more than the rate")
 	}
 }
 
