--- a/standin/loader/duty.go
+++ b/standin/loader/duty.go
@@ -20,7 +20,6 @@
 	phase  int
 	index  int
 	stream stream
-	vms    []int
 	random *rand.Rand
 	count  int
 }
@@ -65,7 +64,7 @@
 }
 
 // vm takes the VMs in turn, as the platform's balancer does.
-func (d *duty) vm(n int) *caller.VM { return d.run.vms[d.vms[n%len(d.vms)]] }
+func (d *duty) vm(n int) *caller.VM { return d.run.vms[d.stream.vms[n%len(d.stream.vms)]] }
 
 func (d *duty) search(id string, due time.Time) request {
 	terms := d.run.records.Terms(d.stream.set.Name())
--- a/standin/loader/run.go
+++ b/standin/loader/run.go
@@ -132,7 +132,6 @@
 			phase:  i,
 			index:  j,
 			stream: s,
-			vms:    entries(r.deployment, s.dataCentre),
 			random: rand.New(rand.NewPCG(r.workload.seed, uint64(i)<<32|uint64(j))),
 		}
 		g.Go(func() error { return d.send(ctx, start, end) })
--- a/standin/loader/run_test.go
+++ b/standin/loader/run_test.go
@@ -200,3 +200,16 @@
 		}
 	}
 }
+
+// TestBookingsHaveNoCoverage sums up an answered booking alone.
+func TestBookingsHaveNoCoverage(t *testing.T) {
+	a, err := checker.ParseAnswer([]byte(`{"outcome":"answered","receipt":"a-1"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newTally("order")
+	l.add(ended{booking: true, inTime: true, answer: a})
+	if r := l.finish(1); r.Answered != 1 || r.Coverage != 0 {
+		t.Errorf("%+v", r)
+	}
+}
--- a/standin/loader/tally.go
+++ b/standin/loader/tally.go
@@ -89,7 +89,7 @@
 	r.P999 = t.quantile(99.9)
 	r.Max = millis(t.latencies.Max())
 	r.Goodput = float64(r.InTime) / seconds
-	if r.Answered > 0 {
+	if t.searches > 0 {
 		r.Coverage = t.coverage / float64(t.searches)
 	}
 	return r
--- a/standin/loader/workload.go
+++ b/standin/loader/workload.go
@@ -49,15 +49,15 @@
 }
 
 type stream struct {
-	name       string
-	profile    *tier.Profile
-	set        *tier.ShardSet
-	book       bool
-	bare       bool
-	rate       float64
-	deadline   tier.Millis
-	dataCentre string
-	repeats    float64
+	name     string
+	profile  *tier.Profile
+	set      *tier.ShardSet
+	book     bool
+	bare     bool
+	rate     float64
+	deadline tier.Millis
+	vms      []int // indices of the VMs that are asked
+	repeats  float64
 }
 
 // order is posted to a control port during a phase.
@@ -90,6 +90,7 @@
 	Rate       float64     `json:"rate"` // requests a second
 	Deadline   tier.Millis `json:"deadline-ms"`
 	DataCentre string      `json:"data-centre"` // of the VMs that are asked; empty: all
+	VM         string      `json:"vm"`          // the one VM that is asked; empty: all
 	Repeats    float64     `json:"repeats"`     // fraction of bookings sent twice
 	Bare       bool        `json:"bare"`        // searches go straight to the backend servers
 }
@@ -199,24 +200,27 @@
 	l.check(s.Rate > 0, path+".rate", s.Rate, "above 0")
 	l.check(s.Deadline >= 0, path+".deadline-ms", s.Deadline, "at least 1, or left out")
 	l.check(s.Repeats >= 0 && s.Repeats <= 1, path+".repeats", s.Repeats, "0 to 1")
-	l.check(s.DataCentre == "" || len(entries(d, s.DataCentre)) > 0, path+".data-centre", s.DataCentre, "a data centre of the deployment")
+	vms := entries(d, s.DataCentre, s.VM)
+	l.check(len(vms) > 0, path+".data-centre", s.DataCentre+" "+s.VM, "data centre and VM of the deployment that fit together")
 	out := stream{
-		name:       s.Profile + "/" + s.Set,
-		profile:    p,
-		set:        set,
-		book:       s.Kind == kindBook,
-		bare:       s.Bare,
-		rate:       s.Rate,
-		deadline:   s.Deadline,
-		dataCentre: s.DataCentre,
-		repeats:    s.Repeats,
+		name:     s.Profile + "/" + s.Set,
+		profile:  p,
+		set:      set,
+		book:     s.Kind == kindBook,
+		bare:     s.Bare,
+		rate:     s.Rate,
+		deadline: s.Deadline,
+		vms:      vms,
+		repeats:  s.Repeats,
 	}
 	l.check(!out.book || !out.bare, path+".bare", s.Bare, "false for bookings")
 	if out.book {
 		out.name += "/" + kindBook
 	}
-	if out.dataCentre != "" {
-		out.name += "/" + out.dataCentre
+	for _, place := range []string{s.DataCentre, s.VM} {
+		if place != "" {
+			out.name += "/" + place
+		}
 	}
 	if out.bare {
 		out.name += reporter.BareSuffix
@@ -227,11 +231,12 @@
 	return out
 }
 
-// entries lists the indices of the VMs of a data centre, or of all.
-func entries(d *deployer.Deployment, dataCentre string) []int {
+// entries lists the indices of the VMs of a data centre, of one name, or of
+// all.
+func entries(d *deployer.Deployment, dataCentre, name string) []int {
 	var out []int
 	for i, v := range d.VMs() {
-		if dataCentre == "" || v.DataCentre() == dataCentre {
+		if (dataCentre == "" || v.DataCentre() == dataCentre) && (name == "" || v.Name() == name) {
 			out = append(out, i)
 		}
 	}
