--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -176,7 +176,7 @@
 	switch {
 	case d.leaving:
 		d.refuse(e.part, r, tier.RefuseLeaving, 0)
-	case d.index < 0 || d.index >= min(d.owners, MaxOwners(d.set, d.dataCentre)):
+	case d.index < 0 || d.index >= min(d.owners, d.maxOwners):
 		d.refuse(e.part, r, tier.RefuseNoOwner, 0)
 	case e.deadline <= d.now:
 		d.refuse(e.part, r, tier.RefuseDeadline, 0)
--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	dataCentre string
 	owners     int
 	index      int
+	maxOwners  int // of the present set
 	takeover   tier.Millis
 	queueSize  int
 	random     *rand.Rand
@@ -182,6 +183,7 @@
 // buildMap takes over servers and shards of the set, keeping what is known of
 // those that stay.
 func (d *Dispatcher) buildMap() {
+	d.maxOwners = MaxOwners(d.set, d.dataCentre)
 	known := d.servers
 	d.servers = map[string]*server{}
 	for _, b := range d.set.Servers() {
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -42,7 +42,7 @@
 }
 
 // MaxOwners is how many owners may split the slots of a set in a data centre
-// so that each has a slot on every server.
+// so that each has a slot on every server. Owners beyond it get no share.
 func MaxOwners(set *tier.ShardSet, dataCentre string) int {
 	n := tier.MaxOwners
 	for _, b := range set.Servers() {
@@ -95,7 +95,7 @@
 // held at the earlier one, or at one slot, until the takeover time has passed;
 // an owner that leaves falls back to one slot after as long.
 func (d *Dispatcher) share(s *server) int {
-	n := shareOf{owners: d.owners, index: d.index}.slots(s.backend.Slots(), s.ordinal)
+	n := shareOf{owners: min(d.owners, d.maxOwners), index: d.index}.slots(s.backend.Slots(), s.ordinal)
 	if d.leaving && d.now >= d.left+d.takeover {
 		n = min(n, 1)
 	}
--- a/tier/dispatcher/share_test.go
+++ b/tier/dispatcher/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -28,6 +29,17 @@
 	})
 }
 
+func TestOwnersBeyondTheSlotsRefuse(t *testing.T) {
+	set := testSet(2, 2, 2)
+	for index, want := range []string{"call", "call", "refused 1 reason=no-owner retry-after=0"} {
+		d := New(set, "here", WithTakeover(0), WithShare(3, index))
+		actions := d.Step(0, NewSubmit(1, testProfiles[0], 100, []string{"s0", "s1"}))
+		if got := describe(actions[0]); !strings.HasPrefix(got, want) {
+			t.Errorf("owner %d of 3 on two slots: %s", index, got)
+		}
+	}
+}
+
 // inFlight floods owners that each believe that they own the set, and
 // returns the most calls that one server held at once by a time.
 func inFlight(until tier.Millis, owners []*Dispatcher) int {
