Fuzz what peers send of the configuration

Cause: documents and deltas come from other processes. Change: a fuzz target: the keeper serves what it verified, never older. Conclusion: damaged answers are refused.

--- a/tier/keeper/keeper_test.go
+++ b/tier/keeper/keeper_test.go
@@ -186,3 +186,23 @@
 	}
 	return n
 }
+
+// FuzzFetched: whatever a peer sends, the keeper serves a document whose
+// digest is the announced one, and never an older.
+func FuzzFetched(f *testing.F) {
+	main := line(nil, "main", 3)
+	f.Add(main[1].Encode(), []byte(`{"base-change":"main-0","patches":[{}],"audit":[]}`), uint64(2))
+	f.Add([]byte(`{"kind":"profiles"}`), []byte(`{"patches":[{"profiles":null}]}`), uint64(9))
+	f.Fuzz(func(t *testing.T, whole, delta []byte, revision uint64) {
+		k := keeper.New("a")
+		k.Step(0, keeper.NewChanged(value(main[0], 1)))
+		ref := keeper.NewRef(main[0].Ref().Key(), 1, revision, main[1].Ref().Digest())
+		k.Step(0, keeper.NewFetched("b", []keeper.Update{
+			keeper.NewUpdate(ref, nil, delta, 1), keeper.NewUpdate(ref, whole, nil, 0),
+		}))
+		s, _ := k.Document(ref.Key())
+		if main[0].Ref().Above(s.Ref()) || parser.Digest(s.Document()) != s.Ref().Digest() {
+			t.Errorf("serves %v", s.Ref())
+		}
+	})
+}
