--- a/standin/leafserver/control.go
+++ b/standin/leafserver/control.go
@@ -187,7 +187,9 @@
 		changed++
 		s.faults.change(o.change)
 		s.hold(o, learned)
-		s.setDown(o)
+		if err := s.setDown(o); err != nil {
+			return 0, errors.Wrap(err, "Fleet.apply")
+		}
 		if ok {
 			s.SetState(state)
 		}
@@ -226,12 +228,12 @@
 }
 
 // setDown loses the server, or brings it back.
-func (s *Server) setDown(o faultOrder) {
+func (s *Server) setDown(o faultOrder) error {
 	l := s.listener.Load()
 	if l == nil || (o.Down == nil && !o.Clear) {
-		return
+		return nil
 	}
-	l.setDown(o.Down != nil && *o.Down)
+	return l.setDown(o.Down != nil && *o.Down)
 }
 
 // hold changes what the server holds.
