Call no server that has left the set

Cause: random histories with changes of the set, of the share and a leaving owner showed calls to a server that the new set does not name: its timers and replies still looked at its former shards. Change: a server that leaves the set keeps no shards. The histories have those events now.

--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -186,6 +186,9 @@
 	d.maxOwners = MaxOwners(d.set, d.dataCentre)
 	known := d.servers
 	d.servers = map[string]*server{}
+	for _, s := range known {
+		s.shards = nil // one that left the set starts nothing more
+	}
 	for _, b := range d.set.Servers() {
 		if b.DataCentre() != d.dataCentre {
 			continue
--- a/tier/dispatcher/events.go
+++ b/tier/dispatcher/events.go
@@ -115,7 +115,8 @@
 	return &HoldingChanged{server: server, shard: shard, epoch: e, versions: versions}
 }
 
-// SetChanged replaces the shard set's description.
+// SetChanged replaces the shard set's description. Servers that are new to it
+// have an unknown state and unknown holdings until they are told.
 type SetChanged struct{ set *tier.ShardSet }
 
 // NewSetChanged returns a change of the set.
--- a/tier/dispatcher/monitor_test.go
+++ b/tier/dispatcher/monitor_test.go
@@ -12,6 +12,7 @@
 type monitor struct {
 	set      *tier.ShardSet
 	share    shareOf
+	leaving  bool
 	states   map[string]tier.BackendState
 	parts    map[uint64]*watched
 	calls    map[uint64]*Call
@@ -31,6 +32,7 @@
 	notRun int
 	first  map[string]bool
 	ends   int
+	late   bool // submitted to a dispatcher that leaves
 }
 
 func newMonitor(set *tier.ShardSet, share shareOf) *monitor {
@@ -50,14 +52,32 @@
 func (m *monitor) before(e Event) {
 	switch e := e.(type) {
 	case *Submit:
-		m.parts[e.part] = &watched{submit: e, first: map[string]bool{}}
+		m.parts[e.part] = &watched{submit: e, first: map[string]bool{}, late: m.leaving}
 	case *BackendChanged:
-		m.states[e.server] = e.state
+		if _, ok := m.set.Server(e.server); ok {
+			m.states[e.server] = e.state
+		}
+	case *SetChanged:
+		m.setChanged(e.set)
+	case *ShareChanged:
+		m.share = shareOf{owners: e.owners, index: e.index}
+	case *Leaving:
+		m.leaving = true
 	case *Replied:
 		m.replied(e)
 	}
 }
 
+// setChanged forgets the states of servers that come back to the set.
+func (m *monitor) setChanged(set *tier.ShardSet) {
+	for _, b := range set.Servers() {
+		if _, ok := m.set.Server(b.Name()); !ok && m.running[b.Name()] == 0 {
+			delete(m.states, b.Name())
+		}
+	}
+	m.set = set
+}
+
 func (m *monitor) replied(e *Replied) {
 	c := m.calls[e.attempt]
 	delete(m.calls, e.attempt)
@@ -103,6 +123,7 @@
 func (m *monitor) called(now tier.Millis, c *Call) {
 	w := m.parts[c.part]
 	m.calls[c.attempt] = c
+	m.check(!w.late, "call %d of part %d that came after leaving", c.attempt, c.part)
 	m.check(w.ends == 0, "call %d after the end of part %d", c.attempt, c.part)
 	m.check(now < w.submit.deadline, "call %d at %d, deadline %d", c.attempt, now, w.submit.deadline)
 	m.check(m.states[c.server].TakesWork(), "call %d to server %s that is %s", c.attempt, c.server, m.states[c.server])
--- a/tier/dispatcher/property_test.go
+++ b/tier/dispatcher/property_test.go
@@ -96,7 +96,7 @@
 // run takes numbers from pick, each from 0 to below its argument.
 func (h *history) run(steps int, pick func(int) int) {
 	for range steps {
-		switch k := pick(20); {
+		switch k := pick(22); {
 		case k < 7:
 			h.submit(pick)
 		case k < 14:
@@ -110,8 +110,14 @@
 		case k == 19:
 			held := []tier.Version{tier.Version(1 + pick(2)), tier.Version(1 + pick(3))}
 			h.step(NewHoldingChanged(h.server(pick), fmt.Sprintf("s%d", pick(6)), 1, held))
+		case k == 20:
+			h.step(NewSetChanged(testSet(4-pick(2), 6-pick(3), 2+pick(2))))
+		case k == 21:
+			h.step(NewShareChanged(1+pick(2), 0))
 		}
 	}
+	h.step(&Leaving{})
+	h.submit(pick)
 	h.drain()
 }
 
