Dial other addresses, and print a VM's settings from a deployment

Cause: VMs could not be put behind links that can be cut, and each script would have repeated the addresses of the deployment.

--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -81,13 +81,14 @@
 	changes := ring.New[gossiper.Action](changesSize)
 	gossip, err := exchanging.New(d.self, d.clock,
 		exchanging.WithChanges(changes),
+		exchanging.WithAddresses(d.settings.dial),
 		exchanging.WithGossip(gossiper.WithSeed(uint64(d.self.Incarnation()))))
 	if err != nil {
 		return errors.Wrap(err, "buildControl")
 	}
 	gossip.SetSeeds(d.settings.seeds)
 	d.gossip = gossip
-	store := etcdgateway.New(d.settings.storeAddress)
+	store := etcdgateway.New(d.settings.dialed(d.settings.storeAddress))
 	d.config = watching.New(d.self, store, d.clock,
 		watching.WithPeers(d.peer),
 		watching.WithPublisher(gossip.Publish),
@@ -150,7 +151,7 @@
 	c := &claims{claiming: d.claiming}
 	b := &booker{claims: c, registry: d.registry}
 	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
-	d.client = messenger.NewClient(d.self, server, d.clock)
+	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialed(d.settings.dialed))
 	front := asker.New(d.self.DataCentre(), d.clock, d.locator, d.client, c)
 	h := handler.New(d.self.Name(), d.clock, d.config, front, d.inflight, d,
 		handler.WithMetrics(m.Handler()),
--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -35,6 +35,7 @@
 	peerAdvertise string
 	storeAddress  string
 	seeds         []string
+	dial          map[string]string
 	balancerLag   tier.Millis
 	stopLimit     tier.Millis
 	maxBodyBytes  int
@@ -67,6 +68,7 @@
 		{"peer-advertise", "where other VMs reach this VM; empty: peer-address", "", "empty, or " + addressAllowed, setOptional(setAddress(func(s *settings) *string { return &s.peerAdvertise }))},
 		{"store", "the platform's key-value service (etcd v3 JSON gateway)", "127.0.0.1:2379", addressAllowed, setAddress(func(s *settings) *string { return &s.storeAddress })},
 		{"seeds", "peer addresses of some other VMs, separated by commas", "", "empty, or IP numbers with ports, separated by commas", setSeeds},
+		{"dial", "other addresses to dial in place of those of VMs and the store, such as a relay's", "", "empty, or pairs ADDRESS=ADDRESS of IP numbers with ports, separated by commas", setDial},
 		{"balancer-lag-ms", "how long the platform's balancer may still send work after readiness fails", millisText(defaultBalancerLag), "0 to 300000", setMillis(0, maxBalancerLag, func(s *settings) *tier.Millis { return &s.balancerLag })},
 		{"stop-limit-ms", "how long a planned stop waits for work in flight", millisText(defaultStopLimit), "1000 to 1800000", setMillis(tier.Second, maxStopLimit, func(s *settings) *tier.Millis { return &s.stopLimit })},
 		{"max-body-bytes", "largest body of a caller's request", strconv.Itoa(defaultMaxBodyBytes), "1024 to 1048576", setInt(1024, maxMaxBodyBytes, func(s *settings) *int { return &s.maxBodyBytes })},
@@ -110,6 +112,29 @@
 	return true
 }
 
+func setDial(s *settings, v string) bool {
+	s.dial = map[string]string{}
+	if v == "" {
+		return true
+	}
+	for _, pair := range strings.Split(v, ",") {
+		from, to, ok := strings.Cut(pair, "=")
+		if !ok || !validAddress(from) || !validAddress(to) {
+			return false
+		}
+		s.dial[from] = to
+	}
+	return true
+}
+
+// dialed is the address to dial in place of another.
+func (s *settings) dialed(address string) string {
+	if to, ok := s.dial[address]; ok {
+		return to
+	}
+	return address
+}
+
 func setMillis(low, high tier.Millis, field func(*settings) *tier.Millis) func(*settings, string) bool {
 	return func(s *settings, v string) bool {
 		n, err := strconv.ParseInt(v, 10, 64)
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -14,5 +14,6 @@
 		loadCommand(),
 		experimentCommand(),
 		reportCommand(),
+		settingsCommand(),
 	}
 }
