--- a/standin/checker/violation.go
+++ b/standin/checker/violation.go
@@ -16,6 +16,7 @@
 	NoSnapshot     Kind = "no-snapshot"     // answered without a known snapshot
 	FalseRefusal   Kind = "false-refusal"   // refused as not run, but it ran
 	LostBooking    Kind = "lost-booking"    // answered, but it never ran
+	CutOff         Kind = "cut-off"         // no answer, though VMs only stopped as planned
 	InvalidOutcome Kind = "invalid-outcome" // no outcome, rank or body of the API
 )
 
--- a/standin/loader/duty.go
+++ b/standin/loader/duty.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// vm takes the VMs in turn, as the platform's balancer does.
-func (d *duty) vm(n int) *caller.VM { return d.run.vms[d.stream.vms[n%len(d.stream.vms)]] }
+// vm takes the ready VMs in turn, as the platform's balancer does.
+func (d *duty) vm(n int) *caller.VM { return d.run.vms[d.run.balancer.pick(d.stream.vms, n)] }
 
 func (d *duty) search(id string, due time.Time) request {
 	terms := d.run.records.Terms(d.stream.set.Name())
@@ -129,7 +129,7 @@
 	}
 	a, err := d.ask(ctx, q)
 	if err != nil {
-		return ended{}
+		return d.failed(q, err)
 	}
 	e := ended{latency: time.Since(q.due), answer: a}
 	e.inTime = e.latency <= d.stream.deadline.Duration()
@@ -141,6 +141,15 @@
 	return e
 }
 
+// failed is the end of a request without an answer. Where VMs only stop as
+// planned, none may be cut off.
+func (d *duty) failed(q request, err error) ended {
+	if !d.run.workload.planned {
+		return ended{}
+	}
+	return ended{violations: []checker.Violation{{Kind: checker.CutOff, RequestID: q.id, Detail: err.Error()}}}
+}
+
 func (d *duty) ask(ctx context.Context, q request) (*checker.Answer, error) {
 	switch {
 	case d.stream.book:
--- a/standin/loader/run.go
+++ b/standin/loader/run.go
@@ -32,6 +32,7 @@
 	deployment *deployer.Deployment
 	version    tier.Version
 	vms        []*caller.VM
+	balancer   *balancer
 	straight   *caller.Bare
 	records    *recorder.Recorder
 	checker    *checker.Checker
@@ -56,6 +57,7 @@
 		records:    recorder.New(d.Seed()),
 		ledger:     checker.NewLedger(),
 		backends:   leafserver.NewClient(d.Control()),
+		balancer:   newBalancer(d),
 		ends:       ring.New[ended](ringSize),
 		version:    1,
 	}
@@ -92,6 +94,9 @@
 	defer stop()
 	var collecting errgroup.Group
 	collecting.Go(func() error { return s.collect(collected, r.ends) })
+	for i := range r.vms {
+		collecting.Go(func() error { return r.balancer.watch(collected, i) })
+	}
 	err = r.send(ctx)
 	stop()
 	_ = collecting.Wait()
--- a/standin/loader/summary.go
+++ b/standin/loader/summary.go
@@ -160,16 +160,25 @@
 	return &s.out
 }
 
-// post sends an order to the backend servers or to the links.
+// post gives an order to the stand-in that it is meant for.
 func (r *Run) post(ctx context.Context, o order) error {
-	if o.to == toBackends {
+	switch o.to {
+	case toBackends:
 		_, err := r.backends.Order(ctx, o.body)
 		return err
+	case toStore:
+		return command(ctx, http.MethodPut, "http://"+r.deployment.Store()+"/faults", o.body)
+	default:
+		return command(ctx, http.MethodPost, "http://"+r.deployment.Links()+"/links", o.body)
 	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.deployment.Links()+"/links", bytes.NewReader(o.body))
+}
+
+func command(ctx context.Context, method, url string, body []byte) error {
+	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
+	q.Header.Set("Content-Type", "application/json")
 	a, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return err
@@ -177,7 +186,7 @@
 	defer func() { _ = a.Body.Close() }()
 	if a.StatusCode != http.StatusOK {
 		b, _ := io.ReadAll(a.Body)
-		return errors.Errorf("links: %s: %s", a.Status, bytes.TrimSpace(b))
+		return errors.Errorf("%s: %s: %s", url, a.Status, bytes.TrimSpace(b))
 	}
 	return nil
 }
--- a/standin/loader/workload.go
+++ b/standin/loader/workload.go
@@ -37,6 +37,7 @@
 	name        string
 	seed        uint64
 	maxInFlight int
+	planned     bool // VMs only stop as planned: no request may be cut off
 	phases      []phase
 	maps        []*tier.ShardSet // later shard maps that answers may name
 }
@@ -72,6 +73,7 @@
 	Description string          `json:"description"`
 	Seed        uint64          `json:"seed"`
 	MaxInFlight int             `json:"max-in-flight"`
+	Planned     bool            `json:"planned-stops-only"`
 	ShardMaps   []string        `json:"shard-maps"` // set documents of later epochs, relative to this file
 	Phases      []phaseDocument `json:"phases"`
 }
@@ -97,7 +99,7 @@
 
 type orderDocument struct {
 	After tier.Millis     `json:"after-ms"`
-	To    string          `json:"to"` // backends or links
+	To    string          `json:"to"` // backends, links or store
 	Order json.RawMessage `json:"order"`
 	Learn string          `json:"learn-file"` // a set document, in place of an order
 }
@@ -106,6 +108,7 @@
 const (
 	toBackends = "backends"
 	toLinks    = "links"
+	toStore    = "store"
 )
 
 // Read reads a workload's file for a deployment.
@@ -120,7 +123,7 @@
 	if err := dec.Decode(&doc); err != nil {
 		return nil, errors.Wrap(err, "Read "+path)
 	}
-	w := &Workload{name: doc.Name, seed: doc.Seed, maxInFlight: doc.MaxInFlight}
+	w := &Workload{name: doc.Name, seed: doc.Seed, maxInFlight: doc.MaxInFlight, planned: doc.Planned}
 	if w.maxInFlight == 0 {
 		w.maxInFlight = defaultMaxInFlight
 	}
@@ -172,7 +175,7 @@
 			requests += s.Rate * x.Seconds * (1 + s.Repeats)
 		}
 		for j, o := range x.Orders {
-			l.check(o.To == toBackends || o.To == toLinks, fmt.Sprintf("%s.orders[%d].to", path, j), o.To, "backends or links")
+			l.check(o.To == toBackends || o.To == toLinks || o.To == toStore, fmt.Sprintf("%s.orders[%d].to", path, j), o.To, "backends, links or store")
 			f.orders = append(f.orders, order{after: o.After, to: o.To, body: o.Order})
 		}
 		seconds += x.Seconds
