Keep serving while owners die, pause or move

Bookings waited until their deadline while the store was down. Ruled out: the dispatcher (no call lost), the planner (it had no other owner to ask). Change: a VM that did not answer is asked last for 2 s, and HTTP/2 pings find it within 1.5 s; an owner is asked once it has reported, the leaving one until then; the first parts of a new owner wait at most 0.5 s for its servers' health; a VM joins once it knows the reports; a VM that does not own a set stands by with one slot of each server (dispatcher.Standby); an owner has 50 ms less than the front for a booking; the claimer tells callers after 0.3 s of failures that the store is down, and the next ones at once.

--- a/cicadagraded/asker/book.go
+++ b/cicadagraded/asker/book.go
@@ -67,11 +67,16 @@
 	})
 }
 
+// bookingReserve is kept of a booking's time for the owner's answer to come
+// back.
+const bookingReserve = 50 * tier.Millis(1)
+
 // forward sends a booking to an owner, once: the next owner is tried only
 // when the booking did not reach the one before.
 func (f *Front) forward(ctx context.Context, b Booking, set *tier.ShardSet, shard tier.Shard, minted bool) (tier.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, (b.deadline - f.clock.Now()).Duration())
 	defer cancel()
+	b.deadline -= min(bookingReserve, (b.deadline-f.clock.Now())/4)
 	for _, vm := range f.bookingOwners(set, shard) {
 		o, err := f.messenger.Book(ctx, vm, NewForwarded(b, shard.ID(), minted))
 		if err == nil {
@@ -81,6 +86,7 @@
 		if errors.As(err, &reused) {
 			return nil, errors.Wrap(err, "Front.forward")
 		}
+		f.directory.Failed(vm.Name())
 		if !wasNotSent(err) {
 			return tier.NewUnknown(tier.UnknownLostReply), nil
 		}
--- a/cicadagraded/asker/front_test.go
+++ b/cicadagraded/asker/front_test.go
@@ -27,6 +27,8 @@
 	return []tier.VM{tier.NewVM("vm-1", dataCentre, "127.0.0.1:1")}
 }
 
+func (h *home) Failed(string) {}
+
 func (h *home) Admit(string, tier.Rank) (tier.Millis, bool) { return 0, true }
 
 func (h *home) Ask(_ context.Context, _ tier.VM, _ string, s owner.Search) (owner.End, error) {
--- a/cicadagraded/asker/search.go
+++ b/cicadagraded/asker/search.go
@@ -121,22 +121,26 @@
 	})
 }
 
-// ask tries the owners of a data centre in turn. The next one is tried only
-// when the part was not sent, or when the VM was lost: searches are
-// repeatable.
+// ask tries the owners of a data centre in turn. The next one is tried when
+// the part was not sent, or when the VM was lost: searches are repeatable.
 func (r *run) ask(ctx context.Context, a *planner.SendPart, s owner.Search) planner.Event {
 	vms := r.front.directory.Owners(r.set.Name(), a.DataCentre(), r.front.turn.Add(1))
-	for i, vm := range vms {
+	sent := false
+	for _, vm := range vms[:min(len(vms), maxOwnersTried)] {
 		end, err := r.front.messenger.Ask(ctx, vm, r.set.Name(), s)
 		if err == nil {
 			return r.ended(a, end)
 		}
+		if r.ctx.Err() == nil {
+			r.front.directory.Failed(vm.Name())
+		}
 		if ctx.Err() != nil {
 			return planner.NewPartFailed(a.Part(), tier.MissDeadline)
 		}
-		if i+1 >= maxOwnersTried {
-			break
-		}
+		sent = sent || !wasNotSent(err)
+	}
+	if !sent {
+		return planner.NewPartRefused(a.Part(), tier.RefuseUnreachable, 0)
 	}
 	return planner.NewPartFailed(a.Part(), tier.MissCutOff)
 }
--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -42,6 +42,10 @@
 	members  []tier.VM
 	sets     []*tier.ShardSet
 	dropped  uint64
+	joined   bool
+	began    tier.Millis
+	clock    *tier.Clock
+	join     func()
 }
 
 // Run follows changes until ctx ends.
@@ -110,9 +114,30 @@
 	if !c.gossip.Fresh() {
 		return nil
 	}
+	c.tryJoin()
 	return c.registry.Sync(ctx, c.sets, c.ownersOf)
 }
 
+// joinLimit is how long a VM waits for the reports of owners before it joins
+// without them: there may be none.
+const joinLimit = 5 * tier.Second
+
+// tryJoin has the VM join once it has heard from peers, has a configuration
+// and knows what the owners of each set report.
+func (c *control) tryJoin() {
+	if c.joined || !c.config.Ready() {
+		return
+	}
+	if c.began == 0 {
+		c.began = c.clock.Now()
+	}
+	if !c.locator.Informed() && c.clock.Now()-c.began < joinLimit {
+		return
+	}
+	c.joined = true
+	c.join()
+}
+
 // liveNames lists the live VMs of this data centre and of the others.
 func (c *control) liveNames() (local, remote []string) {
 	for _, m := range c.members {
@@ -133,7 +158,7 @@
 	if !hasServers(s, c.self.DataCentre()) {
 		return nil
 	}
-	return picker.Owners(s.Name(), c.self.DataCentre(), c.members, s.Owners())
+	return picker.Owners(s.Name(), c.self.DataCentre(), c.members, locator.OwnerCount(s, c.self.DataCentre()))
 }
 
 func hasServers(s *tier.ShardSet, dataCentre string) bool {
@@ -173,6 +198,14 @@
 	}
 }
 
+// withdraw takes back the report of an owner that ended.
+func (c *control) withdraw(set string) {
+	c.locator.Reported(set, c.self.Name(), owner.Report{}, false)
+	if err := c.gossip.Publish(setPrefix+set, nil); err != nil {
+		c.logger.Error("withdraw", "set", set, "error", err)
+	}
+}
+
 // notice logs a change of a backend server's state.
 func (c *control) notice(set, server string, s tier.BackendState, reason string) {
 	c.logger.Info("backend", "set", set, "server", server, "state", s, "reason", reason)
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -97,10 +97,10 @@
 	d.claiming = claiming.New(store, d.self.Name(), d.self.Incarnation(), d.clock, claiming.WithLive(d.live))
 	d.control = &control{
 		self: d.self, logger: d.logger, gossip: gossip, changes: changes,
-		config: d.config, locator: d.locator,
+		config: d.config, locator: d.locator, clock: d.clock, join: d.join,
 	}
 	id := owner.NewIdentity(d.self.Name(), d.self.DataCentre(), d.self.Incarnation())
-	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control.publish, d.control.notice)
+	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control.publish, d.control.withdraw, d.control.notice)
 	d.control.registry = d.registry
 	return nil
 }
@@ -115,14 +115,15 @@
 	return nil, false
 }
 
-// live reports whether a life of a VM is believed to go on.
+// live reports whether a life of a VM is believed to go on. A VM that has not
+// heard from its peers yet believes so of all.
 func (d *daemon) live(vm string, i tier.Incarnation) bool {
 	for _, m := range d.gossip.Members() {
 		if m.Name() == vm {
 			return m.Incarnation() == i && m.State() != tier.VMDead
 		}
 	}
-	return false
+	return !d.gossip.Fresh()
 }
 
 // otherSeeds counts the seeds that are not this VM.
@@ -184,8 +185,6 @@
 		balancerLag: d.settings.balancerLag, stopLimit: d.settings.stopLimit,
 	}
 	d.addDuty(&g, s.Run)
-	d.inflight.ready.Store(true)
-	d.gossip.SetState(tier.VMLive)
 	d.logger.Info("started", "data-centre", d.self.DataCentre(), "api", d.settings.apiAddress, "peer", d.settings.peerAddress, "incarnation", d.self.Incarnation())
 	err := g.Run()
 	d.cancel()
@@ -195,6 +194,15 @@
 	return errors.Wrap(err, "daemon.run")
 }
 
+// join has the VM own sets and take callers' requests, unless a planned stop
+// has begun.
+func (d *daemon) join() {
+	if d.inflight.join() {
+		d.gossip.SetState(tier.VMLive)
+		d.logger.Info("joined")
+	}
+}
+
 // addDuty adds a duty that ends when its context does.
 func (d *daemon) addDuty(g *run.Group, duty func(context.Context) error) {
 	ctx, cancel := context.WithCancel(d.ctx)
--- a/cicadagraded/handler/handler.go
+++ b/cicadagraded/handler/handler.go
@@ -151,8 +151,8 @@
 	case *tier.Refused:
 		w.Outcome = outcomeRefused
 		w.Reason = string(o.Reason())
-		w.RetryAfterMs = o.RetryAfter()
-		setRetryAfter(c, o.RetryAfter())
+		w.RetryAfterMs = retryAfter(o)
+		setRetryAfter(c, w.RetryAfterMs)
 		return refusedStatus(o.Reason())
 	case *tier.Unknown:
 		w.Outcome = outcomeUnknown
@@ -168,6 +168,24 @@
 	}
 }
 
+// retryAfter is when to come back after a refusal. Where nobody could run the
+// request, and no time can be told, that is when failures are noticed at the
+// latest.
+func retryAfter(r *tier.Refused) tier.Millis {
+	if r.RetryAfter() > 0 {
+		return r.RetryAfter()
+	}
+	switch r.Reason() {
+	case tier.RefuseUnreachable, tier.RefuseNoReplica, tier.RefuseNoOwner, tier.RefuseNoConfig, tier.RefuseNoStore, tier.RefuseByServer:
+		return lostRetryAfter
+	default:
+		return 0
+	}
+}
+
+// lostRetryAfter is when to come back while something can't be reached.
+const lostRetryAfter = 2 * tier.Second
+
 func refusedStatus(r tier.RefuseReason) int {
 	switch r {
 	case tier.RefuseKeyExpired:
--- a/cicadagraded/handler/session_test.go
+++ b/cicadagraded/handler/session_test.go
@@ -94,6 +94,8 @@
 	return []tier.VM{tier.NewVM(dataCentre+"-1", dataCentre, "127.0.0.1:1")}
 }
 
+func (w *world) Failed(string) {}
+
 func (w *world) Admit(string, tier.Rank) (tier.Millis, bool) {
 	if w.step.Admit != nil {
 		return *w.step.Admit, false
--- a/cicadagraded/inflight.go
+++ b/cicadagraded/inflight.go
@@ -17,6 +17,7 @@
 	ready atomic.Bool
 
 	mu      sync.Mutex
+	leaving bool
 	last    uint64
 	callers int
 	open    map[uint64]string
@@ -60,6 +61,22 @@
 	f.callers -= callers
 }
 
+// join has the balancer send work, unless the VM leaves.
+func (f *inflight) join() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ready.Store(!f.leaving)
+	return !f.leaving
+}
+
+// leave has the balancer send no more work.
+func (f *inflight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+	f.ready.Store(false)
+}
+
 // Ready reports whether the balancer may send work here.
 func (f *inflight) Ready() bool { return f.ready.Load() }
 
--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -12,6 +12,7 @@
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/admitter"
+	"cicadagrade.example/tier/dispatcher"
 	"cicadagrade.example/tier/picker"
 )
 
@@ -25,8 +26,10 @@
 	sets      map[string]*tier.ShardSet
 	earlier   map[string]*tier.ShardSet // the former shard map of a set
 	reports   map[reportKey]heardReport
-	admitters map[string]*admitter.Admitter
 	reachable map[string]bool
+	admitMu   sync.Mutex
+	admitters map[string]*admitter.Admitter
+	failed    sync.Map // name of a VM to the tier.Millis of its last failure
 }
 
 // reportKey names the report of an owner on its set.
@@ -64,7 +67,9 @@
 
 // place is what is known of a set in a data centre.
 type place struct {
+	owners     int // how many of the candidates split the slots
 	candidates []tier.VM
+	reported   map[string]bool // the VMs whose reports count
 	epoch      tier.Epoch
 	versions   map[string][]tier.Version
 	thresholds []admitter.Published
@@ -173,10 +178,18 @@
 // The reports of VMs that only ran parts for a while do not count.
 func (l *Locator) placeUnder(s *tier.ShardSet, dataCentre string) *place {
 	p := &place{
+		owners:     OwnerCount(s, dataCentre),
 		candidates: picker.Owners(s.Name(), dataCentre, l.members, max(maxCandidates, s.Owners())),
+		reported:   map[string]bool{},
 		epoch:      s.Epoch(),
 		versions:   map[string][]tier.Version{},
 	}
+	for _, vm := range l.members {
+		_, ok := l.reports[reportKey{s.Name(), vm.Name()}]
+		if ok && vm.DataCentre() == dataCentre && vm.State() == tier.VMLeaving {
+			p.candidates = append(p.candidates, vm)
+		}
+	}
 	for i, vm := range p.candidates {
 		h, ok := l.reports[reportKey{s.Name(), vm.Name()}]
 		if !ok {
@@ -184,8 +197,9 @@
 		}
 		if r, ok := h.under(s.Epoch()); ok {
 			p.merge(s, r)
+			p.reported[vm.Name()] = r.Informed()
 		}
-		if i < s.Owners() {
+		if i < p.owners {
 			p.thresholds = append(p.thresholds, admitter.NewPublished(h.report.Threshold(), h.heard))
 		}
 	}
@@ -225,6 +239,18 @@
 	return p.epoch, p.versions[shard]
 }
 
+// Informed reports whether each set's holdings are known in every data centre
+// that is reachable and has live VMs.
+func (l *Locator) Informed() bool {
+	v := l.current.Load()
+	for k, p := range v.places {
+		if v.reachable[k.dataCentre] && len(p.candidates) > 0 && len(p.versions) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Reachable reports whether a data centre answers.
 func (l *Locator) Reachable(dataCentre string) bool {
 	return l.current.Load().reachable[dataCentre]
@@ -239,13 +265,43 @@
 	if !ok || len(p.candidates) == 0 {
 		return nil
 	}
-	n := min(v.sets[set].Owners(), len(p.candidates))
+	n := min(p.owners, len(p.candidates))
 	first := int(turn % uint64(n))
 	out := make([]tier.VM, 0, len(p.candidates))
 	for i := range n {
 		out = append(out, p.candidates[(first+i)%n])
 	}
-	return append(out, p.candidates[n:]...)
+	return l.order(p, append(out, p.candidates[n:]...))
+}
+
+// SuspectFor is how long a VM that did not answer is asked last: gossip takes
+// some seconds to tell whether it is lost.
+const SuspectFor = 2 * tier.Second
+
+// Failed notes that a VM did not answer a request.
+func (l *Locator) Failed(vm string) { l.failed.Store(vm, l.clock.Now()) }
+
+// order moves VMs that have not reported behind those that have, and VMs that
+// did not answer of late behind all.
+func (l *Locator) order(p *place, vms []tier.VM) []tier.VM {
+	now := l.clock.Now()
+	slices.SortStableFunc(vms, func(a, b tier.VM) int {
+		return l.demerit(now, p, a.Name()) - l.demerit(now, p, b.Name())
+	})
+	return vms
+}
+
+// demerit is 0 for a VM to ask first.
+func (l *Locator) demerit(now tier.Millis, p *place, vm string) int {
+	at, failed := l.failed.Load(vm)
+	switch {
+	case failed && now-at.(tier.Millis) < SuspectFor:
+		return 2
+	case !p.reported[vm]:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Admit applies the thresholds that the owners of a set publish.
@@ -259,8 +315,8 @@
 	for _, d := range s.DataCentres() {
 		all = append(all, v.places[placeKey{set, d}].thresholds...)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.admitMu.Lock()
+	defer l.admitMu.Unlock()
 	a, ok := l.admitters[set]
 	if !ok {
 		a = admitter.New()
@@ -268,3 +324,9 @@
 	}
 	return a.Admit(l.clock.Now(), rank, all...)
 }
+
+// OwnerCount is how many VMs of a data centre split the slots of a set: as many
+// as its document says, if each server has a slot for each of them.
+func OwnerCount(s *tier.ShardSet, dataCentre string) int {
+	return min(s.Owners(), dispatcher.MaxOwners(s, dataCentre))
+}
--- a/cicadagraded/locator/locator_test.go
+++ b/cicadagraded/locator/locator_test.go
@@ -54,3 +54,33 @@
 	l.Reported("portao", "caxias-1", report(t, 2, `{"versions":[7],"shards":["new"]}`), true)
 	check("once it is held", "new", 2, 1)
 }
+
+// TestOwnersInOrder: a VM that leaves goes on until the next owner has
+// reported, and a VM that did not answer is asked last for a while.
+func TestOwnersInOrder(t *testing.T) {
+	clock := tier.NewManualClock(0)
+	l := locator.New(clock.Clock())
+	set := newSet(t, 1, "s0")
+	vm := func(name string, s tier.VMState) tier.VM {
+		return tier.NewVM(name, "serra-caxias", "127.0.0.1:1", tier.WithVMState(s))
+	}
+	informed := func(name string) { l.Reported("portao", name, report(t, 1, `{"versions":[7],"shards":["s0"]}`), true) }
+	first := func() string { return l.Owners("portao", "serra-caxias", 0)[0].Name() }
+	l.Update([]*tier.ShardSet{set}, []tier.VM{vm("old", tier.VMLeaving), vm("new", tier.VMLive)}, func(string) bool { return true })
+	informed("old")
+	if first() != "old" {
+		t.Errorf("asks %s before it has reported", first())
+	}
+	informed("new")
+	if first() != "new" {
+		t.Errorf("asks %s, want the owner", first())
+	}
+	l.Failed("new")
+	if first() != "old" {
+		t.Errorf("asks %s, which did not answer", first())
+	}
+	clock.Advance(locator.SuspectFor)
+	if first() != "new" {
+		t.Errorf("asks %s, want the owner again", first())
+	}
+}
--- a/cicadagraded/messenger/client.go
+++ b/cicadagraded/messenger/client.go
@@ -23,8 +23,8 @@
 const (
 	connectTimeout = 500 * time.Millisecond
 	maxReplyBytes  = 64 << 20
-	pingInterval   = 2 * time.Second
-	pingTimeout    = 2 * time.Second
+	pingInterval   = 500 * time.Millisecond
+	pingTimeout    = 1 * time.Second
 )
 
 // Client sends requests to other VMs, and to this one without a connection.
--- a/cicadagraded/owner/loop.go
+++ b/cicadagraded/owner/loop.go
@@ -61,6 +61,9 @@
 	if next, ok := o.nextProbe(); ok {
 		due = min(due, next)
 	}
+	if len(o.early) > 0 {
+		due = min(due, o.warmAt)
+	}
 	return max(due-now, 0)
 }
 
@@ -70,6 +73,9 @@
 		o.step(&dispatcher.Tick{})
 	}
 	o.tickProbers(now)
+	if now >= o.warmAt {
+		o.submitEarly()
+	}
 	if now >= o.reportAt {
 		o.report(now)
 	}
@@ -89,15 +95,40 @@
 		o.setChanged(m.set)
 	case *shareMessage:
 		o.step(dispatcher.NewShareChanged(m.owners, m.index))
-	case *leaveMessage:
-		o.step(&dispatcher.Leaving{})
+	case *standbyMessage:
+		o.step(&dispatcher.Standby{})
 	case *statusMessage:
 		m.reply <- o.status()
 	}
 }
 
-// submit hands a part to the dispatcher.
+// submit hands a part to the dispatcher. The first parts of a new owner wait
+// until it knows what its servers hold.
 func (o *Owner) submit(m *submitMessage) {
+	if len(o.unheard) > 0 && o.clock.Now() < o.warmAt {
+		o.early = append(o.early, m)
+		return
+	}
+	o.submitNow(m)
+}
+
+// heard notes that a server's health was read, or could not be.
+func (o *Owner) heard(server string) {
+	delete(o.unheard, server)
+	if len(o.unheard) == 0 {
+		o.submitEarly()
+	}
+}
+
+func (o *Owner) submitEarly() {
+	early := o.early
+	o.early = nil
+	for _, m := range early {
+		o.submitNow(m)
+	}
+}
+
+func (o *Owner) submitNow(m *submitMessage) {
 	o.lastPart++
 	p := &part{number: o.lastPart, end: m.end}
 	o.parts[p.number] = p
@@ -116,6 +147,14 @@
 func (o *Owner) cancelPart(end chan End) {
 	if n, ok := o.byEnd[end]; ok {
 		o.step(dispatcher.NewCancelled(n))
+		return
+	}
+	for i, m := range o.early {
+		if m.end == end {
+			o.early = slices.Delete(o.early, i, i+1)
+			end <- &NotRun{reason: tier.RefuseCallerGone}
+			return
+		}
 	}
 }
 
--- a/cicadagraded/owner/message.go
+++ b/cicadagraded/owner/message.go
@@ -50,8 +50,8 @@
 // shareMessage changes the owner's share of the slots.
 type shareMessage struct{ owners, index int }
 
-// leaveMessage has the owner accept nothing new.
-type leaveMessage struct{}
+// standbyMessage says that another VM owns the set.
+type standbyMessage struct{}
 
 // statusMessage asks for the owner's status.
 type statusMessage struct{ reply chan Status }
@@ -62,5 +62,5 @@
 func (*healthMessage) message()  {}
 func (*setMessage) message()     {}
 func (*shareMessage) message()   {}
-func (*leaveMessage) message()   {}
+func (*standbyMessage) message() {}
 func (*statusMessage) message()  {}
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -20,6 +20,9 @@
 const (
 	inboxSize      = 8192
 	reportInterval = 200 * tier.Millis(1)
+	// warmLimit is how long a new owner's first parts wait for the health of
+	// its servers.
+	warmLimit = 500 * tier.Millis(1)
 )
 
 // Identity says which life of which VM an owner runs on.
@@ -50,6 +53,9 @@
 	lanes       map[string]*lane
 	probers     map[string]*prober.Prober
 	holdings    map[holdingKey][]tier.Version
+	unheard     map[string]bool
+	early       []*submitMessage
+	warmAt      tier.Millis
 	deferred    []message
 	lastPart    uint64
 	rejected    uint64
@@ -101,6 +107,8 @@
 		calls:    map[uint64]*call{},
 		lanes:    map[string]*lane{},
 		holdings: map[holdingKey][]tier.Version{},
+		unheard:  map[string]bool{},
+		warmAt:   clock.Now() + warmLimit,
 		publish:  publish,
 		notice:   notice,
 		probers:  map[string]*prober.Prober{},
@@ -259,7 +267,7 @@
 	return errors.Wrap(o.inbox.Push(ctx, &shareMessage{owners: owners, index: index}), "Owner.ShareChanged")
 }
 
-// Leave has the owner accept nothing new and finish what it has.
-func (o *Owner) Leave(ctx context.Context) error {
-	return errors.Wrap(o.inbox.Push(ctx, &leaveMessage{}), "Owner.Leave")
+// StandBy tells the owner that another VM owns the set.
+func (o *Owner) StandBy(ctx context.Context) error {
+	return errors.Wrap(o.inbox.Push(ctx, &standbyMessage{}), "Owner.StandBy")
 }
--- a/cicadagraded/owner/probing.go
+++ b/cicadagraded/owner/probing.go
@@ -30,6 +30,7 @@
 			l.end()
 			delete(o.lanes, name)
 			delete(o.probers, name)
+			delete(o.unheard, name)
 		}
 	}
 	for name, b := range wanted {
@@ -41,6 +42,7 @@
 			continue
 		}
 		o.lanes[name] = o.startLane(b)
+		o.unheard[name] = true
 		o.probers[name] = p
 	}
 }
@@ -122,6 +124,7 @@
 
 // healthCame tells a server's prober what its health endpoint said.
 func (o *Owner) healthCame(m *healthMessage) {
+	defer o.heard(m.server)
 	if m.failed {
 		o.sign(m.server, prober.NewHealthFailed(m.number, m.refused))
 		return
--- a/cicadagraded/owner/registry.go
+++ b/cicadagraded/owner/registry.go
@@ -17,16 +17,17 @@
 // Registry holds the owners of this VM, one for each shard set that has
 // backend servers in its data centre.
 type Registry struct {
-	id      Identity
-	clock   *tier.Clock
-	sets    func(name string) (*tier.ShardSet, bool)
-	publish func(set string, r Report)
-	notice  func(set, server string, s tier.BackendState, reason string)
-	mu      sync.Mutex
-	owners  map[string]*held
-	group   *errgroup.Group
-	ctx     context.Context
-	calls   atomic.Uint64
+	id       Identity
+	clock    *tier.Clock
+	sets     func(name string) (*tier.ShardSet, bool)
+	publish  func(set string, r Report)
+	withdraw func(set string)
+	notice   func(set, server string, s tier.BackendState, reason string)
+	mu       sync.Mutex
+	owners   map[string]*held
+	group    *errgroup.Group
+	ctx      context.Context
+	calls    atomic.Uint64
 }
 
 // held is an owner with what the registry knows of it.
@@ -41,12 +42,13 @@
 }
 
 // NewRegistry returns a registry without owners. sets finds the sets in
-// force; publish is told each owner's report, notice each change
+// force; publish is told each owner's report, withdraw that
+// an owner ended, notice each change
 // of a backend server's state.
-func NewRegistry(ctx context.Context, id Identity, clock *tier.Clock, sets func(string) (*tier.ShardSet, bool), publish func(string, Report), notice func(set, server string, s tier.BackendState, reason string)) *Registry {
+func NewRegistry(ctx context.Context, id Identity, clock *tier.Clock, sets func(string) (*tier.ShardSet, bool), publish func(string, Report), withdraw func(set string), notice func(set, server string, s tier.BackendState, reason string)) *Registry {
 	group, inner := errgroup.WithContext(ctx)
 	return &Registry{
-		id: id, clock: clock, sets: sets, publish: publish, notice: notice,
+		id: id, clock: clock, sets: sets, publish: publish, withdraw: withdraw, notice: notice,
 		owners: map[string]*held{}, group: group, ctx: inner,
 	}
 }
@@ -91,8 +93,9 @@
 	name := set.Name()
 	o := New(r.id, r.clock, set, r.attempt, func(p Report) { r.publish(name, p) },
 		func(server string, s tier.BackendState, reason string) { r.notice(name, server, s, reason) })
-	h := &held{owner: o, set: set, owners: 1, usedAt: r.clock.Now(), stop: cancel}
+	h := &held{owner: o, set: set, usedAt: r.clock.Now(), stop: cancel}
 	r.owners[name] = h
+	o.inbox.TryPush(&standbyMessage{})
 	r.group.Go(func() error { return o.Run(ctx) })
 	return h
 }
@@ -137,6 +140,7 @@
 	if !running {
 		h = r.start(set)
 	}
+	lost := h.owned && index < 0
 	h.owned = index >= 0
 	if h.set != set {
 		h.set = set
@@ -144,6 +148,10 @@
 			return err
 		}
 	}
+	if lost {
+		h.owners = 0
+		return h.owner.StandBy(ctx)
+	}
 	if !h.owned || (h.owners == len(owners) && h.index == index) {
 		return nil
 	}
@@ -160,6 +168,7 @@
 	if r.clock.Now()-h.usedAt > idleLimit {
 		h.stop()
 		delete(r.owners, name)
+		r.withdraw(name)
 	}
 }
 
--- a/cicadagraded/owner/report.go
+++ b/cicadagraded/owner/report.go
@@ -28,6 +28,9 @@
 // Versions are the index versions that servers hold of a shard.
 func (r Report) Versions(shard string) []tier.Version { return r.versions[shard] }
 
+// Informed reports whether the owner knows what any server holds.
+func (r Report) Informed() bool { return len(r.versions) > 0 }
+
 // Threshold is the threshold of admission.
 func (r Report) Threshold() admitter.Threshold { return r.threshold }
 
--- a/cicadagraded/stop.go
+++ b/cicadagraded/stop.go
@@ -46,7 +46,7 @@
 func (s *stopper) stop(ctx context.Context, signals <-chan os.Signal) error {
 	began := s.clock.Now()
 	s.logger.Info("stopping", "balancer-lag-ms", s.balancerLag, "limit-ms", s.stopLimit)
-	s.inflight.ready.Store(false)
+	s.inflight.leave()
 	s.gossip.SetState(tier.VMLeaving)
 	ticker := time.NewTicker(stopPoll.Duration())
 	defer ticker.Stop()
--- a/demo/start.sh
+++ b/demo/start.sh
@@ -1,8 +1,11 @@
 # Functions that start a deployment on loopback, for the scripts beside this
 # one. They need bin (the directory of the programs) and deployment (the name
 # of one); logs go to $logs, and every process started is ended at the exit.
-data=standin/deployment/$deployment
 logs=$(mktemp -d)
+data=$logs/$deployment
+cp -r "standin/deployment/$deployment" "standin/deployment/$deployment.json" "$logs"
+# Another loopback address lets two runs go on at once.
+sed -i "s/127\.0\.0\.1/${LOOPBACK:-127.0.0.1}/g" "$data.json" "$data"/*.json
 pids=()
 
 cleanup() {
--- a/tier/claimer/booking.go
+++ b/tier/claimer/booking.go
@@ -78,6 +78,10 @@
 	}
 	g := c.pageOf(e)
 	b, ok := g.bookings[e.key.text]
+	if !ok && g.out(now) && now < g.retryAt {
+		c.finish(w, NotRun(w.first, tier.RefuseNoStore))
+		return
+	}
 	if !ok {
 		b = &booking{key: e.key, fingerprint: e.fingerprint, ticket: e.ticket, deadline: e.deadline, page: g}
 		g.bookings[e.key.text] = b
--- a/tier/claimer/calls.go
+++ b/tier/claimer/calls.go
@@ -90,7 +90,7 @@
 	}
 	claimed, carried := g.claimed, g.carried
 	g.entries, g.revision = g.sent, e.revision
-	g.backoff, g.retryAt = 0, 0
+	g.well()
 	c.close(g)
 	g.removeRecords(carried)
 	for _, r := range carried {
@@ -166,6 +166,15 @@
 	}
 	c.close(g)
 	c.delay(now, g)
+	if !g.failing {
+		g.failing, g.since = true, now
+	}
+	if !g.out(now) {
+		return
+	}
+	for _, b := range g.waiting() {
+		c.drop(b, tier.RefuseNoStore)
+	}
 }
 
 // neverCarried notes that the only write with these claims had no effect.
@@ -197,6 +206,6 @@
 		}
 	}
 	g.known, g.entries, g.revision = true, entries, revision
-	g.backoff, g.retryAt = 0, 0
+	g.well()
 	return true
 }
--- a/tier/claimer/claimer.go
+++ b/tier/claimer/claimer.go
@@ -24,6 +24,7 @@
 	DefaultBackoff     = 10 * tier.Millis(1)
 	MaxBackoff         = 500 * tier.Millis(1)
 	StoreRetryAfter    = 1 * tier.Second // told to callers while the store is down
+	outageAfter        = 300 * tier.Millis(1)
 	DefaultMemory      = 65536
 	maxIdlePages       = 256
 	// Counters start at random, so that two lives that take the same
--- a/tier/claimer/claimer_test.go
+++ b/tier/claimer/claimer_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// TestStoreDownTellsAtOnce: a caller is not kept until its deadline once the
+// store is known to be down, and the next one is told without a try.
+func TestStoreDownTellsAtOnce(t *testing.T) {
+	w := newWorld(1, faults{off: true, vouched: true}, 1)
+	w.down = true
+	key := today + "-down"
+	w.submit(w.vms[0], key, true, minute)
+	w.after(2*tier.Second, func() { w.down = false })
+	w.play()
+	if s := w.sent[0]; nameOf(s.outcome) != "refused" || s.ended-s.called > tier.Second {
+		t.Errorf("%v after %d ms", s.outcome, s.ended-s.called)
+	}
+}
+
 func TestFencedVM(t *testing.T) {
 	w := newWorld(1, faults{off: true, vouched: true}, 2)
 	w.vms[0].step(w.vms[0].life, &claimer.Fenced{})
--- a/tier/claimer/pager.go
+++ b/tier/claimer/pager.go
@@ -25,8 +25,17 @@
 	carried []*record
 	retryAt tier.Millis
 	backoff tier.Millis
+	failing bool        // no call has succeeded since
+	since   tier.Millis // this time
 }
 
+// out reports whether the store has failed for so long that callers are
+// better told at once.
+func (g *page) out(now tier.Millis) bool { return g.failing && now-g.since >= outageAfter }
+
+// well notes that a call of the store succeeded.
+func (g *page) well() { g.backoff, g.retryAt, g.failing = 0, 0, false }
+
 // record is the outcome of a claim that the store does not hold yet.
 type record struct {
 	key     string
--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -32,6 +32,7 @@
 	now     tier.Millis
 	begun   bool
 	leaving bool
+	standby bool
 	left    tier.Millis // when leaving began
 	shared  tier.Millis // when the present share was given
 
@@ -129,6 +130,8 @@
 		d.setChanged(e)
 	case *ShareChanged:
 		d.shareChanged(e)
+	case *Standby:
+		d.standBy()
 	case *Leaving:
 		d.leave()
 	case *Tick:
@@ -162,18 +165,30 @@
 func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
 
 func (d *Dispatcher) shareChanged(e *ShareChanged) {
-	if e.owners == d.owners && e.index == d.index {
+	if e.owners == d.owners && e.index == d.index && !d.standby {
 		return
 	}
 	for _, s := range d.servers {
 		s.base = d.share(s)
 	}
-	d.owners, d.index = e.owners, e.index
+	d.owners, d.index, d.standby = e.owners, e.index, false
 	d.shared = d.now
 	d.applyShares()
 	d.fillAll()
 }
 
+func (d *Dispatcher) standBy() {
+	if d.standby {
+		return
+	}
+	for _, s := range d.servers {
+		s.base = d.share(s)
+	}
+	d.owners, d.index, d.standby = 1, 0, true
+	d.shared = d.now
+	d.applyShares()
+}
+
 func (d *Dispatcher) leave() {
 	if !d.leaving {
 		d.leaving, d.left = true, d.now
--- a/tier/dispatcher/events.go
+++ b/tier/dispatcher/events.go
@@ -3,7 +3,7 @@
 import "cicadagrade.example/tier"
 
 // Event is what a dispatcher is told: *Submit, *Replied, *Cancelled,
-// *BackendChanged, *HoldingChanged, *SetChanged, *ShareChanged, *Leaving or
+// *BackendChanged, *HoldingChanged, *SetChanged, *ShareChanged, *Standby, *Leaving or
 // *Tick.
 type Event interface{ event() }
 
@@ -130,6 +130,11 @@
 	return &ShareChanged{owners: owners, index: index}
 }
 
+// Standby says that another VM owns the set: parts that still come here, such
+// as those of VMs that do not know yet, run on one slot of each server. A
+// ShareChanged ends it.
+type Standby struct{}
+
 // Leaving says that another VM takes over: nothing new is accepted, and what
 // was accepted is finished.
 type Leaving struct{}
@@ -145,4 +150,5 @@
 func (*SetChanged) event()     {}
 func (*ShareChanged) event()   {}
 func (*Leaving) event()        {}
+func (*Standby) event()        {}
 func (*Tick) event()           {}
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -93,12 +93,15 @@
 
 // share is the owner's part of a server's slots. A new or larger share is
 // held at the earlier one, or at one slot, until the takeover time has passed;
-// an owner that leaves falls back to one slot after as long.
+// an owner that leaves or stands by falls back to one slot after as long.
 func (d *Dispatcher) share(s *server) int {
 	n := shareOf{owners: min(d.owners, d.maxOwners), index: d.index}.slots(s.backend.Slots(), s.ordinal)
 	if d.leaving && d.now >= d.left+d.takeover {
 		n = min(n, 1)
 	}
+	if d.standby && d.now >= d.shared+d.takeover {
+		n = min(n, 1)
+	}
 	if d.now >= d.shared+d.takeover {
 		return n
 	}
--- a/tier/dispatcher/share_test.go
+++ b/tier/dispatcher/share_test.go
@@ -131,3 +131,37 @@
 		t.Fatalf("without a floor reports still got %.3f of slot time", got)
 	}
 }
+
+// TestStandbyKeepsOneSlot: a VM that is not the owner never uses more than one
+// slot of a server, nor does a former owner once the takeover time is over.
+func TestStandbyKeepsOneSlot(t *testing.T) {
+	former := New(testSet(1, 1, 4), "here", WithTakeover(100))
+	former.Step(0, &Tick{})
+	former.Step(1000, &Standby{})
+	guest := New(testSet(1, 1, 4), "here", WithTakeover(100))
+	guest.Step(0, &Standby{})
+	for name, c := range map[string]struct {
+		d    *Dispatcher
+		at   tier.Millis
+		want int
+	}{
+		"former, before": {former, 1050, 4},
+		"former, after":  {former, 1100, 1},
+		"guest, before":  {guest, 50, 1},
+		"guest, after":   {guest, 5000, 1},
+	} {
+		c.d.now = c.at
+		for _, s := range c.d.servers {
+			if got := c.d.share(s); got != c.want {
+				t.Errorf("%s: share %d, want %d", name, got, c.want)
+			}
+		}
+	}
+	former.Step(6000, NewShareChanged(1, 0))
+	former.now = 6100
+	for _, s := range former.servers {
+		if got := former.share(s); got != 4 {
+			t.Errorf("owner again: share %d, want 4", got)
+		}
+	}
+}
