--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -88,7 +88,7 @@
 	}
 	gossip.SetSeeds(d.settings.seeds)
 	d.gossip = gossip
-	store := etcdgateway.New(d.settings.dialed(d.settings.storeAddress))
+	store := etcdgateway.New(d.settings.dialled(d.settings.storeAddress))
 	d.config = watching.New(d.self, store, d.clock,
 		watching.WithPeers(d.peer),
 		watching.WithPublisher(gossip.Publish),
@@ -152,7 +152,7 @@
 	c := &claims{claiming: d.claiming}
 	b := &booker{claims: c, registry: d.registry}
 	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
-	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialed(d.settings.dialed))
+	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialled(d.settings.dialled))
 	front := asker.New(d.self.DataCentre(), d.clock, d.locator, d.client, c)
 	h := handler.New(d.self.Name(), d.clock, d.config, front, d.inflight, d,
 		handler.WithMetrics(m.Handler()),
--- a/cicadagraded/messenger/client.go
+++ b/cicadagraded/messenger/client.go
@@ -33,7 +33,7 @@
 	local     *Server
 	clock     *tier.Clock
 	http      *http.Client
-	dialed    func(address string) string
+	dialled   func(address string) string
 	mu        sync.Mutex
 	byAddress map[string]peerv1connect.PeerServiceClient
 }
@@ -41,8 +41,8 @@
 // Option sets one part of a client.
 type Option func(*Client)
 
-// WithDialed sets the address that is dialed in place of a VM's own.
-func WithDialed(f func(address string) string) Option { return func(c *Client) { c.dialed = f } }
+// WithDialled sets the address that is dialled in place of a VM's own.
+func WithDialled(f func(address string) string) Option { return func(c *Client) { c.dialled = f } }
 
 // NewClient returns the client of a VM, whose own requests go to local.
 func NewClient(self tier.VM, local *Server, clock *tier.Clock, opts ...Option) *Client {
@@ -51,7 +51,7 @@
 		local:     local,
 		clock:     clock,
 		http:      NewHTTPClient(),
-		dialed:    func(address string) string { return address },
+		dialled:   func(address string) string { return address },
 		byAddress: map[string]peerv1connect.PeerServiceClient{},
 	}
 	for _, o := range opts {
@@ -79,7 +79,7 @@
 	defer c.mu.Unlock()
 	s, ok := c.byAddress[address]
 	if !ok {
-		s = peerv1connect.NewPeerServiceClient(c.http, "http://"+c.dialed(address), connect.WithReadMaxBytes(maxReplyBytes))
+		s = peerv1connect.NewPeerServiceClient(c.http, "http://"+c.dialled(address), connect.WithReadMaxBytes(maxReplyBytes))
 		c.byAddress[address] = s
 	}
 	return s
--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -127,8 +127,8 @@
 	return true
 }
 
-// dialed is the address to dial in place of another.
-func (s *settings) dialed(address string) string {
+// dialled is the address to dial in place of another.
+func (s *settings) dialled(address string) string {
 	if to, ok := s.dial[address]; ok {
 		return to
 	}
