--- a/cicadagraded/owner/owner_test.go
+++ b/cicadagraded/owner/owner_test.go
@@ -6,14 +6,12 @@
 	"math"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
 	backendv1 "cicadagrade.example/api/backend/v1"
 	"cicadagrade.example/api/backend/v1/backendv1connect"
-	"cicadagrade.example/cicadagraded/dialer"
 	"cicadagrade.example/tier"
 )
 
@@ -202,44 +200,3 @@
 		}
 	})
 }
-
-const benchShards = 20
-
-// BenchmarkOwner is a part of 20 shards through an owner; BenchmarkBare is the
-// same fan-out without one, on the same servers.
-func BenchmarkOwner(b *testing.B) {
-	set := leafSet(b, &leaf{}, benchShards, 2)
-	o, clock := startOwner(b, set)
-	ids := shardIDs(set)
-	p := gate(b)
-	b.ReportAllocs()
-	for b.Loop() {
-		e := o.Search(context.Background(), NewSearch(p, tier.NewSnapshot(1, 1), ids, "term", clock.Now()+tier.Second))
-		if d, ok := e.(*Done); !ok || len(d.Results()) != benchShards {
-			b.Fatalf("end %T", e)
-		}
-	}
-}
-
-func BenchmarkBare(b *testing.B) {
-	set := leafSet(b, &leaf{}, benchShards, 2)
-	var links []*dialer.Link
-	for _, s := range set.Servers() {
-		links = append(links, dialer.NewLink(s, s.Slots()))
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		g, ctx := errgroup.WithContext(context.Background())
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
-		for i, l := range links {
-			g.Go(func() error {
-				_, err := l.Search(ctx, &backendv1.SearchRequest{Attempt: "a", Set: "set", Shard: shardName(i), Snapshot: &backendv1.Snapshot{Epoch: 1, Version: 1}, Term: "term"})
-				return err
-			})
-		}
-		if err := g.Wait(); err != nil {
-			b.Fatal(err)
-		}
-		cancel()
-	}
-}
--- a/tier/dispatcher/bench_test.go
+++ b/tier/dispatcher/bench_test.go
@@ -7,10 +7,9 @@
 	"cicadagrade.example/tier"
 )
 
-// BenchmarkQuery runs whole queries over every shard, from Submit to PartDone,
-
+// BenchmarkQuery runs whole queries over every shard, from Submit to PartDone.
 func BenchmarkQuery(b *testing.B) {
-	for _, shards := range []int{20, 1000} {
+	for _, shards := range []int{20, 110, 330, 1000} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			set := testSet(2*shards, shards, 2)
 			var ids []string
@@ -47,3 +46,53 @@
 		})
 	}
 }
+
+// BenchmarkQueue is the same over 20 shards, with parts waiting in the queue.
+func BenchmarkQueue(b *testing.B) {
+	for _, waiting := range []int{16, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			set := testSet(40, 20, 2)
+			p := testProfile("bulk", tier.Daily, tier.WithQueueLimit(tier.MaxQueueLimit))
+			q := &queueBench{d: New(set, "here", WithTakeover(0)), profile: p}
+			for _, m := range set.Shards() {
+				q.ids = append(q.ids, m.ID())
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.round(waiting)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(q.d.attempts), "ns/leaf-call")
+		})
+	}
+}
+
+// queueBench keeps a dispatcher's queue at a length.
+type queueBench struct {
+	d       *Dispatcher
+	profile *tier.Profile
+	ids     []string
+	now     tier.Millis
+	part    uint64
+	running []uint64
+}
+
+func (q *queueBench) round(waiting int) {
+	for len(q.d.parts) < waiting {
+		q.part++
+		q.take(NewSubmit(q.part, q.profile, q.now+tier.Hour, q.ids))
+	}
+	q.now += 10
+	batch := q.running
+	q.running = nil
+	for _, a := range batch {
+		q.take(NewReplied(a, &ReplyOK{}))
+	}
+}
+
+func (q *queueBench) take(e Event) {
+	for _, a := range q.d.Step(q.now, e) {
+		if c, ok := a.(*Call); ok {
+			q.running = append(q.running, c.attempt)
+		}
+	}
+}
