--- a/standin/leafserver/server.go
+++ b/standin/leafserver/server.go
@@ -32,6 +32,7 @@
 	tailFactor      = 8
 	coldSpan        = 10 * tier.Second
 	coldFactor      = 5
+	shedFraction    = 0.5 // of the calls to a shedding server
 )
 
 var errShed = errors.New("no slot free")
@@ -56,12 +57,11 @@
 	faults   faults
 	counters counters
 
-	mu           sync.Mutex
-	random       *rand.Rand
-	state        backendv1.ServerState
-	stateSince   tier.Millis
-	previous     *backendv1.SearchReply
-	shedNextCall bool
+	mu         sync.Mutex
+	random     *rand.Rand
+	state      backendv1.ServerState
+	stateSince tier.Millis
+	previous   *backendv1.SearchReply
 }
 
 // counters count what happened to calls.
@@ -215,12 +215,3 @@
 	defer s.mu.Unlock()
 	return s.random.Float64() < fraction
 }
-
-// shedsThis reports whether a shedding server sheds this call: every other
-// one.
-func (s *Server) shedsThis() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.shedNextCall = !s.shedNextCall
-	return s.shedNextCall
-}
--- a/standin/leafserver/service.go
+++ b/standin/leafserver/service.go
@@ -105,7 +105,7 @@
 	case backendv1.ServerState_SERVER_STATE_LEAVING:
 		return "", s.refuse(connect.CodeUnavailable, "this server is leaving")
 	case backendv1.ServerState_SERVER_STATE_SHEDDING:
-		if s.shedsThis() {
+		if s.strikes(shedFraction) {
 			return "", s.refuse(connect.CodeResourceExhausted, "this server sheds load")
 		}
 	}
