Keep backoff and the limit of calls for tasks that were hedged

Cause: a script of hedges showed a fifth call for a task with two replicas, and a retry without backoff, when a hedge already waited as the first call failed. The script of admission showed that reports were accepted beyond their floor while none of their calls had been measured. Change: a failed task's waiting hedge becomes an ordinary retry; hedges count against the limit of calls; the floor's gap takes the servers' latency until that of the rank is known.

--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -93,12 +93,15 @@
 // floorGap is the gap between starts of a rank for a shard while it gets no
 // more than its floor; 0 when that is not known.
 func (d *Dispatcher) floorGap(h *shard, r tier.Rank) float64 {
-	n := 0.0
+	n, service := 0.0, d.service[r]
 	for _, s := range h.replicas {
 		n += float64(d.limit(s)) / float64(len(s.shards))
+		if d.service[r] == 0 {
+			service = max(service, s.expected(d.now))
+		}
 	}
 	if f := d.set.Floor(r) * n; f > 0 {
-		return d.service[r] / f
+		return service / f
 	}
 	return 0
 }
@@ -109,18 +112,28 @@
 func (d *Dispatcher) wait(h *shard, p *part) float64 {
 	r := p.profile.Rank()
 	ahead := h.ahead(p)
-	if r == tier.Reports && ahead > 0 {
+	higher, of := h.queuedAbove(r)
+	switch {
+	case ahead == 0 && higher == 0:
+		return 0
+	case r == tier.Reports:
 		return float64(ahead+1) * max(d.gap(h, r), d.floorGap(h, r))
-	}
-	if ahead > 0 {
+	case ahead > 0:
 		return float64(ahead+1) * d.gap(h, r)
+	default:
+		return float64(higher+1) * d.gap(h, of)
 	}
+}
+
+// queuedAbove counts the waiting tasks of the least urgent rank above r that
+// has any.
+func (h *shard) queuedAbove(r tier.Rank) (int, tier.Rank) {
 	for q := r - 1; q >= tier.Urgent; q-- {
 		if n := h.queued(q); n > 0 {
-			return float64(n+1) * d.gap(h, q)
+			return n, q
 		}
 	}
-	return 0
+	return 0, r
 }
 
 // gap is the gap to expect between starts of a rank for a shard: as measured,
--- a/tier/dispatcher/queue.go
+++ b/tier/dispatcher/queue.go
@@ -121,7 +121,7 @@
 // wantHedge lets a task whose call is slow wait for a second one.
 func (d *Dispatcher) wantHedge(c *call) {
 	t := c.task
-	if c.cancelled || t.done || t.extra || len(t.running) != 1 {
+	if c.cancelled || t.done || t.extra || len(t.running) != 1 || !t.mayCallAgain() {
 		return
 	}
 	if !t.part.repeatable || !t.part.profile.Hedge() {
--- a/tier/dispatcher/reply.go
+++ b/tier/dispatcher/reply.go
@@ -127,17 +127,19 @@
 	d.retry(t, reason)
 }
 
+func (t *task) mayCallAgain() bool {
+	return t.calls < maxCallsByReplica*len(t.shard.replicas)
+}
+
 // retry lets a task wait for its next call after a jittered backoff, or ends
 // it when no call can help.
 func (d *Dispatcher) retry(t *task, reason tier.MissReason) {
-	if t.extra {
-		return
-	}
+	d.unqueue(t)
 	if why := t.unservable(); why != "" {
 		d.miss(t, why)
 		return
 	}
-	if t.calls >= maxCallsByReplica*len(t.shard.replicas) {
+	if !t.mayCallAgain() {
 		d.miss(t, reason)
 		return
 	}
--- a/tier/dispatcher/script_test.go
+++ b/tier/dispatcher/script_test.go
@@ -115,13 +115,41 @@
 
 func (s *session) event(f []string) {
 	now := tier.Millis(s.number(f[0]))
-	if f[1] == "ticks" {
+	switch f[1] {
+	case "ticks":
 		s.ticks(now)
 		return
+	case "train":
+		s.train(now, f[2:])
+		return
+	case "status":
+		s.status()
+		return
 	}
 	s.print(s.d.Step(now, s.parse(f[1], f[2:])))
 }
 
+// train runs a number of parts of a profile on one shard, one after the other,
+// with calls of one length.
+func (s *session) train(now tier.Millis, f []string) {
+	took := tier.Millis(s.number(f[3]))
+	for i := range s.number(f[0]) {
+		at := now + tier.Millis(i)*took
+		s.d.Step(at, NewSubmit(uint64(i+1), s.profiles[f[1]], at+tier.Hour, f[2:3]))
+		s.d.Step(at+took, NewReplied(s.d.attempts, &ReplyOK{}))
+	}
+}
+
+func (s *session) status() {
+	v := s.d.Status()
+	c := v.Counters()
+	fmt.Fprintf(&s.out, "    queued %v, calls %d, extra %d, accepted %d, done %d, late %d, refused %v\n",
+		v.queued, c.Calls(), c.Extra(), c.Accepted(), c.Done(), c.Late(), c.refused)
+	for _, r := range tier.Ranks {
+		fmt.Fprintf(&s.out, "    %s let through %.2f\n", r, v.Threshold().Fraction(r))
+	}
+}
+
 // ticks runs every Tick that is due by a time.
 func (s *session) ticks(until tier.Millis) {
 	for {
