Keep received patches for peers, measure more

Cause: taking a delta at 2,600 servers made the same patch again for peers. Change: the received patch is kept. Conclusion: parsing the whole document again is what is left.

--- a/tier/keeper/load_test.go
+++ b/tier/keeper/load_test.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// BenchmarkTakeDelta measures the processor time of a VM for one changed
+// server of a set that comes as a delta.
+func BenchmarkTakeDelta(b *testing.B) {
+	for _, servers := range []int{20, 2600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			state, _ := keeper.Next(nil, bigSet(b, servers, 1), keeper.NewAuthor("ana", "change-0", "new set", 0))
+			k := keeper.New("a")
+			k.Step(0, keeper.NewChanged(value(state, 1)))
+			for i := 1; b.Loop(); i++ {
+				b.StopTimer()
+				next, _ := keeper.Next(state, bigSet(b, servers, 1+i%20), keeper.NewAuthor("ana", fmt.Sprint("change-", i), "slots", 0))
+				u := update(next, state.Ref(), state)
+				b.StartTimer()
+				if len(taken(k.Step(0, keeper.NewFetched("peer", u)))) != 1 {
+					b.Fatal("not taken")
+				}
+				state = next
+			}
+		})
+	}
+}
+
 // bigSet is a set of n servers with a shard each; slots is that of the first.
 func bigSet(b *testing.B, n, slots int) parser.Document {
 	var servers []tier.Backend
--- a/tier/keeper/state.go
+++ b/tier/keeper/state.go
@@ -24,6 +24,7 @@
 	ref      Ref
 	document parser.Document
 	tail     []Entry
+	patch    []byte // from the state before, if it came as one
 }
 
 // Ref names the state.
--- a/tier/keeper/update.go
+++ b/tier/keeper/update.go
@@ -56,19 +56,27 @@
 // take replaces the state and keeps the step that led there.
 func (h *held) take(s *State) {
 	if h.state != nil {
-		patch, err := parser.Delta(h.state.document, s.document)
-		if err != nil {
-			h.steps = nil
-		} else {
-			h.steps = append(h.steps, step{base: h.state.ref, change: h.state.Last().change, patch: patch})
-		}
+		h.keepStep(s)
 	}
 	h.state = s
+	s.patch = nil
 	for len(h.steps) > maxSteps || h.stepBytes() > maxStepBytes {
 		h.steps = h.steps[1:]
 	}
 }
 
+func (h *held) keepStep(next *State) {
+	patch := next.patch
+	if patch == nil {
+		var err error
+		if patch, err = parser.Delta(h.state.document, next.document); err != nil {
+			h.steps = nil
+			return
+		}
+	}
+	h.steps = append(h.steps, step{base: h.state.ref, change: h.state.Last().change, patch: patch})
+}
+
 func (h *held) stepBytes() int {
 	n := 0
 	for _, s := range h.steps {
@@ -145,5 +153,8 @@
 		d = next
 	}
 	s := &State{ref: u.ref, document: d, tail: extend(h.state.tail, body.Audit...)}
+	if len(body.Patches) == 1 {
+		s.patch = body.Patches[0]
+	}
 	return s, errors.Wrap(s.check(), "resolve")
 }
--- a/tier/parser/document.go
+++ b/tier/parser/document.go
@@ -72,7 +72,4 @@
 
 // Digest is a checksum of the document's canonical encoding, as 16
 // hexadecimal digits.
-func Digest(d Document) string { return DigestBytes(Encode(d)) }
-
-// DigestBytes is the checksum of a canonical encoding.
-func DigestBytes(b []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(b)) }
+func Digest(d Document) string { return fmt.Sprintf("%016x", xxhash.Sum64(Encode(d))) }
