--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -149,6 +149,9 @@
 		return errors.Wrap(err, "buildServers")
 	}
 	d.meter = m
+	if err := d.observe(); err != nil {
+		return errors.Wrap(err, "buildServers")
+	}
 	c := &claims{claiming: d.claiming}
 	b := &booker{claims: c, registry: d.registry}
 	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
--- a/cicadagraded/inflight.go
+++ b/cicadagraded/inflight.go
@@ -87,6 +87,13 @@
 	return len(f.open) == 0
 }
 
+// count says how many callers' requests, and how many in all, are in flight.
+func (f *inflight) count() (callers, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.callers, len(f.open)
+}
+
 // list names each request in flight.
 func (f *inflight) list() []string {
 	f.mu.Lock()
--- /dev/null
+++ b/cicadagraded/watching/index_bench_test.go
@@ -0,0 +1,35 @@
+package watching
+
+import (
+	"fmt"
+	"testing"
+
+	"cicadagrade.example/tier/keeper"
+)
+
+// BenchmarkIndexBytes is the size of what a watcher publishes after a change
+// of one document, and of its whole index.
+func BenchmarkIndexBytes(b *testing.B) {
+	for _, sets := range []int{4, 24, 120, 360} {
+		b.Run(fmt.Sprintf("sets=%d", sets), func(b *testing.B) {
+			var refs []keeper.Ref
+			for i := range sets {
+				refs = append(refs, keeper.NewRef(fmt.Sprintf("cicadagrade/config/sets/portao-%03d", i), 1, uint64(1000+i), "0123456789abcdef"))
+			}
+			change, whole := 0, 0
+			for b.Loop() {
+				change, whole = 0, 0
+				for i := 0; i < len(refs); i += chunkRefs {
+					value, err := encodeIndex(refs[i:min(i+chunkRefs, len(refs))])
+					if err != nil {
+						b.Fatal(err)
+					}
+					change = max(change, len(value))
+					whole += len(value)
+				}
+			}
+			b.ReportMetric(float64(change), "change-bytes")
+			b.ReportMetric(float64(whole), "index-bytes")
+		})
+	}
+}
