Push no news back to the peer that sent it

Requests to other data centres go through the table by a cursor of their own, since with one cursor for both they met only every other part of it.

--- a/tier/gossiper/exchange.go
+++ b/tier/gossiper/exchange.go
@@ -62,7 +62,7 @@
 	if from != nil && m.incarnation == from.incarnation {
 		out.entries = g.statusOf(from)
 	}
-	out.entries = append(out.entries, g.pushed(from, room/2)...)
+	out.entries = append(out.entries, g.pushed(from, m.entries, room/2)...)
 	for _, e := range out.entries {
 		room -= e.size()
 	}
--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -47,7 +47,7 @@
 	rounds      uint64
 	nextPool    tier.Millis
 	poolWait    tier.Millis
-	cursor      string
+	cursors     [2]string // where the next request's digests start: at home, elsewhere
 
 	sent        map[uint64]flight
 	number      uint64
--- a/tier/gossiper/measure_test.go
+++ b/tier/gossiper/measure_test.go
@@ -39,6 +39,22 @@
 	measureDeaths(b, w)
 }
 
+// BenchmarkHeartbeats measures the way not taken, in which each VM writes a
+// heartbeat each second and is judged by the age of the last one held:
+//
+//	go test ./gossiper -run '^$' -bench Heartbeats -benchtime 1x
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, n := range []int{7, 30, 100} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				w := startAll(b, n)
+				w.mustAgree(5*tier.Minute, "start of all")
+				measureLoad(b, w, "heartbeat", n, 13, tier.Second)
+			}
+		})
+	}
+}
+
 // BenchmarkReplacement measures the start of n members at once, and the
 // replacement of half of them under the same addresses:
 //
--- a/tier/gossiper/request.go
+++ b/tier/gossiper/request.go
@@ -18,7 +18,7 @@
 		room -= m.entries[0].size()
 	}
 	m.entries = append(m.entries, g.statusOf(to)...)
-	m.entries = append(m.entries, g.pushed(to, room)...)
+	m.entries = append(m.entries, g.pushed(to, nil, room)...)
 	return m
 }
 
@@ -32,8 +32,12 @@
 		g.nextWhole = g.now + tier.Millis(len(names))*wholeWait
 		n = len(names)
 	}
+	cursor := &g.cursors[0]
+	if to != nil && to.vm.DataCentre() != g.home {
+		cursor = &g.cursors[1]
+	}
 	at := 0
-	for at < len(names) && names[at] < g.cursor {
+	for at < len(names) && names[at] < *cursor {
 		at++
 	}
 	for i := 0; i <= min(n, len(names)); i++ {
@@ -43,7 +47,7 @@
 			break
 		}
 		out = append(out, d)
-		g.cursor = d.origin
+		*cursor = d.origin
 	}
 	return out
 }
@@ -82,9 +86,13 @@
 	}
 }
 
-// pushed takes the news that fits.
-func (g *Gossiper) pushed(to *record, room int) []Entry {
+// pushed takes the news that fits and that is not among what the peer sent.
+func (g *Gossiper) pushed(to *record, heard []Entry, room int) []Entry {
 	g.news.order()
+	known := map[rumourKey]Entry{}
+	for _, e := range heard {
+		known[rumourKey{origin: e.origin, key: e.key}] = e
+	}
 	var out []Entry
 	kept := g.news.list[:0]
 	for _, n := range g.news.list {
@@ -92,7 +100,7 @@
 		if !ok {
 			continue
 		}
-		if fits := e.size() <= room; fits && g.concerns(e, to) {
+		if e.size() <= room && newer(e, known[n.rumourKey]) && g.concerns(e, to) {
 			out = append(out, e)
 			room -= e.size()
 			n.left--
