Give a retry up early where another data centre has a replica

Cause: a task whose server shed its call waited for budget or a slot until the deadline, so that its front had no time left to ask elsewhere. Change: after a quarter of the time left it ends as a miss, if other data centres hold replicas. A cancelled part's misses say cancelled.

--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -241,11 +241,13 @@
 		if h == nil {
 			h = &shard{id: m.ID()}
 		}
-		h.replicas = nil
+		h.replicas, h.elsewhere = nil, false
 		for _, name := range m.Replicas() {
 			if s := d.servers[name]; s != nil {
 				h.replicas = append(h.replicas, s)
 				s.shards = append(s.shards, h)
+			} else {
+				h.elsewhere = true
 			}
 		}
 		d.shards[m.ID()] = h
--- a/tier/dispatcher/part.go
+++ b/tier/dispatcher/part.go
@@ -256,12 +256,12 @@
 	d.counters.cancelled++
 	d.patience[p.profile.Rank()].departed(d.now - p.arrived)
 	if p.calls > 0 {
-		d.endOpen(p, tier.MissRefused)
+		d.endOpen(p, tier.MissCancelled)
 		return
 	}
 	for _, t := range p.tasks {
 		if !t.done {
-			t.reason = tier.MissRefused
+			t.reason = tier.MissCancelled
 			d.closeTask(t)
 		}
 	}
--- a/tier/dispatcher/queue.go
+++ b/tier/dispatcher/queue.go
@@ -8,12 +8,13 @@
 
 // shard is a shard of the map with the work that waits for it.
 type shard struct {
-	id       string
-	replicas []*server // those in this data centre
-	gone     bool      // a newer map has no such shard
-	lanes    []*lane
-	extras   []*task // that wait for a hedge or a retry
-	drains   [len(tier.Ranks)]drain
+	id        string
+	replicas  []*server // those in this data centre
+	elsewhere bool      // other data centres have some
+	gone      bool      // a newer map has no such shard
+	lanes     []*lane
+	extras    []*task // that wait for a hedge or a retry
+	drains    [len(tier.Ranks)]drain
 }
 
 // lane is the work of one profile that waits for its first call, earliest
@@ -137,6 +138,10 @@
 	}
 	d.addExtra(t)
 	d.fillShard(t.shard)
+	if t.extra && t.shard.elsewhere {
+		at := d.now + (t.part.deadline-d.now)/retryPatience
+		d.timers.add(timer{at: at, kind: timerGiveUp, task: t})
+	}
 }
 
 func (d *Dispatcher) addExtra(t *task) {
--- a/tier/dispatcher/reply.go
+++ b/tier/dispatcher/reply.go
@@ -7,6 +7,7 @@
 	maxCallsByReplica = 2 // of one task
 	firstBackoff      = 4 * tier.Millis(1)
 	maxBackoff        = 250 * tier.Millis(1)
+	retryPatience     = 4 // a retry waits for this part of the time left
 )
 
 // replied ends a call: its slot is free again.
@@ -149,5 +150,15 @@
 		d.miss(t, reason)
 		return
 	}
+	t.reason = reason
 	d.timers.add(timer{at: at, kind: timerRetry, task: t})
 }
+
+// giveUp ends a task whose retry found neither budget nor slot for a part of
+// the time left, so that its front may still ask another data centre. It is
+// only used for shards with replicas there.
+func (d *Dispatcher) giveUp(t *task) {
+	if t.extra && len(t.running) == 0 {
+		d.miss(t, t.reason)
+	}
+}
--- a/tier/dispatcher/script_test.go
+++ b/tier/dispatcher/script_test.go
@@ -65,7 +65,11 @@
 func (s *session) describe(f []string) {
 	switch f[0] {
 	case "server":
-		s.servers = append(s.servers, tier.NewBackend(f[1], "127.0.0.1:1", "here", tier.WithSlots(s.number(f[2]))))
+		dataCentre := "here"
+		if len(f) > 3 {
+			dataCentre = f[3]
+		}
+		s.servers = append(s.servers, tier.NewBackend(f[1], "127.0.0.1:1", dataCentre, tier.WithSlots(s.number(f[2]))))
 	case "shard":
 		s.shards = append(s.shards, strings.Join(f[1:], " "))
 	case "profile":
--- a/tier/dispatcher/timers.go
+++ b/tier/dispatcher/timers.go
@@ -12,6 +12,7 @@
 	timerDeadline timerKind = iota // of a part
 	timerHedge                     // of a call
 	timerRetry                     // of a task
+	timerGiveUp                    // of a task that waits for its retry
 	timerServer                    // a server may take more work
 	timerSupposed                  // a state told by a reply ends
 	timerTakeover                  // the full share may be used
@@ -34,7 +35,7 @@
 		return t.part.ended
 	case timerHedge:
 		return t.call.ended || t.call.cancelled
-	case timerRetry:
+	case timerRetry, timerGiveUp:
 		return t.task.done
 	default:
 		return false
@@ -111,6 +112,8 @@
 			d.hedgeDue(t.call)
 		case timerRetry:
 			d.wantRetry(t.task)
+		case timerGiveUp:
+			d.giveUp(t.task)
 		case timerServer:
 			d.fillAround(t.server)
 		case timerSupposed:
