--- /dev/null
+++ b/tier/example_test.go
@@ -0,0 +1,155 @@
+package tier_test
+
+import (
+	"fmt"
+	"math"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/dispatcher"
+	"cicadagrade.example/tier/gossiper"
+	"cicadagrade.example/tier/hedger"
+	"cicadagrade.example/tier/keeper"
+	"cicadagrade.example/tier/parser"
+	"cicadagrade.example/tier/picker"
+	"cicadagrade.example/tier/storer"
+)
+
+// exampleSet has two shards on two backend servers that both hold both.
+func exampleSet() *tier.ShardSet {
+	set, err := tier.NewShardSet("portao",
+		tier.WithServers(
+			tier.NewBackend("leaf-a", "10.0.0.1:9000", "serra-caxias"),
+			tier.NewBackend("leaf-b", "10.0.0.2:9000", "serra-caxias")),
+		tier.WithShards(
+			tier.NewShard("s1", 0, math.MaxUint64/2, "leaf-a", "leaf-b"),
+			tier.NewShard("s2", math.MaxUint64/2+1, math.MaxUint64, "leaf-b", "leaf-a")))
+	if err != nil {
+		panic(err)
+	}
+	return set
+}
+
+// Two members gossip. The program carries each message to the other one and
+// its reply back; here that is a function call.
+func Example_membership() {
+	one, err := gossiper.New(tier.NewVM("vm-1", "serra-caxias", "10.0.1.1:7071", tier.WithIncarnation(1)))
+	if err != nil {
+		panic(err)
+	}
+	two, err := gossiper.New(tier.NewVM("vm-2", "serra-caxias", "10.0.1.2:7071", tier.WithIncarnation(1)))
+	if err != nil {
+		panic(err)
+	}
+	now := tier.Millis(0)
+	two.Step(now, gossiper.NewSetState(tier.VMLive))
+	one.Step(now, gossiper.NewSeedsChanged([]string{"10.0.1.2:7071"}))
+	for len(one.Members()) < 2 {
+		now, _ = one.Next()
+		for _, a := range one.Step(now, &gossiper.Tick{}) {
+			if send, ok := a.(*gossiper.SendExchange); ok {
+				answer(now, one, two, send)
+			}
+		}
+	}
+	for _, m := range one.Members() {
+		fmt.Println(m.Name(), m.State())
+	}
+	// Output:
+	// vm-1 joining
+	// vm-2 live
+}
+
+// answer carries a request to the peer and its reply back.
+func answer(now tier.Millis, from, to *gossiper.Gossiper, send *gossiper.SendExchange) {
+	for _, a := range to.Step(now, gossiper.NewExchangeReceived(send.Message())) {
+		if reply, ok := a.(*gossiper.Reply); ok {
+			from.Step(now, gossiper.NewReplyReceived(send.Number(), reply.Message()))
+		}
+	}
+}
+
+// Every member picks the same owner of a set from the same members, without
+// asking; a member that leaves moves only the sets that it owned.
+func Example_owners() {
+	var members []tier.VM
+	for i := range 3 {
+		name := fmt.Sprintf("vm-%d", i+1)
+		members = append(members, tier.NewVM(name, "serra-caxias", "10.0.1.1:7071", tier.WithVMState(tier.VMLive)))
+	}
+	before := picker.Owners("portao", "serra-caxias", members, 2)
+	members = append(members[:0:0], before[1:]...)
+	after := picker.Owners("portao", "serra-caxias", members, 1)
+	fmt.Println(len(before), before[1].Name() == after[0].Name())
+	// Output: 2 true
+}
+
+// A dispatcher decides which backend server is called for each shard; the
+// program makes the calls and tells how each ended.
+func Example_dispatcher() {
+	gate, err := tier.NewProfile("gate", tier.WithRank(tier.Urgent))
+	if err != nil {
+		panic(err)
+	}
+	d := dispatcher.New(exampleSet(), "serra-caxias", dispatcher.WithSeed(1))
+	snapshot := tier.NewSnapshot(1, 7)
+	for _, server := range []string{"leaf-a", "leaf-b"} {
+		d.Step(0, dispatcher.NewBackendChanged(server, tier.BackendLive))
+		for _, shard := range []string{"s1", "s2"} {
+			d.Step(0, dispatcher.NewHoldingChanged(server, shard, 1, []tier.Version{7}))
+		}
+	}
+	actions := d.Step(10, dispatcher.NewSubmit(1, gate, 500, []string{"s1", "s2"}, dispatcher.WithSnapshot(snapshot)))
+	for len(actions) > 0 {
+		a := actions[0]
+		actions = actions[1:]
+		switch a := a.(type) {
+		case *dispatcher.Call:
+			fmt.Println("call for", a.Shard())
+			actions = append(actions, d.Step(20, dispatcher.NewReplied(a.Attempt(), &dispatcher.ReplyOK{}))...)
+		case *dispatcher.PartDone:
+			fmt.Println("covered", len(a.Winners()), "missed", len(a.Misses()))
+		}
+	}
+	// Output:
+	// call for s1
+	// call for s2
+	// covered 2 missed 0
+}
+
+// A budget allows one extra call for each twenty first ones, beyond a burst.
+func Example_hedgingBudget() {
+	h := hedger.New(0.95, 0.05)
+	burst := 0
+	for h.Take(tier.Urgent) {
+		burst++
+	}
+	for range 100 {
+		h.FirstAttempt()
+		h.Observe(1000, 8)
+	}
+	delay, measured := h.Delay()
+	fmt.Println("burst", burst, "then", h.Available(tier.Urgent))
+	fmt.Println("measured", measured, "not below 8 ms:", delay >= 8)
+	// Output:
+	// burst 10 then true
+	// measured true not below 8 ms: true
+}
+
+// A keeper takes a document that the store shows, and never an older one.
+func Example_configuration() {
+	author := keeper.NewAuthor("ana", "9f2d6c1b7a3e4f50", "first map", 0)
+	first, _ := keeper.Next(nil, parser.NewSetDocument(exampleSet()), author)
+	second, _ := keeper.Next(first, parser.NewSetDocument(exampleSet()), keeper.NewAuthor("ana", "0a1b2c3d4e5f6071", "again", 0))
+	k := keeper.New("vm-1", keeper.WithDataCentre("serra-caxias"))
+	show := func(now tier.Millis, s *keeper.State) {
+		v := storer.NewValue(s.Ref().Key(), s.Encode(), 1)
+		k.Step(now, keeper.NewListed([]storer.Value{v}))
+		fmt.Println(k.Documents()[0].Ref(), k.Flags())
+	}
+	k.Step(0, keeper.NewMembers([]string{"vm-1"}, nil))
+	show(1000, second)
+	show(3000, first)
+	// Output:
+	// cicadagrade/config/sets/portao@1.2 []
+	// cicadagrade/config/sets/portao@1.2 [store-behind: store shows cicadagrade/config/sets/portao@1.1, this VM serves cicadagrade/config/sets/portao@1.2; reconcile cicadagrade/config/sets/portao]
+}
