Seed gossip from the platform's list of VMs

Cause: a VM knew only the seeds of its settings; the platform's list of live and leaving VMs was not read. Change: while a VM knows no live peer it reads the store's key platform/vms/<data centre> and has gossip look there, after 1 s, 2 s, ... up to 60 s, with jitter; the list is per data centre so that it stays small. It lags, so it only seeds. Conclusion: a replaced VM finds its peers with no seed in its settings.

--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -34,6 +34,7 @@
 	inflight *inflight
 	meter    *meter.Meter
 	gossip   *exchanging.Exchanger
+	seeder   *seeder
 	config   *watching.Watcher
 	claiming *claiming.Claiming
 	locator  *locator.Locator
@@ -89,6 +90,10 @@
 	gossip.SetSeeds(d.settings.seeds)
 	d.gossip = gossip
 	store := etcdgateway.New(d.settings.dialled(d.settings.storeAddress))
+	d.seeder = &seeder{
+		store: store, key: d.settings.vmListPrefix + d.self.DataCentre(),
+		seeds: d.settings.seeds, gossip: gossip, logger: d.logger,
+	}
 	d.config = watching.New(d.self, store, d.clock,
 		watching.WithPeers(d.peer),
 		watching.WithPublisher(gossip.Publish),
@@ -177,6 +182,7 @@
 	defer d.cancel()
 	var g run.Group
 	d.addDuty(&g, d.gossip.Run)
+	d.addDuty(&g, d.seeder.Run)
 	d.addDuty(&g, d.config.Run)
 	d.addDuty(&g, d.claiming.Run)
 	d.addDuty(&g, d.control.Run)
--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -34,6 +34,7 @@
 	peerAddress   string
 	peerAdvertise string
 	storeAddress  string
+	vmListPrefix  string
 	seeds         []string
 	dial          map[string]string
 	balancerLag   tier.Millis
@@ -67,6 +68,7 @@
 		{"peer-address", "where this VM listens for other VMs", "127.0.0.1:7071", addressAllowed, setAddress(func(s *settings) *string { return &s.peerAddress })},
 		{"peer-advertise", "where other VMs reach this VM; empty: peer-address", "", "empty, or " + addressAllowed, setOptional(setAddress(func(s *settings) *string { return &s.peerAdvertise }))},
 		{"store", "the platform's key-value service (etcd v3 JSON gateway)", "127.0.0.1:2379", addressAllowed, setAddress(func(s *settings) *string { return &s.storeAddress })},
+		{"vm-list-prefix", "start of the store's key of the platform's list of VMs; the data centre's name follows", "platform/vms/", "1 to 256 bytes", setText(256, func(s *settings) *string { return &s.vmListPrefix })},
 		{"seeds", "peer addresses of some other VMs, separated by commas", "", "empty, or IP numbers with ports, separated by commas", setSeeds},
 		{"dial", "other addresses to dial in place of those of VMs and the store, such as a relay's", "", "empty, or pairs ADDRESS=ADDRESS of IP numbers with ports, separated by commas", setDial},
 		{"balancer-lag-ms", "how long the platform's balancer may still send work after readiness fails", millisText(defaultBalancerLag), "0 to 300000", setMillis(0, maxBalancerLag, func(s *settings) *tier.Millis { return &s.balancerLag })},
@@ -88,6 +90,13 @@
 	}
 }
 
+func setText(most int, field func(*settings) *string) func(*settings, string) bool {
+	return func(s *settings, v string) bool {
+		*field(s) = v
+		return len(v) >= 1 && len(v) <= most
+	}
+}
+
 func setAddress(field func(*settings) *string) func(*settings, string) bool {
 	return func(s *settings, v string) bool {
 		*field(s) = v
