--- a/cicadagraded/asker/book.go
+++ b/cicadagraded/asker/book.go
@@ -80,6 +80,7 @@
 	for _, vm := range f.bookingOwners(set, shard) {
 		o, err := f.messenger.Book(ctx, vm, NewForwarded(b, shard.ID(), minted))
 		if err == nil {
+			f.directory.Answered(vm.Name())
 			return o, nil
 		}
 		var reused *KeyReusedError
--- a/cicadagraded/asker/front.go
+++ b/cicadagraded/asker/front.go
@@ -15,8 +15,9 @@
 	// Owners lists the VMs that may run a set's parts in a data centre, the
 	// preferred one first. Turn spreads requests over several owners.
 	Owners(set, dataCentre string, turn uint64) []tier.VM
-	// Failed notes that a VM did not answer a request.
+	// Failed notes that a VM did not answer a request, Answered that it did.
 	Failed(vm string)
+	Answered(vm string)
 	// Admit reports whether owners' published thresholds let a request of
 	// this rank in; otherwise when to come back.
 	Admit(set string, rank tier.Rank) (retryAfter tier.Millis, ok bool)
--- a/cicadagraded/asker/front_test.go
+++ b/cicadagraded/asker/front_test.go
@@ -29,6 +29,8 @@
 
 func (h *home) Failed(string) {}
 
+func (h *home) Answered(string) {}
+
 func (h *home) Admit(string, tier.Rank) (tier.Millis, bool) { return 0, true }
 
 func (h *home) Ask(_ context.Context, _ tier.VM, _ string, s owner.Search) (owner.End, error) {
--- a/cicadagraded/asker/search.go
+++ b/cicadagraded/asker/search.go
@@ -129,6 +129,7 @@
 	for _, vm := range vms[:min(len(vms), maxOwnersTried)] {
 		end, err := r.front.messenger.Ask(ctx, vm, r.set.Name(), s)
 		if err == nil {
+			r.front.directory.Answered(vm.Name())
 			return r.ended(a, end)
 		}
 		if r.ctx.Err() == nil {
--- a/cicadagraded/handler/session_test.go
+++ b/cicadagraded/handler/session_test.go
@@ -96,6 +96,8 @@
 
 func (w *world) Failed(string) {}
 
+func (w *world) Answered(string) {}
+
 func (w *world) Admit(string, tier.Rank) (tier.Millis, bool) {
 	if w.step.Admit != nil {
 		return *w.step.Admit, false
--- a/cicadagraded/locator/locator_test.go
+++ b/cicadagraded/locator/locator_test.go
@@ -83,4 +83,13 @@
 	if first() != "new" {
 		t.Errorf("asks %s, want the owner again", first())
 	}
+	l.Failed("new")
+	clock.Advance(locator.SuspectFor)
+	if first() != "old" {
+		t.Errorf("asks %s, which failed twice", first())
+	}
+	l.Answered("new")
+	if first() != "new" {
+		t.Errorf("asks %s, want the owner that answers", first())
+	}
 }
