Give refused requests turns to come again

Change: the owner gives refused requests turns at half the rate at which it accepts, counts those that fronts refuse, and brings the turns forward once nothing is refused.

--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -242,9 +242,8 @@
 }
 
 // shed refuses a part because of the load.
-func (d *Dispatcher) shed(id uint64, r tier.Rank, after tier.Millis) {
-	d.pressure.refused(r, after)
-	d.refuse(id, r, tier.RefuseOverload, after)
+func (d *Dispatcher) shed(id uint64, r tier.Rank, lacks tier.Millis) {
+	d.refuse(id, r, tier.RefuseOverload, d.pressure.refused(d.now, r, lacks))
 }
 
 func (d *Dispatcher) refuse(id uint64, r tier.Rank, why tier.RefuseReason, after tier.Millis) {
--- a/tier/dispatcher/status.go
+++ b/tier/dispatcher/status.go
@@ -111,7 +111,7 @@
 // Status returns the state as of the last Step.
 func (d *Dispatcher) Status() Status {
 	s := Status{
-		queued: d.queued.byRank, threshold: d.pressure.threshold(),
+		queued: d.queued.byRank, threshold: d.pressure.threshold(d.now),
 		tokens: d.hedger.Tokens(), counters: d.counters,
 	}
 	for _, r := range tier.Ranks {
--- a/tier/measurer/measurer_test.go
+++ b/tier/measurer/measurer_test.go
@@ -163,3 +163,25 @@
 		t.Errorf("VMs by themselves missed %q", s)
 	}
 }
+
+// TestRetryAfterMeansSomething lets a burst of daily work come, three times
+// what the servers take. Those refused come again at most three times: most
+// are accepted if they wait as told, and half if they don't.
+func TestRetryAfterMeansSomething(t *testing.T) {
+	for _, c := range []struct {
+		impatient bool
+		least     float64
+		most      float64
+	}{{false, 0.75, 1}, {true, 0, 0.6}} {
+		r, err := Run(New("burst", WithDuration(10*tier.Second), WithBurst(2*tier.Second), WithReturns(3, c.impatient)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := r.Offered(tier.Daily)
+		accepted := 1 - float64(r.Refused(tier.Daily))/float64(n)
+		t.Logf("impatient %v: %d queries came again %d times, %.3f accepted, %d partial", c.impatient, n, r.Returned(tier.Daily), accepted, r.Partial(tier.Daily))
+		if accepted < c.least || accepted > c.most {
+			t.Errorf("impatient %v: %.3f accepted", c.impatient, accepted)
+		}
+	}
+}
--- a/tier/measurer/result.go
+++ b/tier/measurer/result.go
@@ -14,6 +14,7 @@
 	refused   int
 	atFront   int // of those refused
 	gone      int // their callers went away first
+	returned  int // times that a refused query came again
 	partial   int // ended at the deadline without some shards
 	latencies []tier.Millis
 	useful    tier.Millis // slot time of complete answers
@@ -37,6 +38,9 @@
 // Refused is how many of them were refused before any leaf call.
 func (r *Result) Refused(k tier.Rank) int { return r.ranks[k].refused }
 
+// Returned is how many times refused queries came again.
+func (r *Result) Returned(k tier.Rank) int { return r.ranks[k].returned }
+
 // Partial is how many of them were accepted but not answered whole in time.
 func (r *Result) Partial(k tier.Rank) int { return r.ranks[k].partial }
 
--- a/tier/measurer/run.go
+++ b/tier/measurer/run.go
@@ -16,10 +16,15 @@
 // publishInterval is how often fronts hear an owner's threshold.
 const publishInterval = 100 * tier.Millis(1)
 
+// burstFactor is by how much more daily work comes in a burst.
+const burstFactor = 10
+
 // query is one query from its arrival to its end.
 type query struct {
+	id      uint64
 	rank    tier.Rank
 	arrived tier.Millis
+	returns int // times that it came again after a refusal
 }
 
 // happening is something due in simulated time: an arrival of a rank, the
@@ -42,6 +47,7 @@
 	arrival happeningKind = iota
 	jobEnd
 	publication
+	comeback  // of a refused query
 	refusal   // of a job that its server shed
 	departure // of a caller
 	shedding
@@ -142,7 +148,11 @@
 	if r.scenario.loads[k] == 0 {
 		return
 	}
-	at := r.now + tier.Millis(math.Round(r.random.ExpFloat64()*r.scenario.gap(k)))
+	gap := r.scenario.gap(k)
+	if k == tier.Daily && r.now < r.scenario.burst {
+		gap /= burstFactor
+	}
+	at := r.now + tier.Millis(math.Round(r.random.ExpFloat64()*gap))
 	if at <= r.scenario.duration {
 		r.add(happening{at: at, rank: k, kind: arrival})
 	}
@@ -185,6 +195,8 @@
 		if !h.job.ended {
 			r.end(h.job, h.on, &dispatcher.ReplyOK{})
 		}
+	case comeback:
+		r.ask(r.queries[h.query])
 	case refusal:
 		e := dispatcher.NewReplied(h.job.attempt, dispatcher.NewReplyNotRun(dispatcher.NotRunShed))
 		r.act(h.job.entry, r.dispatchers[h.job.entry].Step(r.now, e))
@@ -205,27 +217,48 @@
 // arrive lets a query come to an entry VM.
 func (r *run) arrive(k tier.Rank) {
 	id := uint64(len(r.queries) + 1)
-	r.queries[id] = &query{rank: k, arrived: r.now}
+	q := &query{id: id, rank: k, arrived: r.now}
+	r.queries[id] = q
 	r.result.ranks[k].offered++
+	r.ask(q)
+}
+
+// ask sends a query to an entry VM, and from there to its owner.
+func (r *run) ask(q *query) {
+	k := q.rank
 	entry := 0
 	if !r.scenario.oneEntry {
 		entry = r.random.IntN(entryVMs)
 	}
 	if r.scenario.way == Owner {
-		if _, ok := r.fronts[entry].Admit(r.now, k, r.published); !ok && r.published != (admitter.Published{}) {
+		if after, ok := r.fronts[entry].Admit(r.now, k, r.published); !ok && r.published != (admitter.Published{}) {
 			r.result.ranks[k].atFront++
-			r.result.ranks[k].refused++
+			r.refused(q, after)
 			return
 		}
 		entry = 0
 	}
 	if r.scenario.patience > 0 {
-		r.add(happening{at: r.now + r.scenario.patience, kind: departure, entry: entry, query: id})
+		r.add(happening{at: r.now + r.scenario.patience, kind: departure, entry: entry, query: q.id})
 	}
-	e := dispatcher.NewSubmit(id, r.profiles[k], r.now+deadlines[k], r.shards)
+	e := dispatcher.NewSubmit(q.id, r.profiles[k], r.now+deadlines[k], r.shards)
 	r.act(entry, r.dispatchers[entry].Step(r.now, e))
 }
 
+// refused lets a query come again after the time it was told, or ends it.
+func (r *run) refused(q *query, after tier.Millis) {
+	if q.returns == r.scenario.returns {
+		r.result.ranks[q.rank].refused++
+		return
+	}
+	q.returns++
+	r.result.ranks[q.rank].returned++
+	if r.scenario.impatient {
+		after = 1
+	}
+	r.add(happening{at: r.now + after, kind: comeback, query: q.id})
+}
+
 func (r *run) act(entry int, actions []dispatcher.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -240,7 +273,7 @@
 				r.result.ranks[r.queries[a.Part()].rank].gone++
 				continue
 			}
-			r.result.ranks[r.queries[a.Part()].rank].refused++
+			r.refused(r.queries[a.Part()], a.RetryAfter())
 		default:
 			panic(fmt.Sprintf("unexpected action %T", a))
 		}
--- a/tier/measurer/scenario.go
+++ b/tier/measurer/scenario.go
@@ -75,6 +75,9 @@
 	oneEntry     bool        // all queries come through one VM
 	reportsShare float64     // of a server's slots
 	patience     tier.Millis // after which callers go away, or 0
+	returns      int         // times that a refused query comes again
+	impatient    bool        // it comes again after 1 ms rather than the time told
+	burst        tier.Millis // how long daily work comes ten times as often
 	shedSlots    int         // of each server, for which it sheds calls
 	sheddingFrom tier.Millis
 	sheddingTo   tier.Millis
@@ -115,6 +118,15 @@
 // WithPatience makes every caller go away after a time without an answer.
 func WithPatience(m tier.Millis) Option { return func(s *Scenario) { s.patience = m } }
 
+// WithReturns makes refused queries come again, a number of times, after the
+// time they were told, or after 1 ms if they are impatient.
+func WithReturns(n int, impatient bool) Option {
+	return func(s *Scenario) { s.returns, s.impatient = n, impatient }
+}
+
+// WithBurst makes daily work come ten times as often at first.
+func WithBurst(span tier.Millis) Option { return func(s *Scenario) { s.burst = span } }
+
 // WithShedding makes every server shed calls for a number of its slots during
 // a span of time.
 func WithShedding(slots int, from, to tier.Millis) Option {
