Keep links at home and send what fits of a writer's values

At 30 data centres a VM never learnt some others: the entries of a contact about its links went to all data centres, the bytes of the contacts were spent on them, and a writer with more to send than the bytes left was passed over for ever. Links stay in their data centre, a reply carries the oldest of what is missing with a mark of how far it reaches, and a data centre is told by others only that its VMs exist and are suspected.

--- a/tier/gossiper/answer.go
+++ b/tier/gossiper/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc32"
+	"strings"
 
 	"cicadagrade.example/tier"
 )
@@ -14,23 +15,47 @@
 			room = g.fillShared(out, d, room)
 			continue
 		}
-		r := g.records[d.origin]
-		delta := r.since(d.version)
-		if d.version == 0 && r.suspectAt > 0 {
-			delta = append(delta, r.status(statusSuspect))
-		}
-		mark := NewDigest(d.origin, r.incarnation, r.version)
-		size := mark.size()
-		for _, e := range delta {
-			size += e.size()
+		room = g.fillDelta(out, g.records[d.origin], d.version, from, room)
+	}
+}
+
+// fillDelta adds what an origin wrote above a version, in that order, and how
+// far that reaches. A peer elsewhere is only told that VMs of its own data
+// centre exist, since it hears of them at home.
+func (g *Gossiper) fillDelta(out *Message, r *record, version uint64, from *record, room int) int {
+	foreign := g.foreign(from)
+	if foreign && r.vm.DataCentre() == from.vm.DataCentre() {
+		if e := r.entry(keyVM); version == 0 && e.size() <= room {
+			out.entries = append(out.entries, e)
+			room -= e.size()
 		}
-		if size > room {
+		return room
+	}
+	mark := NewDigest(r.vm.Name(), r.incarnation, version)
+	room -= mark.size() + maxVarint
+	whole := true
+	for _, e := range r.since(version) {
+		if foreign && strings.HasPrefix(e.key, keyLink) {
 			continue
 		}
-		out.entries = append(out.entries, delta...)
+		if whole = e.size() <= room; !whole {
+			break
+		}
+		out.entries = append(out.entries, e)
+		room -= e.size()
+		mark.version = min(e.version, r.version)
+	}
+	if whole {
+		mark.version = r.version
+	}
+	if mark.version > version {
 		out.digests = append(out.digests, mark)
-		room -= size
 	}
+	if e := r.status(statusSuspect); version == 0 && r.suspectAt > 0 && e.size() <= room {
+		out.entries = append(out.entries, e)
+		room -= e.size()
+	}
+	return room
 }
 
 // fillStatus adds the suspicions of late when the sender holds others.
--- a/tier/gossiper/options.go
+++ b/tier/gossiper/options.go
@@ -19,6 +19,7 @@
 	fewDigests      = 5   // fewer in a request come from a newcomer
 	newcomerRoom    = 512 // for entries in a reply to a newcomer, at least
 	maxNumber       = 1 << 62
+	maxVarint       = 10 // of an encoded number
 	maxRecords      = 16 << 10
 	maxKeys         = 1024
 )
--- a/tier/gossiper/request.go
+++ b/tier/gossiper/request.go
@@ -1,6 +1,11 @@
 package gossiper
 
-import "cicadagrade.example/tier"
+import (
+	"slices"
+	"strings"
+
+	"cicadagrade.example/tier"
+)
 
 // request composes an exchange with a peer, whose record is nil when it is not
 // known. The digests go along only when asked for.
@@ -33,7 +38,7 @@
 		n = len(names)
 	}
 	cursor := &g.cursors[0]
-	if to != nil && to.vm.DataCentre() != g.home {
+	if g.foreign(to) {
 		cursor = &g.cursors[1]
 	}
 	at := 0
@@ -55,7 +60,7 @@
 // offered lists the names that a peer may be told of: all, or for a peer in
 // another data centre, those that it would keep.
 func (g *Gossiper) offered(to *record) []string {
-	if to == nil || !to.known || to.vm.DataCentre() == g.home {
+	if !g.foreign(to) {
 		return g.names
 	}
 	kept := map[string]bool{}
@@ -113,8 +118,14 @@
 	return out
 }
 
-// concerns reports whether an entry is for a peer: not what it wrote itself,
-// nor VMs of this data centre that a peer elsewhere would not keep.
+// foreign reports whether a peer is in another data centre.
+func (g *Gossiper) foreign(r *record) bool {
+	return r != nil && r.known && r.vm.DataCentre() != g.home
+}
+
+// concerns reports whether an entry is for a peer: not what it wrote itself.
+// For a peer elsewhere neither are links, VMs here that it would not keep, and
+// what its own data centre writes.
 func (g *Gossiper) concerns(e Entry, to *record) bool {
 	if e.origin == "" || to == nil || !to.known {
 		return true
@@ -122,16 +133,19 @@
 	if e.origin == to.vm.Name() {
 		return false
 	}
-	if to.vm.DataCentre() == g.home {
+	if !g.foreign(to) {
 		return true
 	}
-	ranked := g.ranked(g.home)
-	for _, r := range ranked[:min(len(ranked), g.remoteKept)] {
-		if r.vm.Name() == e.origin {
-			return true
-		}
+	switch dataCentre := g.records[e.origin].vm.DataCentre(); {
+	case strings.HasPrefix(e.key, keyLink):
+		return false
+	case dataCentre == to.vm.DataCentre():
+		return e.key == keyVM || e.key == statusSuspect
+	case dataCentre != g.home:
+		return true
 	}
-	return g.records[e.origin].vm.DataCentre() != g.home
+	ranked := g.ranked(g.home)
+	return slices.Contains(ranked[:min(len(ranked), g.remoteKept)], g.records[e.origin])
 }
 
 func (g *Gossiper) lookUp(k rumourKey) (Entry, bool) {
