Count joining VMs among those that keep the configuration

Cause: VMs join until they have the configuration, and only live ones were told to the keeper: at the start of a fleet each took itself for the only one, and since first reads of a lone VM are spread over 10 s the first change took 5.2 s to be in force on 7 VMs that had started together. Change: the daemon tells joining VMs, too.

--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -109,7 +109,7 @@
 	}
 	c.members = c.gossip.Members()
 	c.sets = c.config.Sets()
-	c.config.OnMembers(c.liveNames())
+	c.config.OnMembers(c.presentNames())
 	c.locator.Update(c.sets, c.members, c.gossip.Reachable)
 	if !c.gossip.Fresh() {
 		return nil
@@ -138,10 +138,11 @@
 	c.join()
 }
 
-// liveNames lists the live VMs of this data centre and of the others.
-func (c *control) liveNames() (local, remote []string) {
+// presentNames lists the VMs of this data centre and of the others that keep
+// the configuration: also joining ones, which wait for it.
+func (c *control) presentNames() (local, remote []string) {
 	for _, m := range c.members {
-		if m.State() != tier.VMLive {
+		if m.State() != tier.VMLive && m.State() != tier.VMJoining {
 			continue
 		}
 		if m.DataCentre() == c.self.DataCentre() {
