--- a/tier/dispatcher/share_test.go
+++ b/tier/dispatcher/share_test.go
@@ -81,10 +81,13 @@
 }
 
 // floodFor keeps urgent and reports work waiting on one server, and returns
-// the part of slot time that reports get.
-func floodFor(set *tier.ShardSet, span tier.Millis, times [2]tier.Millis, tamper func(*Dispatcher)) float64 {
+// the part of slot time that reports get and their longest wait for a call.
+func floodFor(set *tier.ShardSet, imposed tier.Millis, tamper func(*Dispatcher)) (float64, tier.Millis) {
+	const span = 5 * tier.Second
+	times := [2]tier.Millis{10, 25}
+	last, longest := tier.Millis(0), tier.Millis(0)
 	profiles := [2]*tier.Profile{
-		testProfile("gate", tier.Urgent, tier.WithImposedWait(tier.MaxImposedWait)),
+		testProfile("gate", tier.Urgent, tier.WithImposedWait(imposed)),
 		testProfile("fees", tier.Reports, tier.WithImposedWait(tier.MaxImposedWait)),
 	}
 	d := New(set, "here", WithTakeover(0))
@@ -97,6 +100,10 @@
 			if c, ok := a.(*Call); ok {
 				running[c.attempt] = now + times[c.part%2]
 				kinds[c.attempt] = int(c.part % 2)
+				if c.part%2 == 1 {
+					longest = max(longest, now-last)
+					last = now
+				}
 			}
 		}
 	}
@@ -116,22 +123,37 @@
 			tamper(d)
 		}
 	}
-	return float64(used[1]) / float64(used[0]+used[1])
+	return float64(used[1]) / float64(used[0]+used[1]), max(longest, span-last)
 }
 
 func TestReportsKeepTheirFloor(t *testing.T) {
 	set := testSet(1, 1, 2, tier.WithFloors(0, 0.2))
-	times := [2]tier.Millis{10, 25}
-	got := floodFor(set, 5*tier.Second, times, nil)
-	if got < 0.19 || got > 0.25 {
+	if got, _ := floodFor(set, tier.MaxImposedWait, nil); got < 0.19 || got > 0.25 {
 		t.Fatalf("reports got %.3f of slot time, floor 0.2", got)
 	}
 	unfloored := func(d *Dispatcher) { d.set = testSet(1, 1, 2, tier.WithFloors(0, 0)) }
-	if got := floodFor(set, 5*tier.Second, times, unfloored); got > 0.1 {
+	if got, _ := floodFor(set, tier.MaxImposedWait, unfloored); got > 0.1 {
 		t.Fatalf("without a floor reports still got %.3f of slot time", got)
 	}
 }
 
+// TestImposedWaitIsKept: without floors, urgent work holds reports back for as
+// long as its profile may, and the end of one call.
+func TestImposedWaitIsKept(t *testing.T) {
+	set := testSet(1, 1, 2, tier.WithFloors(0, 0))
+	if _, got := floodFor(set, 200, nil); got < 200 || got > 200+10 {
+		t.Fatalf("reports waited %d ms, imposed 200", got)
+	}
+	forget := func(d *Dispatcher) {
+		for _, l := range d.shards["s0"].lanes {
+			l.since = d.now
+		}
+	}
+	if _, got := floodFor(set, 200, forget); got < 1000 {
+		t.Fatalf("with no account of the wait reports still waited only %d ms", got)
+	}
+}
+
 // TestStandbyKeepsOneSlot: a VM that is not the owner never uses more than one
 // slot of a server, nor does a former owner once the takeover time is over.
 func TestStandbyKeepsOneSlot(t *testing.T) {
