--- a/cicadagraded/claiming/book.go
+++ b/cicadagraded/claiming/book.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// Counters are the counts so far; false if the duty has stopped or ctx ended.
+func (c *Claiming) Counters(ctx context.Context) (claimer.Counters, bool) {
+	counted := ring.New[claimer.Counters](1)
+	if err := c.tell(ctx, message{counted: counted}); err != nil {
+		return claimer.Counters{}, false
+	}
+	select {
+	case n := <-counted.Out():
+		return n, true
+	case <-c.stopped:
+	case <-ctx.Done():
+	}
+	return claimer.Counters{}, false
+}
+
 // tell hands a message to the duty.
 func (c *Claiming) tell(ctx context.Context, m message) error {
 	select {
--- a/cicadagraded/claiming/claiming.go
+++ b/cicadagraded/claiming/claiming.go
@@ -94,9 +94,11 @@
 	// Set with a Submit: where its Run and Finish go.
 	ticket uint64
 	mail   *ring.Ring[claimer.Action]
-	// Set to ask for a new key, or to be told that all is recorded.
+	// Set to ask for a new key, to be told that all is recorded, or for the
+	// counts.
 	minted  *ring.Ring[claimer.Key]
 	flushed chan struct{}
+	counted *ring.Ring[claimer.Counters]
 }
 
 // Run drives the claimer until ctx ends. It is called once.
@@ -148,6 +150,9 @@
 	if m.flushed != nil {
 		c.flushers = append(c.flushers, m.flushed)
 	}
+	if m.counted != nil {
+		m.counted.TryPush(c.claimer.Counters())
+	}
 	if m.event != nil {
 		c.step(m.event)
 	}
--- a/cicadagraded/observe.go
+++ b/cicadagraded/observe.go
@@ -14,8 +14,8 @@
 const (
 	// ownersAge is how old the owners' status may be that gauges show.
 	ownersAge = tier.Second
-	// ownersTimeout bounds the wait for it.
-	ownersTimeout = tier.Second
+	// statusTimeout bounds the wait for a duty's answer.
+	statusTimeout = tier.Second
 	permille      = 1000
 )
 
@@ -55,6 +55,7 @@
 		{"cicadagrade.configuration.warnings", "warnings of the configuration, of all VMs", (*observer).warnings},
 		{"cicadagrade.configuration.watcher", "1 if this VM watches the store for its data centre", (*observer).watcher},
 		{"cicadagrade.configuration.calls", "reads and watches of the store, and fetches from other VMs", (*observer).configurationCalls},
+		{"cicadagrade.claims", "claims of callers' own keys: pages read and written, writes that met another, store calls that failed, bookings sent", (*observer).claims},
 	}
 }
 
@@ -86,7 +87,7 @@
 	if o.read && now-o.at < ownersAge {
 		return o.list
 	}
-	ctx, cancel := context.WithTimeout(o.daemon.ctx, ownersTimeout.Duration())
+	ctx, cancel := context.WithTimeout(o.daemon.ctx, statusTimeout.Duration())
 	defer cancel()
 	o.list = o.daemon.registry.Statuses(ctx)
 	o.read, o.at = true, now
@@ -248,3 +249,19 @@
 		meter.NewPoint(int64(c.Fetches()), "call", "fetch"),
 	}
 }
+
+func (o *observer) claims() []meter.Point {
+	ctx, cancel := context.WithTimeout(o.daemon.ctx, statusTimeout.Duration())
+	defer cancel()
+	n, ok := o.daemon.claiming.Counters(ctx)
+	if !ok {
+		return nil
+	}
+	return []meter.Point{
+		meter.NewPoint(int64(n.Reads()), "which", "reads"),
+		meter.NewPoint(int64(n.Writes()), "which", "writes"),
+		meter.NewPoint(int64(n.Conflicts()), "which", "conflicts"),
+		meter.NewPoint(int64(n.Failures()), "which", "failures"),
+		meter.NewPoint(int64(n.Runs()), "which", "runs"),
+	}
+}
