Take from another VM what one sends damaged

Cause: a damaged document from one peer had its state refused from all, and after a failed fetch a new source waited for the retry of the old one. Change: the VM that sent it is left alone for 10 s, the state is not refused, and a new source is asked at once. Conclusion: a test pins both.

--- a/tier/keeper/fetch.go
+++ b/tier/keeper/fetch.go
@@ -52,7 +52,7 @@
 		k.fetchAt = retry
 		return
 	}
-	if k.fetchAt == never {
+	if k.fetchAt > now+fetchSpread {
 		k.fetchAt = now + k.random64(fetchSpread)
 	}
 	if now < k.fetchAt {
@@ -90,6 +90,7 @@
 	if k.fetching == e.vm {
 		k.fetching = ""
 	}
+	retry := fetchRetry
 	for _, u := range e.updates {
 		s, err := k.documents[u.ref.key].resolve(u)
 		switch {
@@ -98,7 +99,7 @@
 		case u.delta != nil:
 			k.wholeOnly[u.ref.key] = true
 		default:
-			k.refused[u.ref] = true
+			retry = damagedRetry
 			k.raise(Flag{trouble: Damaged, served: k.refOf(u.ref.key), seen: u.ref, source: e.vm}, out)
 		}
 	}
@@ -106,7 +107,7 @@
 		k.listAt = max(k.listAt, now+k.jitter(otherReadPeriod))
 	}
 	if len(k.wanted(e.vm)) > 0 {
-		k.badPeers[e.vm] = now + k.jitter(fetchRetry)
+		k.badPeers[e.vm] = now + k.jitter(retry)
 	}
 }
 
--- a/tier/keeper/keeper.go
+++ b/tier/keeper/keeper.go
@@ -33,6 +33,7 @@
 	maxAnnounced      = 4096             // VMs whose announcements are kept
 	fetchSpread       = 50 * tier.Millis(1)
 	fetchRetry        = 300 * tier.Millis(1)
+	damagedRetry      = 10 * tier.Second // before a VM that sent a damaged document is asked again
 )
 
 const never = tier.Millis(1) << 60
--- a/tier/keeper/keeper_test.go
+++ b/tier/keeper/keeper_test.go
@@ -177,6 +177,32 @@
 	}
 }
 
+// TestDamagedPeerBlocksNoOther: a state that one VM sends damaged is taken
+// from another.
+func TestDamagedPeerBlocksNoOther(t *testing.T) {
+	main := line(nil, "main", 2)
+	k := keeper.New("a")
+	k.Step(0, keeper.NewChanged(value(main[0], 1)))
+	k.Step(0, keeper.NewMembers([]string{"a", "b", "c"}, nil))
+	k.Step(0, keeper.NewAnnounced("b", []keeper.Ref{main[1].Ref()}))
+	if fetches(k, 100) != 1 {
+		t.Fatal("b was not asked")
+	}
+	damaged := keeper.NewUpdate(main[1].Ref(), []byte("{"), nil, 0)
+	k.Step(100, keeper.NewFetched("b", []keeper.Update{damaged}))
+	if f := k.Flags(); len(f) != 1 || f[0].Trouble() != keeper.Damaged {
+		t.Errorf("flags %v", f)
+	}
+	k.Step(200, keeper.NewAnnounced("c", []keeper.Ref{main[1].Ref()}))
+	if fetches(k, 300) != 1 {
+		t.Fatal("c was not asked")
+	}
+	got := taken(k.Step(300, keeper.NewFetched("c", update(main[1], main[0].Ref(), main[0]))))
+	if len(got) != 1 || len(k.Flags()) != 0 {
+		t.Errorf("took %d, flags %v", len(got), k.Flags())
+	}
+}
+
 func fetches(k *keeper.Keeper, now tier.Millis) int {
 	n := 0
 	for _, a := range k.Step(now, &keeper.Tick{}) {
--- a/tier/keeper/take.go
+++ b/tier/keeper/take.go
@@ -33,12 +33,18 @@
 			delete(k.refused, r)
 		}
 	}
-	if f, ok := k.flags[s.ref.key]; ok && (f.source == source || s.ref.epoch > f.served.epoch) {
+	if f, ok := k.flags[s.ref.key]; ok && f.settledBy(s.ref, source) {
 		delete(k.flags, s.ref.key)
 	}
 	out.add(&Took{state: s})
 }
 
+// settledBy reports that a state that came into force ends the trouble.
+func (f Flag) settledBy(r Ref, source string) bool {
+	readable := f.trouble == Damaged && !f.seen.Above(r)
+	return f.source == source || r.epoch > f.served.epoch || readable
+}
+
 // older compares a state that is not later with what is served. The store
 // has caught up, is behind, or holds another change at the same revision.
 func (k *Keeper) older(s, served *State, source string, out *actions) {
