Measure by make measure, keep connections of hedges that end soon

Cause: (1) there was no command that repeats the measurements with real processes; (2) a cancelled leaf call costs its HTTP/1.1 connection, 6 ms to make again, and most losers of a hedge end soon; (3) a caller that sends its body slowly held its place for good, while a read timeout of the server would have taken long requests for callers who had gone; (4) a planned stop failed when the store did not take the last outcomes. Change: demo/measure.sh, make measure and make failures; a call is cancelled once it has gone on for as long as a new connection takes; the body has 10 s, after which the connection's deadline is lifted; the stop logs outcomes that were not recorded.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: demo test check build format lint tidy bare race
+.PHONY: demo failures measure test check build format lint tidy bare race
 
 build:
 	@mkdir -p $(BIN)
@@ -14,6 +14,14 @@
 demo: build
 	@./demo/run.sh $(BIN)
 
+# Failures under load with real processes; about four minutes.
+failures: build
+	@./demo/failures.sh $(BIN)
+
+# The measurements of docs/measuring.md with real processes; about twelve minutes.
+measure: build
+	@./demo/measure.sh $(BIN)
+
 test:
 	go test $(MODULES)
 
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -166,7 +166,7 @@
 		handler.WithMetrics(m.Handler()),
 		handler.WithEnded(m.Ended),
 		handler.WithMaxBody(int64(d.settings.maxBodyBytes)))
-	d.api = &http.Server{Addr: d.settings.apiAddress, Handler: h.Routes(), ReadHeaderTimeout: headerTimeout.Duration()}
+	d.api = &http.Server{Addr: d.settings.apiAddress, Handler: h.Routes(), ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration()}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -174,8 +174,11 @@
 	return nil
 }
 
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 5 * tier.Second
+// Bounds of the servers' connections.
+const (
+	headerTimeout = 5 * tier.Second // to read a request's header
+	idleTimeout   = 2 * tier.Minute // between a caller's requests
+)
 
 // run runs every duty until the planned stop is over or one of them fails.
 func (d *daemon) run() error {
--- a/cicadagraded/handler/errors.go
+++ b/cicadagraded/handler/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -74,6 +75,10 @@
 	case errors.As(err, &tooLarge):
 		w.Error.Code = "body-too-large"
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Error.Code = "body-too-slow"
+		w.Error.Message = "the body did not come in time"
+		return http.StatusRequestTimeout
 	case errors.As(err, &malformed):
 		w.Error.Code = "malformed-body"
 		w.Error.Message = malformed.Error()
--- a/cicadagraded/handler/handler.go
+++ b/cicadagraded/handler/handler.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -56,6 +57,8 @@
 	metrics   http.Handler
 	ended     func(route, rank, outcome string, took tier.Millis)
 	maxBody   int64
+
+	bodyTimeout tier.Millis
 }
 
 // Option sets one part of a handler.
@@ -72,6 +75,9 @@
 // WithMaxBody sets the largest body of a request, in bytes.
 func WithMaxBody(n int64) Option { return func(h *Handler) { h.maxBody = n } }
 
+// WithBodyTimeout bounds the reading of a request's body.
+func WithBodyTimeout(m tier.Millis) Option { return func(h *Handler) { h.bodyTimeout = m } }
+
 // New returns the handler of the named VM.
 func New(vm string, clock *tier.Clock, config Configuration, front Front, admission Admission, status StatusSource, opts ...Option) *Handler {
 	h := &Handler{
@@ -79,6 +85,8 @@
 		metrics: http.NotFoundHandler(),
 		ended:   func(string, string, string, tier.Millis) {},
 		maxBody: 64 << 10,
+
+		bodyTimeout: 10 * tier.Second,
 	}
 	for _, o := range opts {
 		o(h)
@@ -109,11 +117,19 @@
 	return c.String(http.StatusOK, "ready\n")
 }
 
-// read decodes the request's body into a wire type.
+// read decodes the request's body into a wire type. Once the body is there the
+// connection's deadline is lifted: the server would take its end for a caller
+// who has gone.
 func (h *Handler) read(c echo.Context, into any) error {
 	r := c.Request()
+	conn := http.NewResponseController(c.Response())
+	_ = conn.SetReadDeadline(time.Now().Add(h.bodyTimeout.Duration()))
 	r.Body = http.MaxBytesReader(c.Response(), r.Body, h.maxBody)
-	return errors.Wrap(decode(r.Body, into), "Handler.read")
+	if err := decode(r.Body, into); err != nil {
+		return errors.Wrap(err, "Handler.read")
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	return nil
 }
 
 // deadline is the absolute deadline of a request under its profile.
--- a/cicadagraded/owner/loop.go
+++ b/cicadagraded/owner/loop.go
@@ -64,6 +64,9 @@
 	if len(o.early) > 0 {
 		due = min(due, o.warmAt)
 	}
+	if len(o.cancels) > 0 {
+		due = min(due, o.cancels[0].at)
+	}
 	return max(due-now, 0)
 }
 
@@ -76,6 +79,7 @@
 	if now >= o.warmAt {
 		o.submitEarly()
 	}
+	o.cancelDue(now)
 	if now >= o.reportAt {
 		o.report(now)
 	}
@@ -205,9 +209,7 @@
 	case *dispatcher.Call:
 		o.call(a)
 	case *dispatcher.CancelCall:
-		if c, ok := o.calls[a.Attempt()]; ok {
-			c.cancel()
-		}
+		o.cancelCall(a.Attempt())
 	case *dispatcher.PartDone:
 		o.partDone(a)
 	case *dispatcher.PartRefused:
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -56,6 +56,7 @@
 	unheard     map[string]bool
 	early       []*submitMessage
 	warmAt      tier.Millis
+	cancels     []pendingCancel // the earliest first
 	deferred    []message
 	lastPart    uint64
 	rejected    uint64
--- a/cicadagraded/stop.go
+++ b/cicadagraded/stop.go
@@ -79,7 +79,21 @@
 			return errors.Wrap(err, "stopper.shutdown")
 		}
 	}
-	return errors.Wrap(s.claiming.Flush(ctx), "stopper.shutdown")
+	s.flush(ctx)
+	return nil
+}
+
+// flushLimit bounds the wait for the store at the end of a planned stop.
+const flushLimit = 5 * tier.Second
+
+// flush records the outcomes of bookings. Those that the store does not take
+// are unknown to whoever asks again with the same key.
+func (s *stopper) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit.Duration())
+	defer cancel()
+	if err := s.claiming.Flush(ctx); err != nil {
+		s.logger.Warn("outcomes not recorded", "error", err)
+	}
 }
 
 // cut ends the stop with work in flight and logs each request that it cuts.
--- /dev/null
+++ b/demo/measure.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Measures the tier with real processes on loopback: added latency, hedging and
+# floods, for both deployments where it says so. Results go to .run/ as JSON;
+# the tables are printed. The figures of a shared machine are trials.
+# usage: demo/measure.sh DIRECTORY-OF-PROGRAMS [NAME ...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$1
+shift
+wanted=${*:-added-latency hedging floods-associacao floods-zorin day-zorin}
+mkdir -p .run
+
+# measure NAME DEPLOYMENT "BACKEND FLAGS" COMMAND...: a deployment of its own
+# for one measurement.
+measure() {
+  local name=$1 deployment=$2 flags=$3
+  shift 3
+  [[ " $wanted " == *" $name "* ]] || return 0
+  (
+    source demo/start.sh
+    say "$name"
+    # shellcheck disable=SC2086
+    start_platform $flags
+    start_vms
+    apply_documents >/dev/null
+    sleep 4
+    "$bin/standin" "$@" --deployment "$data.json"
+  )
+}
+
+w=standin/workload
+measure added-latency associacao "" load --workload $w/associacao-one-set.json --out .run/added-latency.json
+measure hedging associacao "" experiment --file $w/experiment-hedging.json --out .run
+measure floods-associacao associacao "--median 15ms" load --workload $w/associacao-floods.json --out .run/floods-associacao.json
+measure floods-zorin zorin "--median 15ms" load --workload $w/zorin-floods.json --out .run/floods-zorin.json
+measure day-zorin zorin "" load --workload $w/zorin-day.json --out .run/day-zorin.json
