Pick owners without sorting all members

The control loop of the daemon picks the owners of each set many times a second. Owners now keeps only the best n while it goes through the members, and hashes set and data centre once.

Generation counts the changes of the member list, so that the loop can leave out what did not change.

--- a/cicadagraded/exchanging/view.go
+++ b/cicadagraded/exchanging/view.go
@@ -40,6 +40,14 @@
 	return x.gossiper.Self()
 }
 
+// Generation counts the changes of Members, so that readers can tell whether
+// to read them again.
+func (x *Exchanger) Generation() uint64 {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	return x.gossiper.Generation()
+}
+
 // Members lists the VMs known, with their states.
 func (x *Exchanger) Members() []tier.VM {
 	x.lock.Lock()
--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -55,7 +55,8 @@
 	staleSince  tier.Millis
 	staleNumber uint64
 
-	actions []Action
+	generation uint64
+	actions    []Action
 }
 
 // flight is an exchange that has not been answered.
@@ -248,5 +249,6 @@
 		return
 	}
 	r.shown = r.state()
+	g.generation++
 	g.act(&MemberChanged{vm: r.shown})
 }
--- a/tier/gossiper/gossiper_test.go
+++ b/tier/gossiper/gossiper_test.go
@@ -274,3 +274,22 @@
 		}
 	}
 }
+
+// TestLinksStayAtHome: a VM elsewhere holds none of a contact's links, and
+// still knows how far its writes reach, so that they are not sent again.
+func TestLinksStayAtHome(t *testing.T) {
+	w := newNetwork(t, 11)
+	today(w)
+	w.run(tier.Minute, nil)
+	for _, n := range w.nodes {
+		for _, o := range w.nodes {
+			r := n.records[o.name]
+			if r.version != o.own.highest {
+				t.Errorf("%s holds %s up to %d of %d", n.name, o.name, r.version, o.own.highest)
+			}
+			if n.home != o.home && len(r.entries) != 1 {
+				t.Errorf("%s holds %d entries of %s", n.name, len(r.entries), o.name)
+			}
+		}
+	}
+}
--- a/tier/gossiper/table.go
+++ b/tier/gossiper/table.go
@@ -23,6 +23,7 @@
 
 func (g *Gossiper) forgetRecord(name string) {
 	delete(g.records, name)
+	g.generation++
 	g.ranks, g.others = nil, nil
 	g.names = slices.DeleteFunc(g.names, func(n string) bool { return n == name })
 }
--- a/tier/gossiper/view.go
+++ b/tier/gossiper/view.go
@@ -17,6 +17,10 @@
 // Self is this VM, with its life and state as published.
 func (g *Gossiper) Self() tier.VM { return g.own.vm }
 
+// Generation counts the changes of Members, so that readers can tell whether
+// to read them again.
+func (g *Gossiper) Generation() uint64 { return g.generation }
+
 // Members lists the VMs known, this one among them, sorted by name. Those
 // declared dead are listed as such until they are forgotten. Of another data
 // centre only a few VMs are kept.
--- a/tier/picker/picker.go
+++ b/tier/picker/picker.go
@@ -2,22 +2,49 @@
 package picker
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"cicadagrade.example/tier"
 )
 
+// scorer scores VMs for one key in one data centre.
+type scorer struct{ prefix xxhash.Digest }
+
+func newScorer(key, dataCentre string) scorer {
+	var s scorer
+	s.prefix.Reset()
+	write(&s.prefix, key)
+	write(&s.prefix, dataCentre)
+	return s
+}
+
+func write(d *xxhash.Digest, word string) {
+	_, _ = d.WriteString(word)
+	_, _ = d.Write([]byte{0})
+}
+
+func (s scorer) score(vm string) uint64 {
+	d := s.prefix
+	write(&d, vm)
+	return d.Sum64()
+}
+
 // Score is the rendezvous weight of a VM for a key in a data centre.
-func Score(key, dataCentre, vm string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, s := range [...]string{key, dataCentre, vm} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
+func Score(key, dataCentre, vm string) uint64 { return newScorer(key, dataCentre).score(vm) }
+
+type scored struct {
+	vm    tier.VM
+	score uint64
+}
+
+func before(a, b scored) int {
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
 	}
-	return d.Sum64()
+	return cmp.Compare(a.vm.Name(), b.vm.Name())
 }
 
 // Owners lists the n VMs of a data centre that own a set, the highest score
@@ -25,28 +52,22 @@
 // fewer live members. A member that joins or leaves moves only the sets that
 // it takes or gives up.
 func Owners(set, dataCentre string, members []tier.VM, n int) []tier.VM {
-	type scored struct {
-		vm    tier.VM
-		score uint64
-	}
-	var live []scored
+	s := newScorer(set, dataCentre)
+	var best []scored
 	for _, v := range members {
-		if v.DataCentre() == dataCentre && v.State() == tier.VMLive {
-			live = append(live, scored{vm: v, score: Score(set, dataCentre, v.Name())})
+		if v.DataCentre() != dataCentre || v.State() != tier.VMLive {
+			continue
 		}
-	}
-	sort.Slice(live, func(i, j int) bool {
-		if live[i].score != live[j].score {
-			return live[i].score > live[j].score
+		one := scored{vm: v, score: s.score(v.Name())}
+		at, _ := slices.BinarySearchFunc(best, one, before)
+		if at < n {
+			best = slices.Insert(best, at, one)
+			best = best[:min(len(best), n)]
 		}
-		return live[i].vm.Name() < live[j].vm.Name()
-	})
-	if len(live) > n {
-		live = live[:max(n, 0)]
 	}
-	out := make([]tier.VM, len(live))
-	for i, s := range live {
-		out[i] = s.vm
+	out := make([]tier.VM, len(best))
+	for i, b := range best {
+		out[i] = b.vm
 	}
 	return out
 }
