--- a/cicadagraded/pages_test.go
+++ b/cicadagraded/pages_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -60,6 +62,35 @@
 	}
 }
 
+var logCall = regexp.MustCompile(`logger\.(Info|Warn|Error)\("([^"]+)"`)
+
+func TestRunningPageListsLogLines(t *testing.T) {
+	page, err := os.ReadFile(runningPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, name := range files {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range logCall.FindAllStringSubmatch(string(b), -1) {
+			found++
+			if !strings.Contains(string(page), "`"+m[2]+"`") {
+				t.Errorf("%s lacks the line %q of %s", runningPage, m[2], name)
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no log line found")
+	}
+}
+
 // newIdleDaemon is a daemon of which nothing runs.
 func newIdleDaemon(t *testing.T) *daemon {
 	t.Helper()
--- a/tier/claimer/claimer_test.go
+++ b/tier/claimer/claimer_test.go
@@ -163,7 +163,7 @@
 func BenchmarkStoreWrites(b *testing.B) {
 	for _, vms := range []int{1, 7} {
 		for _, pages := range []int{1, 8, 64} {
-			for _, burst := range []int{1, 10, 100} {
+			for _, burst := range []int{1, 10, 30, 100} {
 				b.Run(fmt.Sprintf("vms-%d/pages-%d/at-once-%d", vms, pages, burst), func(b *testing.B) {
 					writes, took := 0, tier.Millis(0)
 					for i := range b.N {
--- a/tier/keeper/load_test.go
+++ b/tier/keeper/load_test.go
@@ -145,7 +145,7 @@
 
 // BenchmarkStoreCalls counts the store's calls of an hour without changes.
 func BenchmarkStoreCalls(b *testing.B) {
-	for _, size := range [][2]int{{3, 2}, {1, 30}, {1, 270}} {
+	for _, size := range [][2]int{{3, 2}, {1, 30}, {1, 100}, {1, 270}} {
 		b.Run(fmt.Sprintf("centres=%d/vms=%d", size[0], size[1]), func(b *testing.B) {
 			var s *simulation
 			for b.Loop() {
