Tell fronts the threshold of admission with each reply

Change: an owner gives its threshold with each reply; fronts apply it at once. Gossip carries it at most once a second, for fronts that ask nothing.

--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -160,7 +160,7 @@
 	c := &claims{claiming: d.claiming}
 	b := &booker{claims: c, registry: d.registry}
 	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
-	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialled(d.settings.dialled))
+	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialled(d.settings.dialled), messenger.WithThresholds(d.locator.Threshold))
 	front := asker.New(d.self.DataCentre(), d.clock, d.locator, d.client, c)
 	h := handler.New(d.self.Name(), d.clock, d.config, front, d.inflight, d,
 		handler.WithMetrics(m.Handler()),
--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -20,26 +20,25 @@
 	clock   *tier.Clock
 	current atomic.Pointer[view]
 
-	mu        sync.Mutex
-	members   []tier.VM
-	sets      map[string]*tier.ShardSet
-	earlier   map[string]*tier.ShardSet // the former shard map of a set
-	reports   map[reportKey]heardReport
-	reachable map[string]bool
-	admitMu   sync.Mutex
-	admitters map[string]*admitter.Admitter
-	failed    sync.Map // name of a VM to its suspicion
+	mu         sync.Mutex
+	members    []tier.VM
+	sets       map[string]*tier.ShardSet
+	earlier    map[string]*tier.ShardSet // the former shard map of a set
+	reports    map[reportKey]heardReport
+	reachable  map[string]bool
+	admitMu    sync.Mutex
+	admitters  map[string]*admitter.Admitter
+	thresholds map[reportKey]admitter.Published
+	failed     sync.Map // name of a VM to its suspicion
 }
 
 // reportKey names the report of an owner on its set.
 type reportKey struct{ set, vm string }
 
-// heardReport is a report with the time at which this VM heard it, and the
-// last one under a former shard map.
+// heardReport is a report with the last one under a former shard map.
 type heardReport struct {
 	report owner.Report
 	former owner.Report
-	heard  tier.Millis
 }
 
 // under is the report of a shard map, if there is one.
@@ -71,7 +70,6 @@
 	reported   map[string]bool // the VMs whose reports count
 	epoch      tier.Epoch
 	versions   map[string][]tier.Version
-	thresholds []admitter.Published
 }
 
 // maxCandidates bounds the VMs listed for a set in a data centre.
@@ -80,12 +78,13 @@
 // New returns a locator that knows nothing.
 func New(clock *tier.Clock) *Locator {
 	l := &Locator{
-		clock:     clock,
-		sets:      map[string]*tier.ShardSet{},
-		earlier:   map[string]*tier.ShardSet{},
-		reports:   map[reportKey]heardReport{},
-		admitters: map[string]*admitter.Admitter{},
-		reachable: map[string]bool{},
+		clock:      clock,
+		sets:       map[string]*tier.ShardSet{},
+		earlier:    map[string]*tier.ShardSet{},
+		reports:    map[reportKey]heardReport{},
+		admitters:  map[string]*admitter.Admitter{},
+		thresholds: map[reportKey]admitter.Published{},
+		reachable:  map[string]bool{},
 	}
 	l.rebuild()
 	return l
@@ -123,13 +122,15 @@
 	k := reportKey{set: set, vm: vm}
 	if ok {
 		last := l.reports[k]
-		h := heardReport{report: r, former: last.former, heard: l.clock.Now()}
+		h := heardReport{report: r, former: last.former}
 		if last.report.Epoch() < r.Epoch() {
 			h.former = last.report
 		}
 		l.reports[k] = h
+		l.Threshold(set, vm, r.Threshold())
 	} else {
 		delete(l.reports, k)
+		l.Threshold(set, vm, admitter.AllIn())
 	}
 	l.rebuildSet(set)
 }
@@ -189,7 +190,7 @@
 			p.candidates = append(p.candidates, vm)
 		}
 	}
-	for i, vm := range p.candidates {
+	for _, vm := range p.candidates {
 		h, ok := l.reports[reportKey{s.Name(), vm.Name()}]
 		if !ok {
 			continue
@@ -198,9 +199,6 @@
 			p.merge(s, r)
 			p.reported[vm.Name()] = r.Informed()
 		}
-		if i < p.owners {
-			p.thresholds = append(p.thresholds, admitter.NewPublished(h.report.Threshold(), h.heard))
-		}
 	}
 	return p
 }
--- a/cicadagraded/locator/locator_test.go
+++ b/cicadagraded/locator/locator_test.go
@@ -8,6 +8,7 @@
 	"cicadagrade.example/cicadagraded/locator"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 )
 
 func newSet(t *testing.T, e tier.Epoch, shard string) *tier.ShardSet {
@@ -93,3 +94,26 @@
 		t.Errorf("asks %s, want the owner that answers", first())
 	}
 }
+
+// TestThresholdsFromReplies: what an owner gives with a reply counts at once,
+// and ends at once when it lets everything in again.
+func TestThresholdsFromReplies(t *testing.T) {
+	l := locator.New(tier.NewManualClock(0).Clock())
+	vm := tier.NewVM("caxias-1", "serra-caxias", "127.0.0.1:2", tier.WithVMState(tier.VMLive))
+	l.Update([]*tier.ShardSet{newSet(t, 1, "s0")}, []tier.VM{vm}, func(string) bool { return true })
+	l.Threshold("portao", "caxias-1", admitter.NewThreshold([3]float64{1, 1, 0}, [3]tier.Millis{0, 0, 700}))
+	if wait, ok := l.Admit("portao", tier.Urgent); !ok {
+		t.Errorf("urgent refused for %d ms", wait)
+	}
+	var wait tier.Millis
+	for range 3 {
+		wait, _ = l.Admit("portao", tier.Reports)
+	}
+	if wait < 700 || wait > 1051 {
+		t.Errorf("reports may come after %d ms, want 700 to 1051", wait)
+	}
+	l.Threshold("portao", "caxias-1", admitter.AllIn())
+	if _, ok := l.Admit("portao", tier.Reports); !ok {
+		t.Error("reports refused though the owner lets everything in")
+	}
+}
--- a/cicadagraded/locator/read.go
+++ b/cicadagraded/locator/read.go
@@ -63,6 +63,18 @@
 	return l.order(p, append(out, p.candidates[n:]...))
 }
 
+// Threshold notes the threshold that an owner gave with a reply or a report.
+func (l *Locator) Threshold(set, vm string, t admitter.Threshold) {
+	l.admitMu.Lock()
+	defer l.admitMu.Unlock()
+	k := reportKey{set: set, vm: vm}
+	if t.AllIn() {
+		delete(l.thresholds, k)
+		return
+	}
+	l.thresholds[k] = admitter.NewPublished(t, l.clock.Now())
+}
+
 // Admit applies the thresholds that the owners of a set publish.
 func (l *Locator) Admit(set string, rank tier.Rank) (tier.Millis, bool) {
 	v := l.current.Load()
@@ -70,12 +82,17 @@
 	if !ok {
 		return 0, true
 	}
+	l.admitMu.Lock()
+	defer l.admitMu.Unlock()
 	var all []admitter.Published
 	for _, d := range s.DataCentres() {
-		all = append(all, v.places[placeKey{set, d}].thresholds...)
+		p := v.places[placeKey{set, d}]
+		for _, vm := range p.candidates[:min(p.owners, len(p.candidates))] {
+			if t, ok := l.thresholds[reportKey{set, vm.Name()}]; ok {
+				all = append(all, t)
+			}
+		}
 	}
-	l.admitMu.Lock()
-	defer l.admitMu.Unlock()
 	a, ok := l.admitters[set]
 	if !ok {
 		a = admitter.New()
--- a/cicadagraded/messenger/client.go
+++ b/cicadagraded/messenger/client.go
@@ -17,6 +17,7 @@
 	"cicadagrade.example/cicadagraded/asker"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 )
 
 // Limits of the connections between VMs.
@@ -34,6 +35,7 @@
 	clock     *tier.Clock
 	http      *http.Client
 	dialled   func(address string) string
+	heard     func(set, vm string, t admitter.Threshold)
 	mu        sync.Mutex
 	byAddress map[string]peerv1connect.PeerServiceClient
 }
@@ -44,6 +46,12 @@
 // WithDialled sets the address that is dialled in place of a VM's own.
 func WithDialled(f func(address string) string) Option { return func(c *Client) { c.dialled = f } }
 
+// WithThresholds has heard told the threshold of admission that an owner gives
+// with each reply.
+func WithThresholds(heard func(set, vm string, t admitter.Threshold)) Option {
+	return func(c *Client) { c.heard = heard }
+}
+
 // NewClient returns the client of a VM, whose own requests go to local.
 func NewClient(self tier.VM, local *Server, clock *tier.Clock, opts ...Option) *Client {
 	c := &Client{
@@ -52,6 +60,7 @@
 		clock:     clock,
 		http:      NewHTTPClient(),
 		dialled:   func(address string) string { return address },
+		heard:     func(string, string, admitter.Threshold) {},
 		byAddress: map[string]peerv1connect.PeerServiceClient{},
 	}
 	for _, o := range opts {
@@ -88,12 +97,15 @@
 // Ask has a VM run a part of a search.
 func (c *Client) Ask(ctx context.Context, vm tier.VM, set string, s owner.Search) (owner.End, error) {
 	if vm.Name() == c.self.Name() {
-		return c.local.search(ctx, set, s), nil
+		end := c.local.search(ctx, set, s)
+		c.heard(set, vm.Name(), c.local.owners.Threshold(set))
+		return end, nil
 	}
 	reply, err := c.Service(vm.Address()).Ask(ctx, connect.NewRequest(c.askRequest(set, s)))
 	if err != nil {
 		return nil, errors.Wrap(sentError(err), "Client.Ask")
 	}
+	c.heard(set, vm.Name(), fromAdmission(reply.Msg.GetAdmission()))
 	if got := fromPeerSnapshot(reply.Msg.GetSnapshot()); reply.Msg.GetRefusal() == nil && got != s.Snapshot() {
 		return nil, errors.Wrap(&CrossedError{want: s.Snapshot().String(), got: got.String()}, "Client.Ask")
 	}
--- a/cicadagraded/messenger/convert.go
+++ b/cicadagraded/messenger/convert.go
@@ -4,6 +4,7 @@
 	peerv1 "cicadagrade.example/api/peer/v1"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 	"cicadagrade.example/tier/merger"
 )
 
@@ -68,6 +69,30 @@
 	return w
 }
 
+// toAdmission leaves out a threshold that lets everything in.
+func toAdmission(t admitter.Threshold) *peerv1.Admission {
+	if t.AllIn() {
+		return nil
+	}
+	w := &peerv1.Admission{}
+	for _, r := range tier.Ranks {
+		w.Fractions = append(w.Fractions, t.Fraction(r))
+		w.AfterMs = append(w.AfterMs, int64(t.RetryAfter(r)))
+	}
+	return w
+}
+
+func fromAdmission(w *peerv1.Admission) admitter.Threshold {
+	if len(w.GetFractions()) != len(tier.Ranks) || len(w.GetAfterMs()) != len(tier.Ranks) {
+		return admitter.AllIn()
+	}
+	var after [len(tier.Ranks)]tier.Millis
+	for i, m := range w.GetAfterMs() {
+		after[i] = tier.Millis(m)
+	}
+	return admitter.NewThreshold([len(tier.Ranks)]float64(w.GetFractions()), after)
+}
+
 func toShardResult(r merger.ShardResult) *peerv1.ShardResult {
 	return &peerv1.ShardResult{
 		Shard:   r.Shard(),
--- a/cicadagraded/messenger/server.go
+++ b/cicadagraded/messenger/server.go
@@ -12,11 +12,14 @@
 	"cicadagrade.example/cicadagraded/asker"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 )
 
 // Owners runs parts of searches on this VM.
 type Owners interface {
 	Search(ctx context.Context, set string, s owner.Search) owner.End
+	// Threshold is the threshold of admission of a set's owner here.
+	Threshold(set string) admitter.Threshold
 }
 
 // Booker runs bookings on this VM, each at most once.
@@ -73,6 +76,7 @@
 	}
 	reply := toAskReply(r.Msg.GetPart(), snapshot, end)
 	reply.Request = r.Msg.GetRequest()
+	reply.Admission = toAdmission(s.owners.Threshold(r.Msg.GetSet()))
 	return connect.NewResponse(reply), nil
 }
 
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 	"cicadagrade.example/tier/dispatcher"
 	"cicadagrade.example/tier/merger"
 	"cicadagrade.example/tier/prober"
@@ -19,7 +21,7 @@
 // Sizes of an owner's rings and the pace of its reports.
 const (
 	inboxSize      = 8192
-	reportInterval = 200 * tier.Millis(1)
+	reportInterval = 100 * tier.Millis(1)
 	// warmLimit is how long a new owner's first parts wait for the health of
 	// its servers.
 	warmLimit = 500 * tier.Millis(1)
@@ -43,6 +45,8 @@
 	name  string
 	clock *tier.Clock
 	inbox *ring.Ring[message]
+	// threshold is the present threshold of admission.
+	threshold atomic.Pointer[admitter.Threshold]
 
 	// The rest belongs to the loop.
 	set         *tier.ShardSet
@@ -116,6 +120,14 @@
 	}
 }
 
+// Threshold is the present threshold of admission.
+func (o *Owner) Threshold() admitter.Threshold {
+	if t := o.threshold.Load(); t != nil {
+		return *t
+	}
+	return admitter.AllIn()
+}
+
 // Search is one part of a search.
 type Search struct {
 	profile  *tier.Profile
--- a/cicadagraded/owner/owner_test.go
+++ b/cicadagraded/owner/owner_test.go
@@ -13,6 +13,7 @@
 	backendv1 "cicadagrade.example/api/backend/v1"
 	"cicadagrade.example/api/backend/v1/backendv1connect"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 )
 
 // leaf is a backend server that answers at once, unless reply changes what it
@@ -180,13 +181,17 @@
 }
 
 func TestReportRoundTrip(t *testing.T) {
-	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}}}
+	r := Report{
+		epoch:     3,
+		versions:  map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}},
+		threshold: admitter.NewThreshold([3]float64{1, 0.5, 0.25}, [3]tier.Millis{0, 100, 200}),
+	}
 	b, err := r.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := DecodeReport(b)
-	if err != nil || !got.equal(r) {
+	if err != nil || !got.holdsSame(r) || got.threshold != r.threshold {
 		t.Errorf("got %+v, %v", got, err)
 	}
 }
--- a/cicadagraded/owner/registry.go
+++ b/cicadagraded/owner/registry.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 )
 
 // idleLimit is how long an owner without ownership and without work stays.
@@ -64,6 +65,16 @@
 	return o.Search(ctx, s)
 }
 
+// Threshold is the threshold of admission of a set's owner here.
+func (r *Registry) Threshold(set string) admitter.Threshold {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h, ok := r.owners[set]; ok {
+		return h.owner.Threshold()
+	}
+	return admitter.AllIn()
+}
+
 // Book runs a booking on the owner of its set.
 func (r *Registry) Book(ctx context.Context, set string, b Booking) End {
 	o, ok := r.get(set)
--- a/cicadagraded/owner/report.go
+++ b/cicadagraded/owner/report.go
@@ -11,8 +11,9 @@
 	"cicadagrade.example/tier/admitter"
 )
 
-// Pace of the reports of an owner that admits less than everything.
-const pressedReportInterval = 500 * tier.Millis(1)
+// thresholdInterval is the time between two reports of which only the
+// threshold is news. Fronts that ask this owner hear it with each reply.
+const thresholdInterval = 1 * tier.Second
 
 // Report is what an owner publishes of its set: which index versions its
 // servers hold of each shard, and the threshold of admission.
@@ -34,16 +35,6 @@
 // Threshold is the threshold of admission.
 func (r Report) Threshold() admitter.Threshold { return r.threshold }
 
-// pressed reports whether the owner admits less than everything.
-func (r Report) pressed() bool {
-	for _, k := range tier.Ranks {
-		if r.threshold.Fraction(k) < 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // holdingWire lists the shards that hold the same versions.
 type holdingWire struct {
 	Versions []tier.Version `json:"versions"`
@@ -101,18 +92,19 @@
 	return r, nil
 }
 
-// equal reports whether two reports say the same.
-func (r Report) equal(o Report) bool {
-	return r.epoch == o.epoch && r.threshold == o.threshold &&
-		maps.EqualFunc(r.versions, o.versions, slices.Equal)
+// holdsSame reports whether two reports tell of the same holdings.
+func (r Report) holdsSame(o Report) bool {
+	return r.epoch == o.epoch && maps.EqualFunc(r.versions, o.versions, slices.Equal)
 }
 
 // report publishes what is news, and repeats a threshold that holds back.
 func (o *Owner) report(now tier.Millis) {
 	o.reportAt = now + reportInterval
-	r := Report{epoch: o.set.Epoch(), versions: o.versions(), threshold: o.core.Status().Threshold()}
-	repeat := r.pressed() && now-o.publishedAt >= pressedReportInterval
-	if r.equal(o.published) && !repeat {
+	r := Report{epoch: o.set.Epoch(), versions: o.versions(), threshold: o.core.Threshold()}
+	o.threshold.Store(&r.threshold)
+	open := r.threshold.AllIn() && o.published.threshold.AllIn()
+	due := !open && now-o.publishedAt >= thresholdInterval
+	if r.holdsSame(o.published) && !due {
 		return
 	}
 	o.published = r
--- a/tier/admitter/admitter.go
+++ b/tier/admitter/admitter.go
@@ -30,6 +30,25 @@
 // RetryAfter is when a refused request of a rank may come again.
 func (t Threshold) RetryAfter(r tier.Rank) tier.Millis { return t.retryAfter[r] }
 
+// AllIn reports whether every request is let through.
+func (t Threshold) AllIn() bool {
+	for _, f := range t.fractions {
+		if f < 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// AllIn returns the threshold that lets every request through.
+func AllIn() Threshold {
+	var t Threshold
+	for r := range t.fractions {
+		t.fractions[r] = 1
+	}
+	return t
+}
+
 // Published is a threshold with the time at which the front heard it.
 type Published struct {
 	threshold Threshold
--- a/tier/dispatcher/status.go
+++ b/tier/dispatcher/status.go
@@ -105,6 +105,9 @@
 // Counters are the counts since the dispatcher was made.
 func (s Status) Counters() Counters { return s.counters }
 
+// Threshold is the admission threshold to publish, as of the last Step.
+func (d *Dispatcher) Threshold() admitter.Threshold { return d.pressure.threshold(d.now) }
+
 // Idle reports whether nothing is queued or runs; a leaving owner may stop.
 func (d *Dispatcher) Idle() bool { return len(d.parts) == 0 && len(d.calls) == 0 }
 
