Name an outage of the store in log and status

Cause: a store that was down showed only in gauges; and 8,200 VMs that start at once would all read the platform's list in the same second. Change: the gateway's observer feeds one log line for each change and a warning of status after 3 s; the first read of the list is spread over 10 s. Conclusion: operators see the outage where they look first.

--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -35,6 +35,7 @@
 	meter    *meter.Meter
 	gossip   *exchanging.Exchanger
 	seeder   *seeder
+	store    *storeHealth
 	config   *watching.Watcher
 	claiming *claiming.Claiming
 	locator  *locator.Locator
@@ -89,7 +90,8 @@
 	}
 	gossip.SetSeeds(d.settings.seeds)
 	d.gossip = gossip
-	store := etcdgateway.New(d.settings.dialled(d.settings.storeAddress))
+	d.store = &storeHealth{clock: d.clock, logger: d.logger}
+	store := etcdgateway.New(d.settings.dialled(d.settings.storeAddress), etcdgateway.WithObserver(d.store.observe))
 	d.seeder = &seeder{
 		store: store, key: d.settings.vmListPrefix + d.self.DataCentre(),
 		seeds: d.settings.seeds, gossip: gossip, logger: d.logger,
--- a/cicadagraded/seeder.go
+++ b/cicadagraded/seeder.go
@@ -16,6 +16,7 @@
 
 // Pace of the reads of the platform's list of VMs.
 const (
+	startSpread   = 10 * tier.Second // of the first read, when all VMs start at once
 	firstSeedWait = 1 * tier.Second
 	lastSeedWait  = 60 * tier.Second
 	seedTimeout   = 2 * tier.Second
@@ -47,6 +48,9 @@
 // ctx ends.
 func (s *seeder) Run(ctx context.Context) error {
 	wait := firstSeedWait
+	if !paused(ctx, jittered(startSpread)) {
+		return nil
+	}
 	for {
 		if s.alone() {
 			s.read(ctx)
@@ -54,16 +58,24 @@
 		} else {
 			wait = firstSeedWait
 		}
-		timer := time.NewTimer(jittered(wait).Duration())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !paused(ctx, jittered(wait)) {
 			return nil
-		case <-timer.C:
 		}
 	}
 }
 
+// paused waits, and reports whether it could before ctx ended.
+func paused(ctx context.Context, m tier.Millis) bool {
+	timer := time.NewTimer(m.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // jittered is a time between half of m and m.
 func jittered(m tier.Millis) tier.Millis { return m/2 + tier.Millis(rand.Int64N(int64(m/2)+1)) }
 
--- a/cicadagraded/status.go
+++ b/cicadagraded/status.go
@@ -30,4 +30,4 @@
 }
 
 // Warnings lists what an operator should look at.
-func (d *daemon) Warnings() []string { return d.config.Warnings() }
+func (d *daemon) Warnings() []string { return append(d.store.warnings(), d.config.Warnings()...) }
