Publish thresholds apart from holdings

Change: a threshold has its own gossip key of some 60 bytes, written at most once a second while it holds back; owners tell what they find out through one interface in place of three functions. Conclusion: holdings are written only when they change.

--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -14,6 +14,7 @@
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/cicadagraded/watching"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/admitter"
 	"cicadagrade.example/tier/gossiper"
 	"cicadagrade.example/tier/picker"
 	"cicadagrade.example/tier/ring"
@@ -25,6 +26,8 @@
 	controlInterval = 100 * time.Millisecond
 	// setPrefix starts the gossip key of an owner's report.
 	setPrefix = "set/"
+	// admitPrefix starts the gossip key of an owner's threshold.
+	admitPrefix = "admit/"
 	// indexKeys is how many keys of an index are read again.
 	indexKeys = 128
 )
@@ -77,7 +80,7 @@
 	}
 }
 
-// entry notes an owner's report.
+// entry takes a value that a VM published.
 func (c *control) entry(origin, key string, value []byte) {
 	if strings.HasPrefix(key, watching.IndexKeyPrefix) {
 		if err := c.config.OnIndex(origin, key, value); err != nil {
@@ -85,10 +88,25 @@
 		}
 		return
 	}
-	set, ok := strings.CutPrefix(key, setPrefix)
-	if !ok {
-		return
+	if set, ok := strings.CutPrefix(key, admitPrefix); ok {
+		c.admission(origin, set, value)
+	}
+	if set, ok := strings.CutPrefix(key, setPrefix); ok {
+		c.report(origin, set, value)
+	}
+}
+
+// admission notes an owner's threshold.
+func (c *control) admission(origin, set string, value []byte) {
+	t, err := owner.DecodeThreshold(value)
+	if err != nil {
+		c.logger.Warn("threshold", "vm", origin, "set", set, "error", err)
 	}
+	c.locator.Threshold(set, origin, t)
+}
+
+// report notes what an owner's servers hold.
+func (c *control) report(origin, set string, value []byte) {
 	if len(value) == 0 {
 		c.locator.Reported(set, origin, owner.Report{}, false)
 		return
@@ -173,9 +191,9 @@
 
 // reread reads every report and index again after changes were dropped.
 func (c *control) reread() {
-	keys := make([]string, 0, len(c.sets)+indexKeys)
+	keys := make([]string, 0, 2*len(c.sets)+indexKeys)
 	for _, s := range c.sets {
-		keys = append(keys, setPrefix+s.Name())
+		keys = append(keys, setPrefix+s.Name(), admitPrefix+s.Name())
 	}
 	for i := range indexKeys {
 		keys = append(keys, watching.IndexKeyPrefix+strconv.Itoa(i))
@@ -187,27 +205,38 @@
 	}
 }
 
-// publish tells this VM and the others of an owner's report.
-func (c *control) publish(set string, r owner.Report) {
+// Report tells this VM and the others what the servers of a set hold.
+func (c *control) Report(set string, r owner.Report) {
 	c.locator.Reported(set, c.self.Name(), r, true)
 	value, err := r.Encode()
-	if err == nil {
-		err = c.gossip.Publish(setPrefix+set, value)
-	}
-	if err != nil {
-		c.logger.Error("publish", "set", set, "error", err)
-	}
+	c.publish(setPrefix+set, value, err)
+}
+
+// Threshold tells this VM and the others a set's threshold of admission.
+func (c *control) Threshold(set string, t admitter.Threshold) {
+	c.locator.Threshold(set, c.self.Name(), t)
+	value, err := owner.EncodeThreshold(t)
+	c.publish(admitPrefix+set, value, err)
 }
 
-// withdraw takes back the report of an owner that ended.
-func (c *control) withdraw(set string) {
+// Withdraw takes back what an owner that ended published.
+func (c *control) Withdraw(set string) {
 	c.locator.Reported(set, c.self.Name(), owner.Report{}, false)
-	if err := c.gossip.Publish(setPrefix+set, nil); err != nil {
-		c.logger.Error("withdraw", "set", set, "error", err)
-	}
+	c.publish(setPrefix+set, nil, nil)
+	c.Threshold(set, admitter.AllIn())
 }
 
-// notice logs a change of a backend server's state.
-func (c *control) notice(set, server string, s tier.BackendState, reason string) {
+// Backend logs a change of a backend server's state.
+func (c *control) Backend(set, server string, s tier.BackendState, reason string) {
 	c.logger.Info("backend", "set", set, "server", server, "state", s, "reason", reason)
 }
+
+// publish writes a value for the other VMs, unless it could not be encoded.
+func (c *control) publish(key string, value []byte, err error) {
+	if err == nil {
+		err = c.gossip.Publish(key, value)
+	}
+	if err != nil {
+		c.logger.Error("publish", "key", key, "error", err)
+	}
+}
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -107,7 +107,7 @@
 		config: d.config, locator: d.locator, clock: d.clock, join: d.join,
 	}
 	id := owner.NewIdentity(d.self.Name(), d.self.DataCentre(), d.self.Incarnation())
-	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control.publish, d.control.withdraw, d.control.notice)
+	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control)
 	d.control.registry = d.registry
 	return nil
 }
--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -127,10 +127,8 @@
 			h.former = last.report
 		}
 		l.reports[k] = h
-		l.Threshold(set, vm, r.Threshold())
 	} else {
 		delete(l.reports, k)
-		l.Threshold(set, vm, admitter.AllIn())
 	}
 	l.rebuildSet(set)
 }
--- a/cicadagraded/owner/bench_test.go
+++ b/cicadagraded/owner/bench_test.go
@@ -85,7 +85,7 @@
 // idleOwner is an owner whose loop does not run.
 func idleOwner(b *testing.B, n int) *Owner {
 	set := leafSet(b, &leaf{}, n, 2)
-	o := New(NewIdentity("vm-1", "here", 1), tier.NewClock(), set, nil, func(Report) {}, func(string, tier.BackendState, string) {})
+	o := New(NewIdentity("vm-1", "here", 1), tier.NewClock(), set, nil, testOutlet(nil))
 	for _, s := range set.Servers() {
 		p, err := prober.New(s.Name())
 		if err != nil {
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -49,30 +49,30 @@
 	threshold atomic.Pointer[admitter.Threshold]
 
 	// The rest belongs to the loop.
-	set         *tier.ShardSet
-	core        *dispatcher.Dispatcher
-	parts       map[uint64]*part
-	byEnd       map[chan End]uint64
-	calls       map[uint64]*call
-	lanes       map[string]*lane
-	probers     map[string]*prober.Prober
-	holdings    map[holdingKey][]tier.Version
-	unheard     map[string]bool
-	early       []*submitMessage
-	warmAt      tier.Millis
-	cancels     []pendingCancel // the earliest first
-	deferred    []message
-	lastPart    uint64
-	rejected    uint64
-	attempt     func() tier.AttemptID
-	group       *errgroup.Group
-	ctx         context.Context
-	stopped     chan struct{}
-	publish     func(Report)
-	notice      Notice
-	published   Report
-	publishedAt tier.Millis
-	reportAt    tier.Millis
+	set       *tier.ShardSet
+	core      *dispatcher.Dispatcher
+	parts     map[uint64]*part
+	byEnd     map[chan End]uint64
+	calls     map[uint64]*call
+	lanes     map[string]*lane
+	probers   map[string]*prober.Prober
+	holdings  map[holdingKey][]tier.Version
+	unheard   map[string]bool
+	early     []*submitMessage
+	warmAt    tier.Millis
+	cancels   []pendingCancel // the earliest first
+	deferred  []message
+	lastPart  uint64
+	rejected  uint64
+	attempt   func() tier.AttemptID
+	group     *errgroup.Group
+	ctx       context.Context
+	stopped   chan struct{}
+	outlet    Outlet
+	published Report
+	pressed   bool        // a threshold that holds back was given out last
+	pressedAt tier.Millis // when a threshold was given out last
+	reportAt  tier.Millis
 }
 
 // holdingKey names what a server may hold.
@@ -92,12 +92,22 @@
 	end      chan End
 }
 
-// Notice is told of each change of a backend server's state.
-type Notice func(server string, s tier.BackendState, reason string)
+// Outlet is told what owners find out. Its methods are called from owners'
+// loops and do not wait.
+type Outlet interface {
+	// Report takes what the servers of a set hold.
+	Report(set string, r Report)
+	// Threshold takes a set's threshold of admission.
+	Threshold(set string, t admitter.Threshold)
+	// Withdraw says that the owner of a set ended.
+	Withdraw(set string)
+	// Backend takes a change of a backend server's state, with its sign.
+	Backend(set, server string, s tier.BackendState, reason string)
+}
 
-// New returns an owner of a set that publishes its reports to publish.
+// New returns an owner of a set.
 // attempt returns a fresh id for each leaf call.
-func New(id Identity, clock *tier.Clock, set *tier.ShardSet, attempt func() tier.AttemptID, publish func(Report), notice Notice) *Owner {
+func New(id Identity, clock *tier.Clock, set *tier.ShardSet, attempt func() tier.AttemptID, outlet Outlet) *Owner {
 	return &Owner{
 		id:       id,
 		name:     set.Name(),
@@ -114,8 +124,7 @@
 		holdings: map[holdingKey][]tier.Version{},
 		unheard:  map[string]bool{},
 		warmAt:   clock.Now() + warmLimit,
-		publish:  publish,
-		notice:   notice,
+		outlet:   outlet,
 		probers:  map[string]*prober.Prober{},
 	}
 }
--- a/cicadagraded/owner/owner_test.go
+++ b/cicadagraded/owner/owner_test.go
@@ -83,6 +83,17 @@
 	return set
 }
 
+// testOutlet passes reports on.
+type testOutlet chan Report
+
+func (c testOutlet) Report(_ string, r Report) { c <- r }
+
+func (testOutlet) Threshold(string, admitter.Threshold) {}
+
+func (testOutlet) Withdraw(string) {}
+
+func (testOutlet) Backend(string, string, tier.BackendState, string) {}
+
 // startOwner runs an owner until the test ends, and waits until it knows what
 // its servers hold.
 func startOwner(tb testing.TB, set *tier.ShardSet) (*Owner, *tier.Clock) {
@@ -94,9 +105,7 @@
 		n++
 		return tier.NewAttemptID("vm-1", 1, n)
 	}
-	o := New(NewIdentity("vm-1", "here", 1), clock, set, attempt,
-		func(r Report) { reports <- r },
-		func(string, tier.BackendState, string) {})
+	o := New(NewIdentity("vm-1", "here", 1), clock, set, attempt, testOutlet(reports))
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return o.Run(ctx) })
@@ -181,21 +190,32 @@
 }
 
 func TestReportRoundTrip(t *testing.T) {
-	r := Report{
-		epoch:     3,
-		versions:  map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}},
-		threshold: admitter.NewThreshold([3]float64{1, 0.5, 0.25}, [3]tier.Millis{0, 100, 200}),
-	}
+	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}}}
 	b, err := r.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := DecodeReport(b)
-	if err != nil || !got.holdsSame(r) || got.threshold != r.threshold {
+	if err != nil || !got.holdsSame(r) {
 		t.Errorf("got %+v, %v", got, err)
 	}
 }
 
+func TestThresholdRoundTrip(t *testing.T) {
+	for _, want := range []admitter.Threshold{
+		admitter.AllIn(),
+		admitter.NewThreshold([3]float64{1, 0.5, 0.25}, [3]tier.Millis{0, 100, 200}),
+	} {
+		b, err := EncodeThreshold(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := DecodeThreshold(b); err != nil || got != want {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	}
+}
+
 func FuzzDecodeReport(f *testing.F) {
 	f.Add([]byte(`{"epoch":1,"holdings":[{"versions":[1],"shards":["a"]}]}`))
 	f.Fuzz(func(_ *testing.T, b []byte) {
--- a/cicadagraded/owner/probing.go
+++ b/cicadagraded/owner/probing.go
@@ -90,7 +90,7 @@
 }
 
 func (o *Owner) stateChanged(a *prober.StateChanged) {
-	o.notice(a.Server(), a.State(), a.Reason())
+	o.outlet.Backend(o.name, a.Server(), a.State(), a.Reason())
 	o.step(dispatcher.NewBackendChanged(a.Server(), a.State()))
 	o.reportAt = 0
 }
--- a/cicadagraded/owner/registry.go
+++ b/cicadagraded/owner/registry.go
@@ -18,17 +18,15 @@
 // Registry holds the owners of this VM, one for each shard set that has
 // backend servers in its data centre.
 type Registry struct {
-	id       Identity
-	clock    *tier.Clock
-	sets     func(name string) (*tier.ShardSet, bool)
-	publish  func(set string, r Report)
-	withdraw func(set string)
-	notice   func(set, server string, s tier.BackendState, reason string)
-	mu       sync.Mutex
-	owners   map[string]*held
-	group    *errgroup.Group
-	ctx      context.Context
-	calls    atomic.Uint64
+	id     Identity
+	clock  *tier.Clock
+	sets   func(name string) (*tier.ShardSet, bool)
+	outlet Outlet
+	mu     sync.Mutex
+	owners map[string]*held
+	group  *errgroup.Group
+	ctx    context.Context
+	calls  atomic.Uint64
 }
 
 // held is an owner with what the registry knows of it.
@@ -43,13 +41,11 @@
 }
 
 // NewRegistry returns a registry without owners. sets finds the sets in
-// force; publish is told each owner's report, withdraw that
-// an owner ended, notice each change
-// of a backend server's state.
-func NewRegistry(ctx context.Context, id Identity, clock *tier.Clock, sets func(string) (*tier.ShardSet, bool), publish func(string, Report), withdraw func(set string), notice func(set, server string, s tier.BackendState, reason string)) *Registry {
+// force.
+func NewRegistry(ctx context.Context, id Identity, clock *tier.Clock, sets func(string) (*tier.ShardSet, bool), outlet Outlet) *Registry {
 	group, inner := errgroup.WithContext(ctx)
 	return &Registry{
-		id: id, clock: clock, sets: sets, publish: publish, withdraw: withdraw, notice: notice,
+		id: id, clock: clock, sets: sets, outlet: outlet,
 		owners: map[string]*held{}, group: group, ctx: inner,
 	}
 }
@@ -101,11 +97,9 @@
 
 func (r *Registry) start(set *tier.ShardSet) *held {
 	ctx, cancel := context.WithCancel(r.ctx)
-	name := set.Name()
-	o := New(r.id, r.clock, set, r.attempt, func(p Report) { r.publish(name, p) },
-		func(server string, s tier.BackendState, reason string) { r.notice(name, server, s, reason) })
+	o := New(r.id, r.clock, set, r.attempt, r.outlet)
 	h := &held{owner: o, set: set, usedAt: r.clock.Now(), stop: cancel}
-	r.owners[name] = h
+	r.owners[set.Name()] = h
 	o.inbox.TryPush(&standbyMessage{})
 	r.group.Go(func() error { return o.Run(ctx) })
 	return h
@@ -179,7 +173,7 @@
 	if r.clock.Now()-h.usedAt > idleLimit {
 		h.stop()
 		delete(r.owners, name)
-		r.withdraw(name)
+		r.outlet.Withdraw(name)
 	}
 }
 
--- a/cicadagraded/owner/report.go
+++ b/cicadagraded/owner/report.go
@@ -16,11 +16,10 @@
 const thresholdInterval = 1 * tier.Second
 
 // Report is what an owner publishes of its set: which index versions its
-// servers hold of each shard, and the threshold of admission.
+// servers hold of each shard.
 type Report struct {
-	epoch     tier.Epoch
-	versions  map[string][]tier.Version
-	threshold admitter.Threshold
+	epoch    tier.Epoch
+	versions map[string][]tier.Version
 }
 
 // Epoch is the epoch of the shard map.
@@ -32,9 +31,6 @@
 // Informed reports whether the owner knows what any server holds.
 func (r Report) Informed() bool { return len(r.versions) > 0 }
 
-// Threshold is the threshold of admission.
-func (r Report) Threshold() admitter.Threshold { return r.threshold }
-
 // holdingWire lists the shards that hold the same versions.
 type holdingWire struct {
 	Versions []tier.Version `json:"versions"`
@@ -43,22 +39,50 @@
 
 // reportWire is a report between VMs.
 type reportWire struct {
-	Epoch     tier.Epoch                   `json:"epoch"`
-	Holdings  []holdingWire                `json:"holdings"`
+	Epoch    tier.Epoch    `json:"epoch"`
+	Holdings []holdingWire `json:"holdings"`
+}
+
+// thresholdWire is a threshold between VMs. It changes often under load, and
+// goes apart from the holdings, which are larger and rarely change.
+type thresholdWire struct {
 	Fractions [len(tier.Ranks)]float64     `json:"fractions"`
 	After     [len(tier.Ranks)]tier.Millis `json:"after-ms"`
 }
 
+// EncodeThreshold writes a threshold for other VMs; one that lets everything
+// in is empty.
+func EncodeThreshold(t admitter.Threshold) ([]byte, error) {
+	if t.AllIn() {
+		return nil, nil
+	}
+	var w thresholdWire
+	for _, k := range tier.Ranks {
+		w.Fractions[k] = t.Fraction(k)
+		w.After[k] = t.RetryAfter(k)
+	}
+	b, err := json.Marshal(w)
+	return b, errors.Wrap(err, "EncodeThreshold")
+}
+
+// DecodeThreshold reads a threshold of another VM.
+func DecodeThreshold(b []byte) (admitter.Threshold, error) {
+	if len(b) == 0 {
+		return admitter.AllIn(), nil
+	}
+	var w thresholdWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return admitter.AllIn(), errors.Wrap(err, "DecodeThreshold")
+	}
+	return admitter.NewThreshold(w.Fractions, w.After), nil
+}
+
 // Encode writes a report for other VMs.
 func (r Report) Encode() ([]byte, error) {
 	w := reportWire{Epoch: r.epoch}
 	for _, shard := range slices.Sorted(maps.Keys(r.versions)) {
 		w.add(shard, r.versions[shard])
 	}
-	for _, k := range tier.Ranks {
-		w.Fractions[k] = r.threshold.Fraction(k)
-		w.After[k] = r.threshold.RetryAfter(k)
-	}
 	b, err := json.Marshal(w)
 	return b, errors.Wrap(err, "Report.Encode")
 }
@@ -80,9 +104,8 @@
 		return Report{}, errors.Wrap(err, "DecodeReport")
 	}
 	r := Report{
-		epoch:     w.Epoch,
-		versions:  map[string][]tier.Version{},
-		threshold: admitter.NewThreshold(w.Fractions, w.After),
+		epoch:    w.Epoch,
+		versions: map[string][]tier.Version{},
 	}
 	for _, h := range w.Holdings {
 		for _, shard := range h.Shards {
@@ -100,16 +123,23 @@
 // report publishes what is news, and repeats a threshold that holds back.
 func (o *Owner) report(now tier.Millis) {
 	o.reportAt = now + reportInterval
-	r := Report{epoch: o.set.Epoch(), versions: o.versions(), threshold: o.core.Threshold()}
-	o.threshold.Store(&r.threshold)
-	open := r.threshold.AllIn() && o.published.threshold.AllIn()
-	due := !open && now-o.publishedAt >= thresholdInterval
-	if r.holdsSame(o.published) && !due {
+	o.reportThreshold(now)
+	r := Report{epoch: o.set.Epoch(), versions: o.versions()}
+	if !r.holdsSame(o.published) {
+		o.published = r
+		o.outlet.Report(o.name, r)
+	}
+}
+
+func (o *Owner) reportThreshold(now tier.Millis) {
+	t := o.core.Threshold()
+	o.threshold.Store(&t)
+	if t.AllIn() && !o.pressed || now-o.pressedAt < thresholdInterval {
 		return
 	}
-	o.published = r
-	o.publishedAt = now
-	o.publish(r)
+	o.pressedAt = now
+	o.pressed = !t.AllIn()
+	o.outlet.Threshold(o.name, t)
 }
 
 // versions lists, for each shard of the map, the index versions that some
