Name the daemon's shells as agents, and share their loop

Cause: packages exchanging, watching and claiming were not agent nouns, which the house style asks for; two of them had the same loop, line by line. Change: exchanger, watcher, booker; package ticker steps a state machine when it is due or woken. No behaviour changes. Conclusion: a package's name tells what it does.

--- a/cicadagraded/claiming/book.go
+++ b/cicadagraded/booker/book.go
@@ -1,4 +1,4 @@
-package claiming
+package booker
 
 import (
 	"context"
@@ -30,7 +30,7 @@
 func WithFirstSending() RequestOption { return func(r *Request) { r.first = true } }
 
 // NewRequest returns a booking that has to end by deadline, on the clock
-// that Claiming was given. The key is a caller's own or a minted one.
+// that Booker was given. The key is a caller's own or a minted one.
 func NewRequest(key, set, record, body string, deadline tier.Millis, opts ...RequestOption) Request {
 	r := Request{key: key, set: set, record: record, body: body, deadline: deadline}
 	for _, o := range opts {
@@ -46,7 +46,7 @@
 
 // Mint returns a key that this life of the VM alone can run. It is empty if
 // the duty has stopped or ctx ended.
-func (c *Claiming) Mint(ctx context.Context) string {
+func (c *Booker) Mint(ctx context.Context) string {
 	minted := ring.New[claimer.Key](1)
 	if c.tell(ctx, message{minted: minted}) != nil {
 		return ""
@@ -65,10 +65,10 @@
 // is a *claimer.KeyReusedError or a *tier.InvalidError. When ctx ends before
 // the send, nothing is sent; a send that has begun goes on to its deadline,
 // so that its outcome can be recorded.
-func (c *Claiming) Book(ctx context.Context, r Request, send Send) (tier.Outcome, error) {
+func (c *Booker) Book(ctx context.Context, r Request, send Send) (tier.Outcome, error) {
 	key, err := claimer.ParseKey(r.key)
 	if err != nil {
-		return nil, errors.Wrap(err, "Claiming.Book")
+		return nil, errors.Wrap(err, "Booker.Book")
 	}
 	ticket := c.tickets.Add(1)
 	mail := ring.New[claimer.Action](2)
@@ -78,11 +78,11 @@
 		return claimer.NotRun(r.first, tier.RefuseCallerGone), nil
 	}
 	o, err := c.await(ctx, ticket, mail, send)
-	return o, errors.Wrap(err, "Claiming.Book")
+	return o, errors.Wrap(err, "Booker.Book")
 }
 
 // await follows a booking to its end.
-func (c *Claiming) await(ctx context.Context, ticket uint64, mail *ring.Ring[claimer.Action], send Send) (tier.Outcome, error) {
+func (c *Booker) await(ctx context.Context, ticket uint64, mail *ring.Ring[claimer.Action], send Send) (tier.Outcome, error) {
 	gone := ctx.Done()
 	for {
 		select {
@@ -105,7 +105,7 @@
 
 // sendOnce sends unless the caller has gone or the deadline has passed, as
 // after a pause of the VM.
-func (c *Claiming) sendOnce(ctx context.Context, a *claimer.Run, send Send) tier.Outcome {
+func (c *Booker) sendOnce(ctx context.Context, a *claimer.Run, send Send) tier.Outcome {
 	if ctx.Err() != nil {
 		return tier.NewRefused(tier.RefuseCallerGone, 0)
 	}
@@ -119,16 +119,16 @@
 }
 
 // Fence has nothing more sent: a later life of this VM has been seen.
-func (c *Claiming) Fence(ctx context.Context) error {
-	return errors.Wrap(c.tell(ctx, message{event: &claimer.Fenced{}}), "Claiming.Fence")
+func (c *Booker) Fence(ctx context.Context) error {
+	return errors.Wrap(c.tell(ctx, message{event: &claimer.Fenced{}}), "Booker.Fence")
 }
 
 // Flush returns once every booking has ended and its outcome is recorded. A
 // planned stop calls it before Run's context ends.
-func (c *Claiming) Flush(ctx context.Context) error {
+func (c *Booker) Flush(ctx context.Context) error {
 	flushed := make(chan struct{})
 	if err := c.tell(ctx, message{event: &claimer.Flush{}, flushed: flushed}); err != nil {
-		return errors.Wrap(err, "Claiming.Flush")
+		return errors.Wrap(err, "Booker.Flush")
 	}
 	select {
 	case <-flushed:
@@ -136,12 +136,12 @@
 	case <-c.stopped:
 		return errors.WithStack(&StoppedError{})
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "Claiming.Flush")
+		return errors.Wrap(ctx.Err(), "Booker.Flush")
 	}
 }
 
 // Counters are the counts so far; false if the duty has stopped or ctx ended.
-func (c *Claiming) Counters(ctx context.Context) (claimer.Counters, bool) {
+func (c *Booker) Counters(ctx context.Context) (claimer.Counters, bool) {
 	counted := ring.New[claimer.Counters](1)
 	if err := c.tell(ctx, message{counted: counted}); err != nil {
 		return claimer.Counters{}, false
@@ -156,7 +156,7 @@
 }
 
 // tell hands a message to the duty.
-func (c *Claiming) tell(ctx context.Context, m message) error {
+func (c *Booker) tell(ctx context.Context, m message) error {
 	select {
 	case <-c.stopped:
 		return errors.WithStack(&StoppedError{})
@@ -169,7 +169,7 @@
 type StoppedError struct{}
 
 // Error says so.
-func (*StoppedError) Error() string { return "claiming has stopped" }
+func (*StoppedError) Error() string { return "the booker has stopped" }
 
 // Today is the UTC date that a caller's own key of now starts with.
 func Today(clock *tier.Clock) string {
--- a/cicadagraded/claiming/claiming.go
+++ b/cicadagraded/booker/booker.go
@@ -1,6 +1,6 @@
-// Package claiming runs the at-most-once state machine of tier/claimer
+// Package booker runs the at-most-once state machine of tier/claimer
 // against the platform's store.
-package claiming
+package booker
 
 import (
 	"context"
@@ -26,9 +26,9 @@
 	callRingSize        = 1024
 )
 
-// Claiming is a duty that owns a claimer. Its methods are safe for
+// Booker is a duty that owns a claimer. Its methods are safe for
 // concurrent use.
-type Claiming struct {
+type Booker struct {
 	store        storer.Store
 	clock        *tier.Clock
 	claimer      *claimer.Claimer
@@ -44,26 +44,26 @@
 	flushers []chan struct{}
 }
 
-// Option sets one field of a Claiming.
-type Option func(*Claiming)
+// Option sets one field of a Booker.
+type Option func(*Booker)
 
 // WithLive sets which other VMs are believed to live. The function is called
 // from the duty's goroutine.
 func WithLive(f claimer.LiveFunc) Option {
-	return func(c *Claiming) { c.options = append(c.options, claimer.WithLive(f)) }
+	return func(c *Booker) { c.options = append(c.options, claimer.WithLive(f)) }
 }
 
 // WithStoreTimeout bounds each call of the store.
-func WithStoreTimeout(m tier.Millis) Option { return func(c *Claiming) { c.storeTimeout = m } }
+func WithStoreTimeout(m tier.Millis) Option { return func(c *Booker) { c.storeTimeout = m } }
 
 // WithClaimer passes options to the claimer.
 func WithClaimer(opts ...claimer.Option) Option {
-	return func(c *Claiming) { c.options = append(c.options, opts...) }
+	return func(c *Booker) { c.options = append(c.options, opts...) }
 }
 
-// New returns the claiming of one life of a VM. Nothing happens before Run.
-func New(store storer.Store, vm string, i tier.Incarnation, clock *tier.Clock, opts ...Option) *Claiming {
-	c := &Claiming{
+// New returns the booker of one life of a VM. Nothing happens before Run.
+func New(store storer.Store, vm string, i tier.Incarnation, clock *tier.Clock, opts ...Option) *Booker {
+	c := &Booker{
 		store:   store,
 		clock:   clock,
 		events:  ring.New[message](eventRingSize),
@@ -80,7 +80,7 @@
 }
 
 // Defaults sets timeout, workers and a random seed.
-func (c *Claiming) Defaults() {
+func (c *Booker) Defaults() {
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
 	c.storeTimeout = DefaultStoreTimeout
@@ -102,7 +102,7 @@
 }
 
 // Run drives the claimer until ctx ends. It is called once.
-func (c *Claiming) Run(ctx context.Context) error {
+func (c *Booker) Run(ctx context.Context) error {
 	defer close(c.stopped)
 	g, ctx := errgroup.WithContext(ctx)
 	for range c.workers {
@@ -113,10 +113,10 @@
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
-	return errors.Wrap(err, "Claiming.Run")
+	return errors.Wrap(err, "Booker.Run")
 }
 
-func (c *Claiming) loop(ctx context.Context) error {
+func (c *Booker) loop(ctx context.Context) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -132,7 +132,7 @@
 	}
 }
 
-func (c *Claiming) untilTick() time.Duration {
+func (c *Booker) untilTick() time.Duration {
 	at, ok := c.claimer.Next()
 	if !ok {
 		return time.Hour
@@ -140,7 +140,7 @@
 	return max(at-c.clock.Now(), 1).Duration()
 }
 
-func (c *Claiming) take(m message) {
+func (c *Booker) take(m message) {
 	if m.mail != nil {
 		c.waiting[m.ticket] = m.mail
 	}
@@ -158,7 +158,7 @@
 	}
 }
 
-func (c *Claiming) step(e claimer.Event) {
+func (c *Booker) step(e claimer.Event) {
 	for _, a := range c.claimer.Step(c.clock.Now(), e) {
 		switch a := a.(type) {
 		case *claimer.Read:
@@ -185,7 +185,7 @@
 
 // call hands a call to the workers. If they have too much to do, it has
 // failed without effect.
-func (c *Claiming) call(a claimer.Action, number uint64) {
+func (c *Booker) call(a claimer.Action, number uint64) {
 	if !c.calls.TryPush(a) {
 		c.step(claimer.NewFailed(number, false))
 	}
--- a/cicadagraded/claiming/claiming_test.go
+++ b/cicadagraded/booker/booker_test.go
@@ -1,4 +1,4 @@
-package claiming_test
+package booker_test
 
 import (
 	"context"
@@ -9,15 +9,15 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"cicadagrade.example/cicadagraded/claiming"
+	"cicadagrade.example/cicadagraded/booker"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/storer/faker"
 )
 
-// vm runs a claiming against a store until the test ends.
-func vm(t *testing.T, store *faker.Store, name string) (*claiming.Claiming, *tier.Clock) {
+// vm runs a booker against a store until the test ends.
+func vm(t *testing.T, store *faker.Store, name string) (*booker.Booker, *tier.Clock) {
 	clock := tier.NewClock()
-	c := claiming.New(store, name, 1, clock)
+	c := booker.New(store, name, 1, clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return c.Run(ctx) })
@@ -31,7 +31,7 @@
 }
 
 func keyOfToday(clock *tier.Clock, rest string) string {
-	return fmt.Sprint(claiming.Today(clock), "-", rest)
+	return fmt.Sprint(booker.Today(clock), "-", rest)
 }
 
 // TestOneRunOnTwoVMs sends one key to two VMs many times at once, while the
@@ -41,14 +41,14 @@
 	store.LoseAnswers(3)
 	var runs, booked atomic.Int64
 	var g errgroup.Group
-	var last *claiming.Claiming
+	var last *booker.Booker
 	var clock *tier.Clock
 	for v := range 2 {
 		last, clock = vm(t, store, fmt.Sprint("caxias-", v+1))
 		c, now := last, clock
 		for range 10 {
 			g.Go(func() error {
-				r := claiming.NewRequest(keyOfToday(now, "order"), "narocila", "r", "b", now.Now()+tier.Minute)
+				r := booker.NewRequest(keyOfToday(now, "order"), "narocila", "r", "b", now.Now()+tier.Minute)
 				o, err := c.Book(t.Context(), r, func(context.Context) tier.Outcome {
 					runs.Add(1)
 					return tier.NewBooked("receipt", false)
@@ -76,11 +76,11 @@
 	store.SetDown(true)
 	c, clock := vm(t, store, "caxias-1")
 	send := func(context.Context) tier.Outcome { return tier.NewBooked("receipt", false) }
-	own := claiming.NewRequest(keyOfToday(clock, "order"), "narocila", "r", "b", clock.Now()+50, claiming.WithFirstSending())
+	own := booker.NewRequest(keyOfToday(clock, "order"), "narocila", "r", "b", clock.Now()+50, booker.WithFirstSending())
 	if o, err := c.Book(t.Context(), own, send); err != nil || o.(*tier.Refused).Reason() != tier.RefuseNoStore {
 		t.Errorf("a caller's key: %v %v", o, err)
 	}
-	minted := claiming.NewRequest(c.Mint(t.Context()), "narocila", "r", "b", clock.Now()+tier.Minute)
+	minted := booker.NewRequest(c.Mint(t.Context()), "narocila", "r", "b", clock.Now()+tier.Minute)
 	if o, err := c.Book(t.Context(), minted, send); err != nil || o.(*tier.Booked).Repeated() {
 		t.Errorf("a minted key: %v %v", o, err)
 	}
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error {
-		r := claiming.NewRequest(keyOfToday(clock, "order"), "narocila", "r", "b", clock.Now()+tier.Minute)
+		r := booker.NewRequest(keyOfToday(clock, "order"), "narocila", "r", "b", clock.Now()+tier.Minute)
 		_, err := c.Book(ctx, r, func(context.Context) tier.Outcome {
 			t.Error("it was sent")
 			return nil
--- a/cicadagraded/claiming/work.go
+++ b/cicadagraded/booker/work.go
@@ -1,4 +1,4 @@
-package claiming
+package booker
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 )
 
 // work makes the calls of the store that the claimer asks for.
-func (c *Claiming) work(ctx context.Context) error {
+func (c *Booker) work(ctx context.Context) error {
 	for {
 		a, err := c.calls.Pop(ctx)
 		if err != nil {
@@ -22,7 +22,7 @@
 	}
 }
 
-func (c *Claiming) make(ctx context.Context, a claimer.Action) claimer.Event {
+func (c *Booker) make(ctx context.Context, a claimer.Action) claimer.Event {
 	ctx, cancel := context.WithTimeout(ctx, c.storeTimeout.Duration())
 	defer cancel()
 	switch a := a.(type) {
@@ -45,7 +45,7 @@
 }
 
 // drop deletes a key. If it fails, another VM or the next start drops it.
-func (c *Claiming) drop(ctx context.Context, key string) {
+func (c *Booker) drop(ctx context.Context, key string) {
 	v, err := c.store.Get(ctx, key)
 	if err == nil && v.Present() {
 		_ = c.store.Delete(ctx, key, v.Revision())
--- a/cicadagraded/booker.go
+++ b/cicadagraded/bookings.go
@@ -6,26 +6,26 @@
 	"github.com/pkg/errors"
 
 	"cicadagrade.example/cicadagraded/asker"
-	"cicadagrade.example/cicadagraded/claiming"
+	"cicadagrade.example/cicadagraded/booker"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/claimer"
 )
 
 // claims runs bookings under the claims of this VM.
-type claims struct{ claiming *claiming.Claiming }
+type claims struct{ booker *booker.Booker }
 
 // Mint returns a key that only this life of this VM runs.
-func (c *claims) Mint(ctx context.Context) string { return c.claiming.Mint(ctx) }
+func (c *claims) Mint(ctx context.Context) string { return c.booker.Mint(ctx) }
 
 // Book calls send at most once for the booking's key.
 func (c *claims) Book(ctx context.Context, b asker.Booking, send func(context.Context) tier.Outcome) (tier.Outcome, error) {
-	var opts []claiming.RequestOption
+	var opts []booker.RequestOption
 	if b.First() {
-		opts = append(opts, claiming.WithFirstSending())
+		opts = append(opts, booker.WithFirstSending())
 	}
-	r := claiming.NewRequest(b.IdempotencyKey(), b.Set(), b.RecordKey(), b.Body(), b.Deadline(), opts...)
-	o, err := c.claiming.Book(ctx, r, send)
+	r := booker.NewRequest(b.IdempotencyKey(), b.Set(), b.RecordKey(), b.Body(), b.Deadline(), opts...)
+	o, err := c.booker.Book(ctx, r, send)
 	var reused *claimer.KeyReusedError
 	if errors.As(err, &reused) {
 		err = asker.NewKeyReusedError(reused.Key())
@@ -33,20 +33,20 @@
 	return o, errors.Wrap(err, "claims.Book")
 }
 
-// booker runs the bookings that fronts forward to this VM.
-type booker struct {
+// forwarded runs the bookings that fronts forward to this VM.
+type forwarded struct {
 	claims   *claims
 	registry *owner.Registry
 }
 
 // Book runs a booking on the owner of its set. A minted key was claimed by the
 // front that minted it, and no one else forwards it.
-func (k *booker) Book(ctx context.Context, b asker.Forwarded) (tier.Outcome, error) {
-	send := func(ctx context.Context) tier.Outcome { return sendBooking(ctx, k.registry, b) }
+func (f *forwarded) Book(ctx context.Context, b asker.Forwarded) (tier.Outcome, error) {
+	send := func(ctx context.Context) tier.Outcome { return sendBooking(ctx, f.registry, b) }
 	if b.Minted() {
 		return send(ctx), nil
 	}
-	return k.claims.Book(ctx, b.Booking, send)
+	return f.claims.Book(ctx, b.Booking, send)
 }
 
 // sendBooking has the owner of a booking's set run it, once.
--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -9,10 +9,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
-	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/exchanger"
 	"cicadagrade.example/cicadagraded/locator"
 	"cicadagrade.example/cicadagraded/owner"
-	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/cicadagraded/watcher"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/admitter"
 	"cicadagrade.example/tier/gossiper"
@@ -37,9 +37,9 @@
 type control struct {
 	self     tier.VM
 	logger   *log.Logger
-	gossip   *exchanging.Exchanger
+	gossip   *exchanger.Exchanger
 	changes  *ring.Ring[gossiper.Action]
-	config   *watching.Watcher
+	config   *watcher.Watcher
 	locator  *locator.Locator
 	registry *owner.Registry
 	members  []tier.VM
@@ -82,7 +82,7 @@
 
 // entry takes a value that a VM published.
 func (c *control) entry(origin, key string, value []byte) {
-	if strings.HasPrefix(key, watching.IndexKeyPrefix) {
+	if strings.HasPrefix(key, watcher.IndexKeyPrefix) {
 		if err := c.config.OnIndex(origin, key, value); err != nil {
 			c.logger.Warn("index", "vm", origin, "error", err)
 		}
@@ -196,7 +196,7 @@
 		keys = append(keys, setPrefix+s.Name(), admitPrefix+s.Name())
 	}
 	for i := range indexKeys {
-		keys = append(keys, watching.IndexKeyPrefix+strconv.Itoa(i))
+		keys = append(keys, watcher.IndexKeyPrefix+strconv.Itoa(i))
 	}
 	for _, key := range keys {
 		for _, p := range c.gossip.Entries(key) {
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -10,14 +10,14 @@
 	"github.com/pkg/errors"
 
 	"cicadagrade.example/cicadagraded/asker"
-	"cicadagrade.example/cicadagraded/claiming"
-	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/booker"
+	"cicadagrade.example/cicadagraded/exchanger"
 	"cicadagrade.example/cicadagraded/handler"
 	"cicadagrade.example/cicadagraded/locator"
 	"cicadagrade.example/cicadagraded/messenger"
 	"cicadagrade.example/cicadagraded/meter"
 	"cicadagrade.example/cicadagraded/owner"
-	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/cicadagraded/watcher"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/etcdgateway"
 	"cicadagrade.example/tier/gossiper"
@@ -33,11 +33,11 @@
 	self     tier.VM
 	inflight *inflight
 	meter    *meter.Meter
-	gossip   *exchanging.Exchanger
+	gossip   *exchanger.Exchanger
 	seeder   *seeder
 	store    *storeHealth
-	config   *watching.Watcher
-	claiming *claiming.Claiming
+	config   *watcher.Watcher
+	booker   *booker.Booker
 	locator  *locator.Locator
 	registry *owner.Registry
 	control  *control
@@ -81,10 +81,10 @@
 // buildControl makes gossip, configuration, claims and owners.
 func (d *daemon) buildControl() error {
 	changes := ring.New[gossiper.Action](changesSize)
-	gossip, err := exchanging.New(d.self, d.clock,
-		exchanging.WithChanges(changes),
-		exchanging.WithAddresses(d.settings.dial),
-		exchanging.WithGossip(gossiper.WithSeed(uint64(d.self.Incarnation()))))
+	gossip, err := exchanger.New(d.self, d.clock,
+		exchanger.WithChanges(changes),
+		exchanger.WithAddresses(d.settings.dial),
+		exchanger.WithGossip(gossiper.WithSeed(uint64(d.self.Incarnation()))))
 	if err != nil {
 		return errors.Wrap(err, "buildControl")
 	}
@@ -96,12 +96,12 @@
 		store: store, key: d.settings.vmListPrefix + d.self.DataCentre(),
 		seeds: d.settings.seeds, gossip: gossip, logger: d.logger,
 	}
-	d.config = watching.New(d.self, store, d.clock,
-		watching.WithPeers(d.peer),
-		watching.WithPublisher(gossip.Publish),
-		watching.WithWarnings(d.warn),
-		watching.WithKeeper(keeper.WithSeeds(d.otherSeeds())))
-	d.claiming = claiming.New(store, d.self.Name(), d.self.Incarnation(), d.clock, claiming.WithLive(d.live))
+	d.config = watcher.New(d.self, store, d.clock,
+		watcher.WithPeers(d.peer),
+		watcher.WithPublisher(gossip.Publish),
+		watcher.WithWarnings(d.warn),
+		watcher.WithKeeper(keeper.WithSeeds(d.otherSeeds())))
+	d.booker = booker.New(store, d.self.Name(), d.self.Incarnation(), d.clock, booker.WithLive(d.live))
 	d.control = &control{
 		self: d.self, logger: d.logger, gossip: gossip, changes: changes,
 		config: d.config, locator: d.locator, clock: d.clock, join: d.join,
@@ -113,7 +113,7 @@
 }
 
 // peer finds the peer service of a VM.
-func (d *daemon) peer(vm string) (watching.Peer, bool) {
+func (d *daemon) peer(vm string) (watcher.Peer, bool) {
 	for _, m := range d.gossip.Members() {
 		if m.Name() == vm && m.State() != tier.VMDead {
 			return d.client.Service(m.Address()), true
@@ -159,9 +159,9 @@
 	if err := d.observe(); err != nil {
 		return errors.Wrap(err, "buildServers")
 	}
-	c := &claims{claiming: d.claiming}
-	b := &booker{claims: c, registry: d.registry}
-	server := messenger.NewServer(d.clock, d.registry, b, d.gossip, d.config, d.inflight.enterPeer)
+	c := &claims{booker: d.booker}
+	f := &forwarded{claims: c, registry: d.registry}
+	server := messenger.NewServer(d.clock, d.registry, f, d.gossip, d.config, d.inflight.enterPeer)
 	d.client = messenger.NewClient(d.self, server, d.clock, messenger.WithDialled(d.settings.dialled), messenger.WithThresholds(d.locator.Threshold))
 	front := asker.New(d.self.DataCentre(), d.clock, d.locator, d.client, c)
 	h := handler.New(d.self.Name(), d.clock, d.config, front, d.inflight, d,
@@ -189,12 +189,12 @@
 	d.addDuty(&g, d.gossip.Run)
 	d.addDuty(&g, d.seeder.Run)
 	d.addDuty(&g, d.config.Run)
-	d.addDuty(&g, d.claiming.Run)
+	d.addDuty(&g, d.booker.Run)
 	d.addDuty(&g, d.control.Run)
 	d.addServer(&g, d.api)
 	d.addServer(&g, d.peers)
 	s := &stopper{
-		logger: d.logger, clock: d.clock, gossip: d.gossip, inflight: d.inflight, claiming: d.claiming,
+		logger: d.logger, clock: d.clock, gossip: d.gossip, inflight: d.inflight, booker: d.booker,
 		servers:     []*http.Server{d.api, d.peers},
 		balancerLag: d.settings.balancerLag, stopLimit: d.settings.stopLimit,
 	}
--- a/cicadagraded/exchanging/exchanging.go
+++ b/cicadagraded/exchanger/exchanger.go
@@ -1,6 +1,6 @@
-// Package exchanging runs the gossip of a VM: it serves peers' exchanges,
+// Package exchanger runs the gossip of a VM: it serves peers' exchanges,
 // sends its own, and shows the daemon the members and what they publish.
-package exchanging
+package exchanger
 
 import (
 	"context"
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"cicadagrade.example/cicadagraded/ticker"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/gossiper"
 	"cicadagrade.example/tier/ring"
@@ -159,18 +160,7 @@
 
 // tick steps the gossiper whenever it is due.
 func (x *Exchanger) tick(ctx context.Context) error {
-	for {
-		x.step(&gossiper.Tick{})
-		timer := time.NewTimer(x.wait().Duration())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-x.wake.Out():
-			timer.Stop()
-		case <-timer.C:
-		}
-	}
+	return ticker.Run(ctx, x.wake, func() { x.step(&gossiper.Tick{}) }, x.wait)
 }
 
 func (x *Exchanger) wait() tier.Millis {
--- a/cicadagraded/exchanging/wire.go
+++ b/cicadagraded/exchanger/wire.go
@@ -1,4 +1,4 @@
-package exchanging
+package exchanger
 
 import (
 	"cicadagrade.example/tier"
--- a/cicadagraded/observe.go
+++ b/cicadagraded/observe.go
@@ -253,7 +253,7 @@
 func (o *observer) claims() []meter.Point {
 	ctx, cancel := context.WithTimeout(o.daemon.ctx, statusTimeout.Duration())
 	defer cancel()
-	n, ok := o.daemon.claiming.Counters(ctx)
+	n, ok := o.daemon.booker.Counters(ctx)
 	if !ok {
 		return nil
 	}
--- a/cicadagraded/seeder.go
+++ b/cicadagraded/seeder.go
@@ -9,7 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
-	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/exchanger"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/storer"
 )
@@ -29,7 +29,7 @@
 	store  storer.Store
 	key    string
 	seeds  []string
-	gossip *exchanging.Exchanger
+	gossip *exchanger.Exchanger
 	logger *log.Logger
 }
 
--- a/cicadagraded/stop.go
+++ b/cicadagraded/stop.go
@@ -11,8 +11,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
-	"cicadagrade.example/cicadagraded/claiming"
-	"cicadagrade.example/cicadagraded/exchanging"
+	"cicadagrade.example/cicadagraded/booker"
+	"cicadagrade.example/cicadagraded/exchanger"
 	"cicadagrade.example/tier"
 )
 
@@ -20,9 +20,9 @@
 type stopper struct {
 	logger      *log.Logger
 	clock       *tier.Clock
-	gossip      *exchanging.Exchanger
+	gossip      *exchanger.Exchanger
 	inflight    *inflight
-	claiming    *claiming.Claiming
+	booker      *booker.Booker
 	servers     []*http.Server
 	balancerLag tier.Millis
 	stopLimit   tier.Millis
@@ -91,7 +91,7 @@
 func (s *stopper) flush(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, flushLimit.Duration())
 	defer cancel()
-	if err := s.claiming.Flush(ctx); err != nil {
+	if err := s.booker.Flush(ctx); err != nil {
 		s.logger.Warn("outcomes not recorded", "error", err)
 	}
 }
--- a/cicadagraded/watching/fleet_test.go
+++ b/cicadagraded/watcher/fleet_test.go
@@ -1,4 +1,4 @@
-package watching_test
+package watcher_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/cicadagraded/watcher"
 	"cicadagrade.example/standin/storeserver"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/auditor"
@@ -26,7 +26,7 @@
 
 // vm is one VM; the first letter of its name is its data centre.
 type vm struct {
-	watcher *watching.Watcher
+	watcher *watcher.Watcher
 	store   *cuttable
 	cancel  context.CancelFunc
 }
@@ -150,19 +150,19 @@
 func (f *fleet) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &cuttable{Store: f.store}
-	w := watching.New(tier.NewVM(name, name[:1], ""), s, tier.NewClock(),
-		watching.WithPublisher(func(key string, value []byte) error {
+	w := watcher.New(tier.NewVM(name, name[:1], ""), s, tier.NewClock(),
+		watcher.WithPublisher(func(key string, value []byte) error {
 			f.queue.TryPush(publication{vm: name, key: key, value: value})
 			return nil
 		}),
-		watching.WithPeers(func(peer string) (watching.Peer, bool) {
+		watcher.WithPeers(func(peer string) (watcher.Peer, bool) {
 			v, ok := f.reachable(name)[peer]
 			if !ok {
 				return nil, false
 			}
 			return v.watcher, true
 		}),
-		watching.WithKeeper(keeper.WithWatchers(1)))
+		watcher.WithKeeper(keeper.WithWatchers(1)))
 	f.lock.Lock()
 	f.vms[name] = &vm{watcher: w, store: s, cancel: cancel}
 	f.lock.Unlock()
@@ -233,7 +233,7 @@
 }
 
 // eventually waits until a VM is as wanted.
-func (f *fleet) eventually(line, name string, limit time.Duration, ok func(*watching.Watcher) bool) error {
+func (f *fleet) eventually(line, name string, limit time.Duration, ok func(*watcher.Watcher) bool) error {
 	w := f.reachableAll()[name].watcher
 	for end := time.Now().Add(limit); !ok(w); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -243,12 +243,12 @@
 	return nil
 }
 
-func serves(w *watching.Watcher, limit string) bool {
+func serves(w *watcher.Watcher, limit string) bool {
 	p, ok := w.Profile("gate")
 	return ok && fmt.Sprint(p.QueueLimit()) == limit
 }
 
-func flagged(w *watching.Watcher, trouble string) bool {
+func flagged(w *watcher.Watcher, trouble string) bool {
 	for _, x := range w.Status().Flags() {
 		if strings.EqualFold(string(x.Trouble()), trouble) {
 			return true
--- a/cicadagraded/watching/index_bench_test.go
+++ b/cicadagraded/watcher/index_bench_test.go
@@ -1,4 +1,4 @@
-package watching
+package watcher
 
 import (
 	"fmt"
--- a/cicadagraded/watching/spread_test.go
+++ b/cicadagraded/watcher/spread_test.go
@@ -1,4 +1,4 @@
-package watching_test
+package watcher_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
-	"cicadagrade.example/cicadagraded/exchanging"
-	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/cicadagraded/exchanger"
+	"cicadagrade.example/cicadagraded/watcher"
 	"cicadagrade.example/standin/storeserver"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/auditor"
@@ -31,8 +31,8 @@
 type node struct {
 	peerv1connect.UnimplementedPeerServiceHandler
 	self     tier.VM
-	exchange *exchanging.Exchanger
-	watcher  *watching.Watcher
+	exchange *exchanger.Exchanger
+	watcher  *watcher.Watcher
 	changes  *ring.Ring[gossiper.Action]
 }
 
@@ -65,14 +65,14 @@
 			}
 			n.watcher.OnMembers(local, remote)
 		case *gossiper.EntryChanged:
-			if strings.HasPrefix(a.Key(), watching.IndexKeyPrefix) {
+			if strings.HasPrefix(a.Key(), watcher.IndexKeyPrefix) {
 				_ = n.watcher.OnIndex(a.Origin(), a.Key(), a.Value())
 			}
 		}
 	}
 }
 
-func (n *node) dial(vm string) (watching.Peer, bool) {
+func (n *node) dial(vm string) (watcher.Peer, bool) {
 	for _, m := range n.exchange.Members() {
 		if m.Name() == vm {
 			return peerv1connect.NewPeerServiceClient(http.DefaultClient, "http://"+m.Address()), true
@@ -84,14 +84,14 @@
 func newNode(b *testing.B, self tier.VM, seeds []string, store *etcdgateway.Gateway) *node {
 	n := &node{self: self, changes: ring.New[gossiper.Action](1024)}
 	clock := tier.NewClock()
-	x, err := exchanging.New(self, clock, exchanging.WithChanges(n.changes))
+	x, err := exchanger.New(self, clock, exchanger.WithChanges(n.changes))
 	if err != nil {
 		b.Fatal(err)
 	}
 	x.SetSeeds(seeds[:3])
 	x.SetState(tier.VMLive)
 	n.exchange = x
-	n.watcher = watching.New(self, store, clock, watching.WithPublisher(x.Publish), watching.WithPeers(n.dial))
+	n.watcher = watcher.New(self, store, clock, watcher.WithPublisher(x.Publish), watcher.WithPeers(n.dial))
 	return n
 }
 
--- a/cicadagraded/watching/watching.go
+++ b/cicadagraded/watcher/watcher.go
@@ -1,18 +1,18 @@
-// Package watching keeps the configuration of a VM: it reads and watches the
+// Package watcher keeps the configuration of a VM: it reads and watches the
 // store, fetches documents from peers and serves theirs, and shows the daemon
 // the profiles and shard sets in force.
-package watching
+package watcher
 
 import (
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"cicadagrade.example/cicadagraded/ticker"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/keeper"
 	"cicadagrade.example/tier/ring"
@@ -143,18 +143,7 @@
 
 // tick steps the keeper whenever it is due.
 func (w *Watcher) tick(ctx context.Context) error {
-	for {
-		w.drive(&keeper.Tick{})
-		timer := time.NewTimer(w.wait().Duration())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-w.wake.Out():
-			timer.Stop()
-		case <-timer.C:
-		}
-	}
+	return ticker.Run(ctx, w.wake, func() { w.drive(&keeper.Tick{}) }, w.wait)
 }
 
 func (w *Watcher) wait() tier.Millis {
--- a/cicadagraded/watching/watching_test.go
+++ b/cicadagraded/watcher/watcher_test.go
@@ -1,4 +1,4 @@
-package watching_test
+package watcher_test
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"cicadagrade.example/cicadagraded/watching"
+	"cicadagrade.example/cicadagraded/watcher"
 	"cicadagrade.example/standin/storeserver"
 	"cicadagrade.example/tier/auditor"
 	"cicadagrade.example/tier/keeper"
@@ -101,19 +101,19 @@
 // look waits until VMs are as a line says; "serves" does not wait.
 func (f *fleet) look(line string, w []string) error {
 	names := w[2:]
-	var ok func(*watching.Watcher) bool
+	var ok func(*watcher.Watcher) bool
 	limit := patience
 	switch w[0] {
 	case "serves":
 		limit = 0
 		fallthrough
 	case "in-force":
-		ok = func(x *watching.Watcher) bool { return serves(x, w[1]) }
+		ok = func(x *watcher.Watcher) bool { return serves(x, w[1]) }
 	case "flagged":
-		ok = func(x *watching.Watcher) bool { return flagged(x, w[1]) }
+		ok = func(x *watcher.Watcher) bool { return flagged(x, w[1]) }
 	case "clear", "warned":
 		names = w[1:]
-		ok = func(x *watching.Watcher) bool { return (len(x.Warnings()) == 0) == (w[0] == "clear") }
+		ok = func(x *watcher.Watcher) bool { return (len(x.Warnings()) == 0) == (w[0] == "clear") }
 	default:
 		f.t.Fatalf("unknown line %q", line)
 	}
