Announce a set's owners to the VMs of other data centres

Cause: a VM keeps only 8 members of another data centre, and picked that data centre's owner among them: with 16 VMs in each of two data centres half of all searches of a set that lies in both were refused as no-replica. Ruled out: keeping all members everywhere (8,200 records at each VM), and a second hop through any member (one more call for each part). Change: an owner announces itself with its report as a shared value of the gossip, one for each place among a set's owners; the highest (epoch, revision) stands, so that the next owner takes its place. Fronts of other data centres ask the announced owner, unless they know that it is dead or leaves, then the members that they know. The gossip holds at most 1,024 shared values.

--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -88,6 +88,9 @@
 		}
 		return
 	}
+	if name, ok := strings.CutPrefix(key, ownerPrefix); ok {
+		c.announced(name, value)
+	}
 	if set, ok := strings.CutPrefix(key, admitPrefix); ok {
 		c.admission(origin, set, value)
 	}
@@ -198,6 +201,11 @@
 	for i := range indexKeys {
 		keys = append(keys, watcher.IndexKeyPrefix+strconv.Itoa(i))
 	}
+	for _, key := range c.announcementKeys() {
+		if _, _, value, ok := c.gossip.Shared(key); ok {
+			c.entry("", key, value)
+		}
+	}
 	for _, key := range keys {
 		for _, p := range c.gossip.Entries(key) {
 			c.entry(p.VM().Name(), key, p.Value())
@@ -206,10 +214,13 @@
 }
 
 // Report tells this VM and the others what the servers of a set hold.
-func (c *control) Report(set string, r owner.Report) {
+func (c *control) Report(set string, r owner.Report, index int) {
 	c.locator.Reported(set, c.self.Name(), r, true)
 	value, err := r.Encode()
 	c.publish(setPrefix+set, value, err)
+	if index >= 0 && r.Informed() {
+		c.announce(set, r, index)
+	}
 }
 
 // Threshold tells this VM and the others a set's threshold of admission.
--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -12,7 +12,6 @@
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/admitter"
-	"cicadagrade.example/tier/picker"
 )
 
 // Locator is read by every request without waiting and changed as news come.
@@ -25,6 +24,7 @@
 	sets       map[string]*tier.ShardSet
 	earlier    map[string]*tier.ShardSet // the former shard map of a set
 	reports    map[reportKey]heardReport
+	announced  map[announcedKey]tier.VM
 	reachable  map[string]bool
 	admitMu    sync.Mutex
 	admitters  map[string]*admitter.Admitter
@@ -35,6 +35,13 @@
 // reportKey names the report of an owner on its set.
 type reportKey struct{ set, vm string }
 
+// announcedKey names a place among the owners of a set in another data centre.
+type announcedKey struct {
+	set        string
+	dataCentre string
+	index      int
+}
+
 // heardReport is a report with the last one under a former shard map.
 type heardReport struct {
 	report owner.Report
@@ -82,6 +89,7 @@
 		sets:       map[string]*tier.ShardSet{},
 		earlier:    map[string]*tier.ShardSet{},
 		reports:    map[reportKey]heardReport{},
+		announced:  map[announcedKey]tier.VM{},
 		admitters:  map[string]*admitter.Admitter{},
 		thresholds: map[reportKey]admitter.Published{},
 		reachable:  map[string]bool{},
@@ -175,19 +183,14 @@
 // placeUnder puts together what the owners of a set in a data centre report.
 // The reports of VMs that only ran parts for a while do not count.
 func (l *Locator) placeUnder(s *tier.ShardSet, dataCentre string) *place {
+	owners := OwnerCount(s, dataCentre)
 	p := &place{
-		owners:     OwnerCount(s, dataCentre),
-		candidates: picker.Owners(s.Name(), dataCentre, l.members, max(maxCandidates, s.Owners())),
+		owners:     owners,
+		candidates: l.candidates(s, dataCentre, owners),
 		reported:   map[string]bool{},
 		epoch:      s.Epoch(),
 		versions:   map[string][]tier.Version{},
 	}
-	for _, vm := range l.members {
-		_, ok := l.reports[reportKey{s.Name(), vm.Name()}]
-		if ok && vm.DataCentre() == dataCentre && vm.State() == tier.VMLeaving {
-			p.candidates = append(p.candidates, vm)
-		}
-	}
 	for _, vm := range p.candidates {
 		h, ok := l.reports[reportKey{s.Name(), vm.Name()}]
 		if !ok {
--- a/cicadagraded/locator/locator_test.go
+++ b/cicadagraded/locator/locator_test.go
@@ -117,3 +117,27 @@
 		t.Error("reports refused though the owner lets everything in")
 	}
 }
+
+// TestAnnouncedOwnerOfAnotherDataCentre: a front finds the owner in a data
+// centre of which it knows only other members, until that owner is known to be
+// dead.
+func TestAnnouncedOwnerOfAnotherDataCentre(t *testing.T) {
+	l := locator.New(tier.NewManualClock(0).Clock())
+	vm := func(name string, s tier.VMState) tier.VM {
+		return tier.NewVM(name, "serra-caxias", "127.0.0.1:2", tier.WithVMState(s))
+	}
+	sets := []*tier.ShardSet{newSet(t, 1, "s0")}
+	reachable := func(string) bool { return true }
+	l.Update(sets, []tier.VM{vm("caxias-9", tier.VMLive)}, reachable)
+	l.Announced("portao", 0, vm("caxias-200", tier.VMLive), report(t, 1, `{"versions":[7],"shards":["s0"]}`))
+	if _, v := l.Versions("portao", "serra-caxias", "s0"); len(v) != 1 {
+		t.Errorf("versions %v", v)
+	}
+	if got := l.Owners("portao", "serra-caxias", 0)[0].Name(); got != "caxias-200" {
+		t.Errorf("asks %s, want the announced owner", got)
+	}
+	l.Update(sets, []tier.VM{vm("caxias-9", tier.VMLive), vm("caxias-200", tier.VMDead)}, reachable)
+	if got := l.Owners("portao", "serra-caxias", 0)[0].Name(); got != "caxias-9" {
+		t.Errorf("asks %s, which is dead", got)
+	}
+}
--- a/cicadagraded/owner/loop.go
+++ b/cicadagraded/owner/loop.go
@@ -98,14 +98,24 @@
 	case *setMessage:
 		o.setChanged(m.set)
 	case *shareMessage:
+		o.placed(m.index)
 		o.step(dispatcher.NewShareChanged(m.owners, m.index))
 	case *standbyMessage:
+		o.placed(-1)
 		o.step(&dispatcher.Standby{})
 	case *statusMessage:
 		m.reply <- o.status()
 	}
 }
 
+// placed notes the owner's place among those that split the slots, and has it
+// report again.
+func (o *Owner) placed(index int) {
+	o.index = index
+	o.published = Report{}
+	o.reportAt = 0
+}
+
 // submit hands a part to the dispatcher. The first parts of a new owner wait
 // until it knows what its servers hold.
 func (o *Owner) submit(m *submitMessage) {
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -69,6 +69,7 @@
 	ctx       context.Context
 	stopped   chan struct{}
 	outlet    Outlet
+	index     int // among those that split the slots; negative: stands by
 	published Report
 	pressed   bool        // a threshold that holds back was given out last
 	pressedAt tier.Millis // when a threshold was given out last
@@ -95,8 +96,9 @@
 // Outlet is told what owners find out. Its methods are called from owners'
 // loops and do not wait.
 type Outlet interface {
-	// Report takes what the servers of a set hold.
-	Report(set string, r Report)
+	// Report takes what the servers of a set hold. The owner is the index-th of
+	// those that split its slots, or negative if it only stands by.
+	Report(set string, r Report, index int)
 	// Threshold takes a set's threshold of admission.
 	Threshold(set string, t admitter.Threshold)
 	// Withdraw says that the owner of a set ended.
@@ -125,6 +127,7 @@
 		unheard:  map[string]bool{},
 		warmAt:   clock.Now() + warmLimit,
 		outlet:   outlet,
+		index:    -1,
 		probers:  map[string]*prober.Prober{},
 	}
 }
--- a/cicadagraded/owner/owner_test.go
+++ b/cicadagraded/owner/owner_test.go
@@ -86,7 +86,7 @@
 // testOutlet passes reports on.
 type testOutlet chan Report
 
-func (c testOutlet) Report(_ string, r Report) { c <- r }
+func (c testOutlet) Report(_ string, r Report, _ int) { c <- r }
 
 func (testOutlet) Threshold(string, admitter.Threshold) {}
 
@@ -201,6 +201,18 @@
 	}
 }
 
+func TestAnnouncementRoundTrip(t *testing.T) {
+	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}}}
+	vm := tier.NewVM("vm-1", "there", "127.0.0.1:1", tier.WithIncarnation(7), tier.WithVMState(tier.VMLive))
+	b, err := EncodeAnnouncement(vm, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if gotVM, got, err := DecodeAnnouncement("there", b); err != nil || gotVM != vm || !got.holdsSame(r) {
+		t.Errorf("got %+v, %+v, %v", gotVM, got, err)
+	}
+}
+
 func TestThresholdRoundTrip(t *testing.T) {
 	for _, want := range []admitter.Threshold{
 		admitter.AllIn(),
@@ -218,7 +230,10 @@
 
 func FuzzDecodeReport(f *testing.F) {
 	f.Add([]byte(`{"epoch":1,"holdings":[{"versions":[1],"shards":["a"]}]}`))
+	f.Add([]byte(`{"vm":"a","address":"127.0.0.1:1","report":{"epoch":1}}`))
 	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _, _ = DecodeAnnouncement("there", b)
+		_, _ = DecodeThreshold(b)
 		r, err := DecodeReport(b)
 		if err == nil {
 			_, _ = r.Encode()
--- a/cicadagraded/owner/report.go
+++ b/cicadagraded/owner/report.go
@@ -97,6 +97,39 @@
 	w.Holdings = append(w.Holdings, holdingWire{Versions: versions, Shards: []string{shard}})
 }
 
+// announcementWire is a report with the VM that gives it, for VMs of other data
+// centres, which may not know that VM.
+type announcementWire struct {
+	VM          string           `json:"vm"`
+	Address     string           `json:"address"`
+	Incarnation tier.Incarnation `json:"incarnation"`
+	Report      json.RawMessage  `json:"report"`
+}
+
+// EncodeAnnouncement writes an owner's report for VMs of other data centres.
+func EncodeAnnouncement(vm tier.VM, r Report) ([]byte, error) {
+	report, err := r.Encode()
+	if err != nil {
+		return nil, errors.Wrap(err, "EncodeAnnouncement")
+	}
+	b, err := json.Marshal(announcementWire{VM: vm.Name(), Address: vm.Address(), Incarnation: vm.Incarnation(), Report: report})
+	return b, errors.Wrap(err, "EncodeAnnouncement")
+}
+
+// DecodeAnnouncement reads the report of an owner in another data centre.
+func DecodeAnnouncement(dataCentre string, b []byte) (tier.VM, Report, error) {
+	var w announcementWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return tier.VM{}, Report{}, errors.Wrap(err, "DecodeAnnouncement")
+	}
+	r, err := DecodeReport(w.Report)
+	if err != nil {
+		return tier.VM{}, Report{}, errors.Wrap(err, "DecodeAnnouncement")
+	}
+	vm := tier.NewVM(w.VM, dataCentre, w.Address, tier.WithIncarnation(w.Incarnation), tier.WithVMState(tier.VMLive))
+	return vm, r, nil
+}
+
 // DecodeReport reads a report of another VM.
 func DecodeReport(b []byte) (Report, error) {
 	var w reportWire
@@ -127,7 +160,7 @@
 	r := Report{epoch: o.set.Epoch(), versions: o.versions()}
 	if !r.holdsSame(o.published) {
 		o.published = r
-		o.outlet.Report(o.name, r)
+		o.outlet.Report(o.name, r, o.index)
 	}
 }
 
