Yield to a VM that took this one's name

Cause: two VMs under one name, as when one is paused, replaced and goes on, each took a higher life than the other without end, and so voided what they published. Measuring scripts started a deployment while the ports of the one before were still held. Scripts wait for what they ended. Conclusion: the later life keeps the name.

--- a/cicadagraded/control.go
+++ b/cicadagraded/control.go
@@ -45,6 +45,7 @@
 	members  []tier.VM
 	sets     []*tier.ShardSet
 	dropped  uint64
+	replaced *ring.Ring[tier.VM]
 	joined   bool
 	began    tier.Millis
 	clock    *tier.Clock
@@ -128,6 +129,9 @@
 		c.dropped = d
 		c.reread()
 	}
+	if vm, ok := c.gossip.ReplacedBy(); ok {
+		c.replaced.TryPush(vm)
+	}
 	c.members = c.gossip.Members()
 	c.sets = c.config.Sets()
 	c.config.OnMembers(c.presentNames())
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -44,6 +44,7 @@
 	client   *messenger.Client
 	api      *http.Server
 	peers    *http.Server
+	replaced *ring.Ring[tier.VM] // who took this VM's name, for the planned stop
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -66,6 +67,7 @@
 		settings: s, logger: logger, clock: clock, ctx: ctx, cancel: cancel,
 		inflight: newInflight(s.maxRequests),
 		locator:  locator.New(clock),
+		replaced: ring.New[tier.VM](1),
 		self: tier.NewVM(s.name, s.dataCentre, s.peerAdvertise,
 			tier.WithIncarnation(tier.Incarnation(clock.Wall())), tier.WithVMState(tier.VMJoining)),
 	}
@@ -104,7 +106,7 @@
 	d.booker = booker.New(store, d.self.Name(), d.self.Incarnation(), d.clock, booker.WithLive(d.live))
 	d.control = &control{
 		self: d.self, logger: d.logger, gossip: gossip, changes: changes,
-		config: d.config, locator: d.locator, clock: d.clock, join: d.join,
+		config: d.config, locator: d.locator, clock: d.clock, join: d.join, replaced: d.replaced,
 	}
 	id := owner.NewIdentity(d.self.Name(), d.self.DataCentre(), d.self.Incarnation())
 	d.registry = owner.NewRegistry(d.ctx, id, d.clock, d.locator.Set, d.control)
@@ -196,6 +198,7 @@
 	s := &stopper{
 		logger: d.logger, clock: d.clock, gossip: d.gossip, inflight: d.inflight, booker: d.booker,
 		servers:     []*http.Server{d.api, d.peers},
+		replaced:    d.replaced,
 		balancerLag: d.settings.balancerLag, stopLimit: d.settings.stopLimit,
 	}
 	d.addDuty(&g, s.Run)
--- a/cicadagraded/exchanger/view.go
+++ b/cicadagraded/exchanger/view.go
@@ -76,6 +76,14 @@
 	return x.gossiper.Reachable(dataCentre)
 }
 
+// ReplacedBy is the VM that runs under this VM's name in a later life, if there
+// is one.
+func (x *Exchanger) ReplacedBy() (tier.VM, bool) {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	return x.gossiper.ReplacedBy()
+}
+
 // Fresh reports whether this VM may act on what it holds: false after a start
 // or a pause until it has exchanged with a peer.
 func (x *Exchanger) Fresh() bool {
--- a/cicadagraded/owner/loop.go
+++ b/cicadagraded/owner/loop.go
@@ -120,6 +120,10 @@
 // until it knows what its servers hold.
 func (o *Owner) submit(m *submitMessage) {
 	if len(o.unheard) > 0 && o.clock.Now() < o.warmAt {
+		if len(o.early) == inboxSize {
+			m.end <- &NotRun{reason: tier.RefuseOverload, retryAfter: warmLimit}
+			return
+		}
 		o.early = append(o.early, m)
 		return
 	}
--- a/cicadagraded/owner/owner.go
+++ b/cicadagraded/owner/owner.go
@@ -57,17 +57,17 @@
 	lanes     map[string]*lane
 	probers   map[string]*prober.Prober
 	holdings  map[holdingKey][]tier.Version
-	unheard   map[string]bool
-	early     []*submitMessage
-	warmAt    tier.Millis
-	cancels   []pendingCancel // the earliest first
-	deferred  []message
+	unheard   map[string]bool  // servers whose health has not been read yet
+	early     []*submitMessage // parts that wait for it
+	warmAt    tier.Millis      // when they wait no longer
+	cancels   []pendingCancel  // the earliest first
+	deferred  []message        // what the loop told itself
 	lastPart  uint64
 	rejected  uint64
 	attempt   func() tier.AttemptID
 	group     *errgroup.Group
 	ctx       context.Context
-	stopped   chan struct{}
+	stopped   chan struct{} // closed when the loop has ended
 	outlet    Outlet
 	index     int // among those that split the slots; negative: stands by
 	published Report
@@ -107,8 +107,8 @@
 	Backend(set, server string, s tier.BackendState, reason string)
 }
 
-// New returns an owner of a set.
-// attempt returns a fresh id for each leaf call.
+// New returns an owner of a set, which stands by at first. attempt returns a
+// fresh id for each leaf call.
 func New(id Identity, clock *tier.Clock, set *tier.ShardSet, attempt func() tier.AttemptID, outlet Outlet) *Owner {
 	return &Owner{
 		id:       id,
--- a/cicadagraded/stop.go
+++ b/cicadagraded/stop.go
@@ -14,6 +14,7 @@
 	"cicadagrade.example/cicadagraded/booker"
 	"cicadagrade.example/cicadagraded/exchanger"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/ring"
 )
 
 // stopper is the duty that waits for a signal and stops the VM as planned.
@@ -26,6 +27,7 @@
 	servers     []*http.Server
 	balancerLag tier.Millis
 	stopLimit   tier.Millis
+	replaced    *ring.Ring[tier.VM] // who took this VM's name
 }
 
 // Run returns once the VM may exit. A second signal ends the waiting.
@@ -37,10 +39,30 @@
 	case <-ctx.Done():
 		return nil
 	case <-signals:
+		return errors.Wrap(s.stop(ctx, signals), "stopper.Run")
+	case vm := <-s.replaced.Out():
+		return errors.Wrap(s.yield(ctx, signals, vm), "stopper.Run")
 	}
-	return errors.Wrap(s.stop(ctx, signals), "stopper.Run")
 }
 
+// yield stops this VM as planned after another took its name, and sends no more
+// bookings.
+func (s *stopper) yield(ctx context.Context, signals <-chan os.Signal, by tier.VM) error {
+	s.logger.Error("replaced", "by", by.Address(), "incarnation", by.Incarnation())
+	if err := s.booker.Fence(ctx); err != nil {
+		return errors.Wrap(err, "stopper.yield")
+	}
+	if err := s.stop(ctx, signals); err != nil {
+		return err
+	}
+	return errors.WithStack(&replacedError{by: by})
+}
+
+// replacedError says that another VM runs under this one's name.
+type replacedError struct{ by tier.VM }
+
+func (e *replacedError) Error() string { return "replaced by the VM at " + e.by.Address() }
+
 // stop tells peers and the balancer, goes on accepting until both have heard,
 // and waits for what is in flight.
 func (s *stopper) stop(ctx context.Context, signals <-chan os.Signal) error {
--- a/demo/start.sh
+++ b/demo/start.sh
@@ -10,6 +10,8 @@
 
 cleanup() {
   for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+  # The next run needs their ports.
+  wait 2>/dev/null || true
 }
 trap cleanup EXIT
 
--- a/tier/gossiper/event.go
+++ b/tier/gossiper/event.go
@@ -128,6 +128,14 @@
 // Value is the value; callers must not change it.
 func (a *EntryChanged) Value() []byte { return a.value }
 
+// Replaced says that another VM runs under this VM's name, in a later life and
+// at another address. This VM publishes nothing more; its shell should stop.
+type Replaced struct{ by tier.VM }
+
+// By is the other VM.
+func (a *Replaced) By() tier.VM { return a.by }
+
+func (*Replaced) action()      {}
 func (*SendExchange) action()  {}
 func (*Reply) action()         {}
 func (*MemberChanged) action() {}
--- a/tier/gossiper/gossiper.go
+++ b/tier/gossiper/gossiper.go
@@ -39,6 +39,9 @@
 
 	now         tier.Millis
 	started     bool
+	begun       tier.Millis // the first Step
+	replaced    bool        // another VM runs under this one's name
+	replacedBy  tier.VM
 	lastTick    tier.Millis
 	nextRound   tier.Millis
 	lastDigests tier.Millis
@@ -138,6 +141,7 @@
 		return
 	}
 	g.started = true
+	g.begun = now
 	g.lastTick, g.nextRound, g.staleSince, g.nextPool = now, now, now, now
 	g.poolWait = g.idle
 	g.bucket.filled = now
--- a/tier/gossiper/gossiper_test.go
+++ b/tier/gossiper/gossiper_test.go
@@ -293,3 +293,43 @@
 		}
 	}
 }
+
+// TestReplacedWhilePaused: a VM that is replaced under its name while it is
+// paused yields when it goes on; the two do not contend for the name.
+func TestReplacedWhilePaused(t *testing.T) {
+	w := newNetwork(t, 12)
+	for i := range 5 {
+		w.add(testVM("caxias", i, 0), testVM("caxias", 0, 0).Address())
+	}
+	w.mustAgree(20*tier.Second, "join")
+	w.run(settledAfter, nil)
+	old := w.nodes[3]
+	old.paused = true
+	life := old.Self().Incarnation() + 1000
+	next := w.add(tier.NewVM(old.name, "caxias", "10.9.9.9:7000", tier.WithIncarnation(life)), testVM("caxias", 0, 0).Address())
+	w.run(30*tier.Second, nil)
+	old.paused = false
+	replaced := func() bool {
+		for _, a := range old.told {
+			if r, ok := a.(*Replaced); ok {
+				return r.By().Address() == next.address
+			}
+		}
+		return false
+	}
+	if !w.run(30*tier.Second, replaced) {
+		t.Fatal("the former VM does not learn that it was replaced")
+	}
+	w.run(30*tier.Second, nil)
+	if got := next.Self().Incarnation(); got != life {
+		t.Errorf("the new VM took life %d in place of %d", got, life)
+	}
+	for _, m := range w.nodes[0].Members() {
+		if m.Name() == old.name && m.Address() != next.address {
+			t.Errorf("members hold %v", m)
+		}
+	}
+	if old.Fresh(w.now()) {
+		t.Error("the former VM trusts what it holds")
+	}
+}
--- a/tier/gossiper/round.go
+++ b/tier/gossiper/round.go
@@ -12,6 +12,9 @@
 
 func (g *Gossiper) tick() {
 	g.lastTick = g.now
+	if g.replaced {
+		return
+	}
 	g.expire()
 	g.abandon()
 	g.watchLinks()
--- a/tier/gossiper/table.go
+++ b/tier/gossiper/table.go
@@ -58,6 +58,8 @@
 func (g *Gossiper) hearSelf(e Entry) {
 	switch {
 	case e.incarnation < g.own.incarnation:
+	case e.incarnation > g.own.incarnation && g.settled():
+		g.hearLaterLife(e)
 	case e.incarnation > g.own.incarnation:
 		g.renew(e.incarnation)
 	case e.key == statusDead:
@@ -69,6 +71,31 @@
 	}
 }
 
+// settledAfter is how long after its start a VM may still hear of its former
+// lives, which can be later ones where a clock went back.
+const settledAfter = 10 * tier.Second
+
+func (g *Gossiper) settled() bool { return g.now-g.begun >= settledAfter }
+
+// hearLaterLife takes what peers say of a later life of this VM's name. Another
+// address shows that another VM has it, as when this one was paused or cut off
+// and replaced; what is not of the VM itself shows nothing.
+func (g *Gossiper) hearLaterLife(e Entry) {
+	if e.key != keyVM || g.replaced {
+		return
+	}
+	v, _, err := decodeVM(e.origin, e.incarnation, e.value)
+	if err != nil {
+		return
+	}
+	if v.Address() == g.own.vm.Address() {
+		g.renew(e.incarnation)
+		return
+	}
+	g.replaced, g.replacedBy = true, v
+	g.actions = append(g.actions, &Replaced{by: v})
+}
+
 func (g *Gossiper) takeEntry(e Entry, n int) {
 	r, ok := g.records[e.origin]
 	if !ok && len(g.records) >= maxRecords {
--- a/tier/gossiper/view.go
+++ b/tier/gossiper/view.go
@@ -54,8 +54,12 @@
 	return uint64(e.incarnation), e.version, e.value, ok
 }
 
+// ReplacedBy is the VM that runs under this VM's name in a later life, if there
+// is one.
+func (g *Gossiper) ReplacedBy() (tier.VM, bool) { return g.replacedBy, g.replaced }
+
 // Fresh reports whether this VM may act on what it holds: it has exchanged
 // with a peer since it started or was last paused, or has no peer left.
 func (g *Gossiper) Fresh(now tier.Millis) bool {
-	return g.started && !g.stale && now-g.lastTick <= g.pause
+	return g.started && !g.replaced && !g.stale && now-g.lastTick <= g.pause
 }
