Let the command line vouch for a first sending

Cause: the API has first-sending, the command line had no flag for it. Conclusion: operators can tell a refusal of a first sending as such.

--- a/cicadagrade/book.go
+++ b/cicadagrade/book.go
@@ -14,7 +14,9 @@
 can send.
 
 The exit code is 0 when the booking ran, 3 when it was refused and not run, and
-4 when it may have run: ask again with the same key.
+4 when it may have run: ask again with the same key. A VM that refuses without
+being able to look for an earlier sending of the key says unknown
+(earlier-sending), unless --first-sending vouches that there was none.
 
   cicadagrade book --vm 127.0.0.1:7070 --profile certificate --set portao \
     --record certificate-17 --key 2026-12-04-load-993 "hygiene certificate"`
@@ -27,12 +29,14 @@
 	RecordKey      string `json:"record-key"`
 	Body           string `json:"body"`
 	IdempotencyKey string `json:"idempotency-key,omitempty"`
+	FirstSending   bool   `json:"first-sending,omitempty"`
 	DeadlineMs     *int64 `json:"deadline-ms,omitempty"`
 }
 
 func bookCommand() *cobra.Command {
 	f := &callFlags{}
 	var record, key string
+	var first bool
 	c := &cobra.Command{
 		Use:   "book BODY",
 		Short: "Make a booking, at most once",
@@ -41,7 +45,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			body := bookBody{
 				RequestID: f.id(), Profile: f.profile, Set: f.set, RecordKey: record,
-				Body: args[0], IdempotencyKey: key, DeadlineMs: f.deadline(),
+				Body: args[0], IdempotencyKey: key, FirstSending: first, DeadlineMs: f.deadline(),
 			}
 			return f.run(c, "/v1/book", body, printBooking)
 		},
@@ -49,6 +53,7 @@
 	f.register(c)
 	c.Flags().StringVar(&record, "record", "", "key of the record to book on")
 	c.Flags().StringVar(&key, "key", "", "idempotency key, such as 2026-12-04-load-993; empty: the VM makes one")
+	c.Flags().BoolVar(&first, "first-sending", false, "vouch that the key was never sent before, so that a VM that can't look may say refused")
 	_ = c.MarkFlagRequired("record")
 	return c
 }
