Never refuse a search that a lost owner may have run

Cause: the front forgets, when a second owner answers, that the first one was lost with the part. If the second refuses, or answers without a leaf call, the search ended as refused though the first may have made leaf calls. Change: after a lost owner a refusal counts as a failed part, and an answer as at least one leaf call. Conclusion: a refusal is true again.

--- a/cicadagraded/asker/front_test.go
+++ b/cicadagraded/asker/front_test.go
@@ -45,7 +45,7 @@
 	return nil, nil
 }
 
-func newHome(b *testing.B, shards int) *home {
+func newHome(b testing.TB, shards int) *home {
 	b.Helper()
 	var list []tier.Shard
 	width := math.MaxUint64/uint64(shards) + 1
--- a/cicadagraded/asker/search.go
+++ b/cicadagraded/asker/search.go
@@ -130,7 +130,7 @@
 		end, err := r.front.messenger.Ask(ctx, vm, r.set.Name(), s)
 		if err == nil {
 			r.front.directory.Answered(vm.Name())
-			return r.ended(a, end)
+			return r.ended(a, end, sent)
 		}
 		if r.ctx.Err() == nil {
 			r.front.directory.Failed(vm.Name())
@@ -149,18 +149,26 @@
 // maxOwnersTried bounds the owners that are tried for one part.
 const maxOwnersTried = 2
 
-// ended turns an owner's end of a part into the plan's event.
-func (r *run) ended(a *planner.SendPart, e owner.End) planner.Event {
+// ended turns an owner's end of a part into the plan's event. Lost says that
+// an owner asked before was lost and may have made leaf calls.
+func (r *run) ended(a *planner.SendPart, e owner.End, lost bool) planner.Event {
 	switch e := e.(type) {
 	case *owner.Done:
+		calls := e.Calls()
+		if lost {
+			calls = max(calls, 1)
+		}
 		r.calls.Add(int64(e.Calls()))
 		r.extra.Add(int64(e.ExtraCalls()))
 		held := make([]planner.Held, 0, len(e.Held()))
 		for _, h := range e.Held() {
 			held = append(held, planner.NewHeld(h.Shard(), h.Epoch(), h.Versions()))
 		}
-		return planner.NewPartReplied(a.Part(), a.Snapshot(), e.Results(), held, e.Calls())
+		return planner.NewPartReplied(a.Part(), a.Snapshot(), e.Results(), held, calls)
 	case *owner.NotRun:
+		if lost {
+			return planner.NewPartFailed(a.Part(), tier.MissRefused)
+		}
 		return planner.NewPartRefused(a.Part(), e.Reason(), e.RetryAfter())
 	default:
 		return planner.NewPartFailed(a.Part(), tier.MissDeadline)
