--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -49,6 +49,13 @@
 	cancel   context.CancelFunc
 }
 
+// Bytes of gossip that a VM sends: a second on average, and at once when it has
+// been quiet, as when VMs are replaced one after the other.
+const (
+	gossipRate  = 2400
+	gossipBurst = 192 << 10
+)
+
 // newLogger writes one line of key=value pairs for each event.
 func newLogger(w io.Writer, s *settings) *log.Logger {
 	l := log.NewWithOptions(w, log.Options{
@@ -86,7 +93,9 @@
 	gossip, err := exchanger.New(d.self, d.clock,
 		exchanger.WithChanges(changes),
 		exchanger.WithAddresses(d.settings.dial),
-		exchanger.WithGossip(gossiper.WithSeed(uint64(d.self.Incarnation()))))
+		exchanger.WithGossip(
+			gossiper.WithSeed(uint64(d.self.Incarnation())),
+			gossiper.WithRate(gossipRate, gossipBurst)))
 	if err != nil {
 		return errors.Wrap(err, "buildControl")
 	}
--- a/cicadagraded/locator/bench_test.go
+++ b/cicadagraded/locator/bench_test.go
@@ -15,18 +15,15 @@
 // fleet is a locator that holds sets of 110 shards in one data centre.
 func fleet(b *testing.B, sets int) (*locator.Locator, []*tier.ShardSet, []tier.VM, owner.Report) {
 	var shards []tier.Shard
-	holding := `{"versions":[7],"shards":["s0"`
 	width := uint64(math.MaxUint64 / 110)
 	for i := range 110 {
 		to := uint64(i+1)*width - 1
 		if i == 109 {
 			to = math.MaxUint64
-		} else {
-			holding += fmt.Sprintf(",%q", fmt.Sprintf("s%d", i+1))
 		}
 		shards = append(shards, tier.NewShard(fmt.Sprintf("s%d", i), uint64(i)*width, to, "a"))
 	}
-	r, err := owner.DecodeReport([]byte(`{"epoch":1,"holdings":[` + holding + `]}]}`))
+	r, err := owner.DecodeReport([]byte(`{"epoch":1,"holdings":[{"versions":[7],"runs":[[0,110]]}]}`))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/cicadagraded/locator/candidates.go
+++ b/cicadagraded/locator/candidates.go
@@ -44,11 +44,12 @@
 	return out
 }
 
-// lost reports whether an announced VM is known not to be live.
+// lost reports whether an announced VM is known not to be live, or to have begun
+// a later life, in which it has announced nothing yet.
 func (l *Locator) lost(vm tier.VM) bool {
 	for _, m := range l.members {
 		if m.Name() == vm.Name() {
-			return m.State() != tier.VMLive
+			return m.State() != tier.VMLive || m.Incarnation() > vm.Incarnation()
 		}
 	}
 	return false
--- a/cicadagraded/locator/locator.go
+++ b/cicadagraded/locator/locator.go
@@ -206,8 +206,8 @@
 
 // merge adds what a report lists.
 func (p *place) merge(s *tier.ShardSet, r owner.Report) {
-	for _, h := range s.Shards() {
-		for _, v := range r.Versions(h.ID()) {
+	for i, h := range s.Shards() {
+		for _, v := range r.Versions(i) {
 			if !slices.Contains(p.versions[h.ID()], v) {
 				p.versions[h.ID()] = append(p.versions[h.ID()], v)
 			}
--- a/cicadagraded/locator/locator_test.go
+++ b/cicadagraded/locator/locator_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	l.Update([]*tier.ShardSet{newSet(t, 1, "old")}, members, reachable)
-	l.Reported("portao", "caxias-1", report(t, 1, `{"versions":[7],"shards":["old"]}`), true)
+	l.Reported("portao", "caxias-1", report(t, 1, `{"versions":[7],"runs":[[0,1]]}`), true)
 	check("at first", "old", 1, 1)
 	l.Update([]*tier.ShardSet{newSet(t, 2, "new")}, members, reachable)
 	check("before the owner's report", "old", 1, 1)
@@ -52,7 +52,7 @@
 	}
 	l.Reported("portao", "caxias-1", report(t, 2, ""), true)
 	check("before a server holds it", "old", 1, 1)
-	l.Reported("portao", "caxias-1", report(t, 2, `{"versions":[7],"shards":["new"]}`), true)
+	l.Reported("portao", "caxias-1", report(t, 2, `{"versions":[7],"runs":[[0,1]]}`), true)
 	check("once it is held", "new", 2, 1)
 }
 
@@ -65,7 +65,7 @@
 	vm := func(name string, s tier.VMState) tier.VM {
 		return tier.NewVM(name, "serra-caxias", "127.0.0.1:1", tier.WithVMState(s))
 	}
-	informed := func(name string) { l.Reported("portao", name, report(t, 1, `{"versions":[7],"shards":["s0"]}`), true) }
+	informed := func(name string) { l.Reported("portao", name, report(t, 1, `{"versions":[7],"runs":[[0,1]]}`), true) }
 	first := func() string { return l.Owners("portao", "serra-caxias", 0)[0].Name() }
 	l.Update([]*tier.ShardSet{set}, []tier.VM{vm("old", tier.VMLeaving), vm("new", tier.VMLive)}, func(string) bool { return true })
 	informed("old")
@@ -129,7 +129,7 @@
 	sets := []*tier.ShardSet{newSet(t, 1, "s0")}
 	reachable := func(string) bool { return true }
 	l.Update(sets, []tier.VM{vm("caxias-9", tier.VMLive)}, reachable)
-	l.Announced("portao", 0, vm("caxias-200", tier.VMLive), report(t, 1, `{"versions":[7],"shards":["s0"]}`))
+	l.Announced("portao", 0, vm("caxias-200", tier.VMLive), report(t, 1, `{"versions":[7],"runs":[[0,1]]}`))
 	if _, v := l.Versions("portao", "serra-caxias", "s0"); len(v) != 1 {
 		t.Errorf("versions %v", v)
 	}
@@ -140,4 +140,11 @@
 	if got := l.Owners("portao", "serra-caxias", 0)[0].Name(); got != "caxias-9" {
 		t.Errorf("asks %s, which is dead", got)
 	}
+	replaced := vm("caxias-200", tier.VMLive).With(tier.WithIncarnation(9))
+	l.Update(sets, []tier.VM{vm("caxias-9", tier.VMLive), replaced}, reachable)
+	l.Reported("portao", "caxias-200", owner.Report{}, false)
+	l.Reported("portao", "caxias-9", report(t, 1, `{"versions":[7],"runs":[[0,1]]}`), true)
+	if got := l.Owners("portao", "serra-caxias", 0)[0].Name(); got != "caxias-9" {
+		t.Errorf("asks %s, which began another life and owns nothing yet", got)
+	}
 }
--- a/cicadagraded/owner/owner_test.go
+++ b/cicadagraded/owner/owner_test.go
@@ -190,7 +190,7 @@
 }
 
 func TestReportRoundTrip(t *testing.T) {
-	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}, "b": {1, 2}, "c": {2}}}
+	r := Report{epoch: 3, versions: map[int][]tier.Version{0: {1, 2}, 1: {1, 2}, 3: {2}, 4: {1, 2}}}
 	b, err := r.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -202,7 +202,7 @@
 }
 
 func TestAnnouncementRoundTrip(t *testing.T) {
-	r := Report{epoch: 3, versions: map[string][]tier.Version{"a": {1, 2}}}
+	r := Report{epoch: 3, versions: map[int][]tier.Version{0: {1, 2}}}
 	vm := tier.NewVM("vm-1", "there", "127.0.0.1:1", tier.WithIncarnation(7), tier.WithVMState(tier.VMLive))
 	b, err := EncodeAnnouncement(vm, r)
 	if err != nil {
@@ -229,7 +229,7 @@
 }
 
 func FuzzDecodeReport(f *testing.F) {
-	f.Add([]byte(`{"epoch":1,"holdings":[{"versions":[1],"shards":["a"]}]}`))
+	f.Add([]byte(`{"epoch":1,"holdings":[{"versions":[1],"runs":[[0,1]]}]}`))
 	f.Add([]byte(`{"vm":"a","address":"127.0.0.1:1","report":{"epoch":1}}`))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		_, _, _ = DecodeAnnouncement("there", b)
--- a/cicadagraded/owner/report.go
+++ b/cicadagraded/owner/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -19,22 +20,24 @@
 // servers hold of each shard.
 type Report struct {
 	epoch    tier.Epoch
-	versions map[string][]tier.Version
+	versions map[int][]tier.Version // by the shard's place in the map
 }
 
 // Epoch is the epoch of the shard map.
 func (r Report) Epoch() tier.Epoch { return r.epoch }
 
-// Versions are the index versions that servers hold of a shard.
-func (r Report) Versions(shard string) []tier.Version { return r.versions[shard] }
+// Versions are the index versions that servers hold of the i-th shard of the
+// epoch's map.
+func (r Report) Versions(i int) []tier.Version { return r.versions[i] }
 
 // Informed reports whether the owner knows what any server holds.
 func (r Report) Informed() bool { return len(r.versions) > 0 }
 
-// holdingWire lists the shards that hold the same versions.
+// holdingWire lists shards that hold the same versions, in runs of the map's
+// order: the first one and how many.
 type holdingWire struct {
 	Versions []tier.Version `json:"versions"`
-	Shards   []string       `json:"shards"`
+	Runs     [][2]int       `json:"runs"`
 }
 
 // reportWire is a report between VMs.
@@ -80,21 +83,31 @@
 // Encode writes a report for other VMs.
 func (r Report) Encode() ([]byte, error) {
 	w := reportWire{Epoch: r.epoch}
-	for _, shard := range slices.Sorted(maps.Keys(r.versions)) {
-		w.add(shard, r.versions[shard])
+	for _, i := range slices.Sorted(maps.Keys(r.versions)) {
+		w.add(i, r.versions[i])
 	}
 	b, err := json.Marshal(w)
 	return b, errors.Wrap(err, "Report.Encode")
 }
 
-func (w *reportWire) add(shard string, versions []tier.Version) {
-	for i := range w.Holdings {
-		if slices.Equal(w.Holdings[i].Versions, versions) {
-			w.Holdings[i].Shards = append(w.Holdings[i].Shards, shard)
+func (w *reportWire) add(i int, versions []tier.Version) {
+	for n := range w.Holdings {
+		if slices.Equal(w.Holdings[n].Versions, versions) {
+			w.Holdings[n].add(i)
 			return
 		}
 	}
-	w.Holdings = append(w.Holdings, holdingWire{Versions: versions, Shards: []string{shard}})
+	w.Holdings = append(w.Holdings, holdingWire{Versions: versions, Runs: [][2]int{{i, 1}}})
+}
+
+// add lengthens the last run or begins another.
+func (h *holdingWire) add(i int) {
+	last := &h.Runs[len(h.Runs)-1]
+	if last[0]+last[1] == i {
+		last[1]++
+		return
+	}
+	h.Runs = append(h.Runs, [2]int{i, 1})
 }
 
 // announcementWire is a report with the VM that gives it, for VMs of other data
@@ -138,16 +151,28 @@
 	}
 	r := Report{
 		epoch:    w.Epoch,
-		versions: map[string][]tier.Version{},
+		versions: map[int][]tier.Version{},
 	}
 	for _, h := range w.Holdings {
-		for _, shard := range h.Shards {
-			r.versions[shard] = h.Versions
+		for _, run := range h.Runs {
+			if run[0] < 0 || run[1] < 0 || run[0] >= tier.MaxShards || run[1] > tier.MaxShards {
+				return Report{}, errors.Wrap(&badRunError{first: run[0], count: run[1]}, "DecodeReport")
+			}
+			for i := range run[1] {
+				r.versions[run[0]+i] = h.Versions
+			}
 		}
 	}
 	return r, nil
 }
 
+// badRunError says that a run of shards lies outside of any map.
+type badRunError struct{ first, count int }
+
+func (e *badRunError) Error() string {
+	return fmt.Sprintf("run of %d shards from %d is not allowed", e.count, e.first)
+}
+
 // holdsSame reports whether two reports tell of the same holdings.
 func (r Report) holdsSame(o Report) bool {
 	return r.epoch == o.epoch && maps.EqualFunc(r.versions, o.versions, slices.Equal)
@@ -177,11 +202,11 @@
 
 // versions lists, for each shard of the map, the index versions that some
 // server of this data centre that takes work holds.
-func (o *Owner) versions() map[string][]tier.Version {
-	out := map[string][]tier.Version{}
-	for _, h := range o.set.Shards() {
+func (o *Owner) versions() map[int][]tier.Version {
+	out := map[int][]tier.Version{}
+	for i, h := range o.set.Shards() {
 		if v := o.versionsOf(h); len(v) > 0 {
-			out[h.ID()] = v
+			out[i] = v
 		}
 	}
 	return out
--- a/demo/measure.sh
+++ b/demo/measure.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 bin=$1
 shift
-wanted=${*:-added-latency hedging floods-associacao floods-zorin day-zorin}
+wanted=${*:-added-latency two-cores hedging floods-associacao floods-zorin day-zorin}
 mkdir -p .run
 
 # measure NAME DEPLOYMENT "BACKEND FLAGS" COMMAND...: a deployment of its own
@@ -30,6 +30,7 @@
 
 w=standin/workload
 measure added-latency associacao "" load --workload $w/associacao-one-set.json --out .run/added-latency.json
+vm_procs=2 measure two-cores associacao "--median 1ms" load --workload $w/associacao-two-cores.json --out .run/two-cores.json
 measure hedging associacao "" experiment --file $w/experiment-hedging.json --out .run
 measure floods-associacao associacao "--median 15ms" load --workload $w/associacao-floods.json --out .run/floods-associacao.json
 measure floods-zorin zorin "--median 15ms" load --workload $w/zorin-floods.json --out .run/floods-zorin.json
--- a/demo/start.sh
+++ b/demo/start.sh
@@ -52,14 +52,15 @@
 # json FIELD: a text field of the deployment's file.
 json() { sed -n "s/^  \"$1\": \"\(.*\)\",*$/\1/p" "$data.json"; }
 
-# start_vm NAME [LINKS]: an entry VM, over the links of a file if one is given.
+# start_vm NAME [LINKS]: an entry VM, over the links of a file if one is given, on
+# vm_procs processors if that is set.
 declare -A vmpid api
 start_vm() {
   local environment
   environment=$("$bin/standin" settings --deployment "$data.json" --vm "$1" ${2:+--links "$2"})
   api[$1]=$(sed -n 's/^CICADAGRADED_API_ADDRESS=//p' <<<"$environment")
   # shellcheck disable=SC2086
-  start "$1" env $environment CICADAGRADED_BALANCER_LAG_MS="${balancer_lag:-1000}" "$bin/cicadagraded" serve
+  start "$1" env $environment ${vm_procs:+GOMAXPROCS=$vm_procs} CICADAGRADED_BALANCER_LAG_MS="${balancer_lag:-1000}" "$bin/cicadagraded" serve
   vmpid[$1]=$last
 }
 
