--- a/demo/measure.sh
+++ b/demo/measure.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 bin=$1
 shift
-wanted=${*:-added-latency two-cores hedging floods-associacao floods-zorin day-zorin}
+wanted=${*:-added-latency two-cores hedging floods-associacao floods-zorin flood-one-vm flood-cut-off day-zorin}
 mkdir -p .run
 
 # measure NAME DEPLOYMENT "BACKEND FLAGS" COMMAND...: a deployment of its own
@@ -21,7 +21,12 @@
     say "$name"
     # shellcheck disable=SC2086
     start_platform $flags
-    start_vms
+    if [ -n "${linked:-}" ]; then
+      start links "$bin/standin" link --config "$data/links.json"
+      start_vms "$data/links.json"
+    else
+      start_vms
+    fi
     apply_documents >/dev/null
     sleep 4
     "$bin/standin" "$@" --deployment "$data.json"
@@ -34,4 +39,6 @@
 measure hedging associacao "" experiment --file $w/experiment-hedging.json --out .run
 measure floods-associacao associacao "--median 15ms" load --workload $w/associacao-floods.json --out .run/floods-associacao.json
 measure floods-zorin zorin "--median 15ms" load --workload $w/zorin-floods.json --out .run/floods-zorin.json
+measure flood-one-vm associacao "--median 15ms" load --workload $w/associacao-flood-one-vm.json --out .run/flood-one-vm.json
+linked=1 measure flood-cut-off associacao "--median 15ms" load --workload $w/associacao-flood-cut-off.json --out .run/flood-cut-off.json
 measure day-zorin zorin "" load --workload $w/zorin-day.json --out .run/day-zorin.json
