Let a planned stop outlast every deadline by default

Cause: found by reading. And a stop limit at or below the balancer's lag made every stop end as cut, also with nothing in flight. Change: the default is 11 minutes; a stop still ends as soon as nothing is in flight. A limit that is not above the lag is a bad setting. Figures: TestStopLimitOutlastsLagAndDeadlines fails with the former default (30 s against 603 s) and without the check, passes now. Conclusion: the users' promise holds for the deadlines that profiles allow.

--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -17,7 +17,7 @@
 const (
 	defaultBalancerLag  = 3 * tier.Second
 	maxBalancerLag      = 5 * tier.Minute
-	defaultStopLimit    = 30 * tier.Second
+	defaultStopLimit    = tier.MaxDeadlineAllowed + tier.Minute
 	maxStopLimit        = 30 * tier.Minute
 	defaultMaxBodyBytes = 64 << 10
 	maxMaxBodyBytes     = 1 << 20
@@ -190,6 +190,9 @@
 			problems = append(problems, tier.NewFieldProblem(source, value, t.allowed))
 		}
 	}
+	if len(problems) == 0 && s.stopLimit <= s.balancerLag {
+		problems = append(problems, tier.NewFieldProblem("stop-limit-ms", s.stopLimit, "more than balancer-lag-ms"))
+	}
 	if s.peerAdvertise == "" {
 		s.peerAdvertise = s.peerAddress
 	}
--- a/cicadagraded/settings_test.go
+++ b/cicadagraded/settings_test.go
@@ -54,3 +54,18 @@
 		t.Errorf("advertises %q, want %q", s.peerAdvertise, s.peerAddress)
 	}
 }
+
+func TestStopLimitOutlastsLagAndDeadlines(t *testing.T) {
+	s, err := load(t, "--name", "a", "--data-centre", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.stopLimit < tier.MaxDeadlineAllowed+s.balancerLag {
+		t.Errorf("a planned stop cuts requests off after %d ms", s.stopLimit)
+	}
+	_, err = load(t, "--name", "a", "--data-centre", "b", "--stop-limit-ms", "3000", "--balancer-lag-ms", "3000")
+	var invalid *tier.InvalidError
+	if !errors.As(err, &invalid) || invalid.Problems()[0].Path() != "stop-limit-ms" {
+		t.Errorf("got %v, want a problem with stop-limit-ms", err)
+	}
+}
