Sketch the path on the platform

Settings, store, configuration, leafs and messages of the platform in platform/; routes, leaf list, leaf choice, budget of extra calls and searches as state machines in tier; the entry VM's shells and the front subcommand.

--- /dev/null
+++ b/cicadagraded/entry/entry.go
@@ -0,0 +1,82 @@
+// Package entry is the entry VM on the users' platform: it takes callers'
+// requests, has the leafs of the route's services answer them, and keeps the
+// view of configuration, leafs and VMs that the store tells.
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadagrade.example/cicadagraded/courier"
+	"cicadagrade.example/cicadagraded/eventlog"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/balancer"
+	"cicadagrade.example/tier/budgeter"
+	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/router"
+	"cicadagrade.example/tier/searcher"
+)
+
+// Entry is one VM.
+type Entry struct {
+	settings *platform.Settings
+	clock    *tier.Clock
+	log      *eventlog.Log
+	courier  *courier.Courier
+	store    *platform.Store
+	table    atomic.Pointer[router.Table]
+	seen     atomic.Int64 // when the store last answered, on the clock
+	stopping atomic.Bool
+	calls    sync.WaitGroup
+
+	mu   sync.Mutex
+	core *searcher.Core
+}
+
+// New returns a VM that is not yet serving.
+func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
+	e := &Entry{settings: s, clock: clock, log: log, courier: courier.New()}
+	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: storeDialTimeout.Duration(), KeepAlive: -1}).DialContext,
+			// A connection that went silent is dropped with the call that
+			// timed out on it.
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		},
+	})
+	e.core = searcher.NewCore(lister.New(), balancer.New(e.place),
+		budgeter.New(s.RetryRatio(), s.RetrySlack(), assumedMembers))
+	return e
+}
+
+// assumedMembers is how many VMs divide the slack of extra calls until the
+// store has told who there is.
+const assumedMembers = 10
+
+func (e *Entry) place(dataCentre string) balancer.Place {
+	switch {
+	case dataCentre == e.settings.DataCentre():
+		return balancer.SameDataCentre
+	case e.settings.Region(dataCentre) == e.settings.Region(e.settings.DataCentre()):
+		return balancer.SameRegion
+	}
+	return balancer.OtherRegion
+}
+
+// Ready reports whether callers may be sent to this VM.
+func (e *Entry) Ready() bool { return e.table.Load() != nil && !e.stopping.Load() }
+
+// Stop makes the VM fail its readiness check and ask callers to leave.
+func (e *Entry) Stop() {
+	e.stopping.Store(true)
+	e.log.State("stopping", "reason", "SIGTERM")
+}
+
+// Close drops the connections to leafs, after the servers have stopped.
+func (e *Entry) Close() { e.courier.Close() }
--- /dev/null
+++ b/cicadagraded/entry/handler.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/courier"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/ranker"
+	"cicadagrade.example/tier/router"
+	"cicadagrade.example/tier/searcher"
+)
+
+const (
+	// answerMargin is kept from the aim for writing the answer and its way to
+	// the caller.
+	answerMargin = 12 * tier.Millisecond
+	// patientTime is taken for a caller who does not say how long it waits.
+	patientTime = 30 * tier.Second
+	// defaultBodyBytes bounds a body if the configuration does not.
+	defaultBodyBytes = 1 << 20
+	// comeBack is when a caller is to try again after a refusal that a look
+	// at the store or a leaf's restart will end.
+	comeBack = 250 * tier.Millisecond
+	// mergeReserve is the time of the last milliseconds to the caller's own
+	// deadline in which an answer would not reach it any more.
+	endMargin = 8 * tier.Millisecond
+)
+
+// request is what is known of one request.
+type request struct {
+	route  *router.Route
+	table  *router.Table
+	sender platform.Sender
+	start  tier.Millis
+	body   []byte
+}
+
+// ServeHTTP takes a caller's request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	start := e.clock.Now()
+	table := e.table.Load()
+	sender := platform.ReadSender(r.Header)
+	if table == nil {
+		e.refuse(w, sender, http.StatusServiceUnavailable, "no-configuration", 0)
+		return
+	}
+	path := r.RequestURI
+	if !strings.HasPrefix(path, "/") {
+		path = r.URL.RequestURI()
+	}
+	bare, _, _ := strings.Cut(path, "?")
+	route, ok := table.Match(r.Host, bare)
+	if !ok {
+		if e.viewAge() > staleAfter {
+			e.refuse(w, sender, http.StatusServiceUnavailable, "no-route-in-stale-view", table.Version())
+			return
+		}
+		e.refuse(w, sender, http.StatusNotFound, "no-route", table.Version())
+		return
+	}
+	body, status := readBody(w, r, table.Limits())
+	if status != 0 {
+		e.refuse(w, sender, status, "bad-body", table.Version())
+		return
+	}
+	q := &request{route: route, table: table, sender: sender, start: start, body: body}
+	message := courier.NewMessage(r.Method, path, r.Host, platform.LeafHeader(r.Header), body)
+	if route.Scattered() {
+		e.scatter(w, r, q, message)
+		return
+	}
+	e.forward(w, r, q, message)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits router.Limits) ([]byte, int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	most := int64(limits.BodyBytes())
+	if most <= 0 {
+		most = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// refuse answers a request that has not run.
+func (e *Entry) refuse(w http.ResponseWriter, s platform.Sender, status int, cause string, version int64) {
+	if status == http.StatusServiceUnavailable {
+		platform.WriteRetryAfter(w.Header(), comeBack+tier.Millis(rand.Int64N(int64(comeBack))))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	e.log.Request("refused", "request", s.Attempt(), "status", status, "cause", cause, "version", version,
+		"view-age-ms", e.viewAge())
+}
+
+// terms are what the route and the caller grant.
+func (q *request) terms() searcher.Terms {
+	left, limited := q.sender.TimeLeft()
+	if !limited {
+		left = patientTime
+	}
+	end := q.start + left - endMargin
+	if t := q.route.Timeout(); t > 0 {
+		end = min(end, q.start+t)
+	}
+	aim := end
+	if a := q.route.Aim(); a > 0 {
+		aim = q.start + a - answerMargin
+	}
+	options := []searcher.TermsOption{searcher.WithAttempts(q.route.Attempts())}
+	if q.route.Repeatable() {
+		options = append(options, searcher.Repeatable())
+	}
+	if q.route.Scattered() {
+		options = append(options, searcher.WithMinimum(q.route.MinimumParts()))
+	} else {
+		options = append(options, searcher.PassFailures())
+	}
+	return searcher.NewTerms(q.route.Name(), aim, end, options...)
+}
+
+// scatter answers from all shards.
+func (e *Entry) scatter(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
+	o, left := e.search(r.Context(), q, q.route.Shards(), m)
+	if left {
+		e.report(q, o, 0, "caller-left")
+		return
+	}
+	if !o.Success() {
+		e.fail(w, q, o)
+		return
+	}
+	top := ranker.New(q.route.Top())
+	proofs := make([]string, 0, len(o.Parts()))
+	for _, p := range o.Parts() {
+		reply := p.Reply().(*courier.Reply)
+		top.Add(reply.Body())
+		proofs = append(proofs, platform.ReadLeafReply(reply.Status(), reply.Header()).Proof())
+	}
+	platform.WriteParts(w.Header(), proofs, len(q.route.Shards())-len(proofs))
+	e.write(w, http.StatusOK, top.Bytes())
+	e.report(q, o, http.StatusOK, string(o.Cause()))
+}
+
+// forward answers from one leaf.
+func (e *Entry) forward(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
+	service := q.route.Target(rand.Float64())
+	o, left := e.search(r.Context(), q, []string{service}, m)
+	if left {
+		e.report(q, o, 0, "caller-left")
+		return
+	}
+	var reply *courier.Reply
+	switch {
+	case o.Success():
+		reply = o.Parts()[0].Reply().(*courier.Reply)
+	case o.Failure() != nil:
+		reply = o.Failure().(*courier.Reply)
+	default:
+		e.fail(w, q, o)
+		return
+	}
+	h := w.Header()
+	for k, v := range platform.CallerHeader(reply.Header()) {
+		h[k] = v
+	}
+	e.write(w, reply.Status(), reply.Body())
+	e.report(q, o, reply.Status(), string(o.Cause()))
+}
+
+func (e *Entry) write(w http.ResponseWriter, status int, body []byte) {
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		e.log.Request("answer-not-written", "error", err)
+	}
+}
+
+// fail answers a request that can't be served.
+func (e *Entry) fail(w http.ResponseWriter, q *request, o searcher.Outcome) {
+	status := http.StatusBadGateway
+	switch {
+	case !o.MayHaveRun():
+		status = http.StatusServiceUnavailable
+		platform.WriteRetryAfter(w.Header(), comeBack+tier.Millis(rand.Int64N(int64(comeBack))))
+	case o.Cause() == searcher.OutOfTime:
+		status = http.StatusGatewayTimeout
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	e.report(q, o, status, string(o.Cause()))
+}
+
+// report logs how a request ended, unless it was plainly served.
+func (e *Entry) report(q *request, o searcher.Outcome, status int, cause string) {
+	took := e.clock.Now() - q.start
+	if o.Cause() == searcher.Complete && o.Extra() == 0 && status < 300 && took <= q.route.Aim() {
+		return
+	}
+	e.log.Request("request-ended", "request", q.sender.Attempt(), "route", q.route.Name(),
+		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
+		"parts", len(o.Parts()), "of", max(1, len(q.route.Shards())), "calls", o.Sent(), "extra", o.Extra(),
+		"may-have-run", o.MayHaveRun(), "view-age-ms", int64(e.viewAge()))
+}
+
+// search runs a search to its end; the second result says that the caller has
+// left.
+func (e *Entry) search(ctx context.Context, q *request, services []string, m *courier.Message) (searcher.Outcome, bool) {
+	r := &run{entry: e, request: q, message: m, cancels: map[int]context.CancelFunc{}}
+	return r.drive(ctx, services)
+}
--- /dev/null
+++ b/cicadagraded/front.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"cicadagrade.example/cicadagraded/entry"
+	"cicadagrade.example/cicadagraded/eventlog"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/tier"
+)
+
+const frontHelp = `Runs an entry VM on the users' platform: takes callers' requests, asks the leafs
+of the route's services, and answers with what they say.
+
+The settings come from the platform's file, whose path is in the environment
+variable CICADAGRADE_CONFIG. A bad or missing field ends the process with exit
+code 2 and a message that names the field, its value and what is allowed; unknown
+fields are ignored. Routes and leafs come from the platform's store.
+
+SIGTERM starts a planned stop: the readiness check fails, requests go on being
+taken until the balancer has noticed, what is in flight is finished, and the
+process exits with code 0 within the platform's grace period. SIGHUP reads the
+settings again.`
+
+// Times of a planned stop.
+const (
+	// balancerLag is how long the platform's balancer takes to see a failed
+	// readiness check: two misses, a second apart, and a margin.
+	balancerLag = 2500 * tier.Millisecond
+	// stopMargin is kept from the grace period for the end of the process.
+	stopMargin = 400 * tier.Millisecond
+	// headerTime bounds the reading of a request's header until the
+	// configuration says better.
+	headerTime = 10 * time.Second
+	// idleTime is how long a caller's connection may be idle. Callers use
+	// connections that have been idle for most of the configured limit.
+	idleTime = 120 * time.Second
+	// memoryShare is the part of the memory limit at which the collector
+	// starts to work harder.
+	memoryShare = 0.6
+)
+
+func frontCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "front",
+		Short: "Run an entry VM on the users' platform",
+		Long:  frontHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return errors.Wrap(err, "front")
+			}
+			return errors.Wrap(front(c.Context(), s), "front")
+		},
+	}
+}
+
+// front serves until a planned stop.
+func front(ctx context.Context, s *platform.Settings) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB()) * memoryShare * (1 << 20)))
+	clock := tier.NewClock()
+	log := eventlog.New(os.Stdout, clock, "vm", s.Name())
+	log.State("starting", "callers", s.CallersAddress(), "readiness", s.ReadinessAddress(),
+		"data-centre", s.DataCentre(), "store", s.StoreAddress())
+	e := entry.New(s, clock, log)
+
+	callers, err := net.Listen("tcp", s.CallersAddress())
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
+	readiness, err := net.Listen("tcp", s.ReadinessAddress())
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return log.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunView(ctx) }, func(error) { cancel() })
+	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	addServer(&g, server, callers)
+	check := &http.Server{Handler: e.Readiness(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	addServer(&g, check, readiness)
+	g.Add(func() error { return waitForStop(ctx, e, server, s) }, func(error) { cancel() })
+	if err := g.Run(); err != nil && !errors.Is(err, errStopped) {
+		return errors.Wrap(err, "front")
+	}
+	e.Close()
+	return nil
+}
+
+// errStopped ends the group after a planned stop.
+var errStopped = errors.New("stopped as planned")
+
+// addServer serves until the group ends: a planned stop shuts the server down
+// first, which must not end the group while requests are in flight.
+func addServer(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "addServer")
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		_ = s.Close()
+		close(ended)
+	})
+}
+
+func waitForStop(ctx context.Context, e *entry.Entry, server *http.Server, s *platform.Settings) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-signals:
+	}
+	e.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(balancerLag.Duration()):
+	}
+	left := s.Grace() - balancerLag - stopMargin
+	stop, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
+	defer cancel()
+	if err := server.Shutdown(stop); err != nil {
+		e.Cut(err)
+	}
+	return errStopped
+}
--- a/cicadagraded/root.go
+++ b/cicadagraded/root.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand())
+	root.AddCommand(serveCommand(), frontCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cicadagraded:", err)
 		return exitCode(err)
--- a/tier/clock.go
+++ b/tier/clock.go
@@ -14,10 +14,11 @@
 
 // Spans of time in milliseconds.
 const (
-	Second Millis = 1000
-	Minute Millis = 60 * Second
-	Hour   Millis = 60 * Minute
-	Day    Millis = 24 * Hour
+	Millisecond Millis = 1
+	Second      Millis = 1000
+	Minute      Millis = 60 * Second
+	Hour        Millis = 60 * Minute
+	Day         Millis = 24 * Hour
 )
 
 // FromDuration rounds d down to whole milliseconds.
--- /dev/null
+++ b/tier/ranker/ranker_test.go
@@ -0,0 +1,33 @@
+package ranker
+
+import (
+	"bytes"
+	"sort"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The oracle sorts all records of all parts and takes the first.
+func TestGreatestRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		top := rapid.IntRange(0, 12).Draw(t, "top")
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 70), 0, 6).Draw(t, "parts")
+		r := New(top)
+		var all [][]byte
+		for _, p := range parts {
+			r.Add(p)
+			for ; len(p) >= RecordBytes; p = p[RecordBytes:] {
+				all = append(all, p[:RecordBytes])
+			}
+		}
+		sort.Slice(all, func(i, j int) bool { return bytes.Compare(all[i], all[j]) > 0 })
+		want := bytes.Join(all[:min(top, len(all))], nil)
+		if got := r.Bytes(); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, expected %x", got, want)
+		}
+		if again := r.Bytes(); !bytes.Equal(again, want) {
+			t.Fatalf("asked again: %x, expected %x", again, want)
+		}
+	})
+}
--- /dev/null
+++ b/tier/searcher/events.go
@@ -0,0 +1,128 @@
+package searcher
+
+import (
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+)
+
+// Result is how one call to a leaf ended.
+type Result interface{ result() }
+
+// Answered is a whole reply that belongs to the call.
+type Answered struct{ Reply any }
+
+// FailedReply is a whole reply that says that the leaf failed. The request
+// has run.
+type FailedReply struct{ Reply any }
+
+// NotRun says that the leaf did not run the call, by its own word or because
+// nothing was sent.
+type NotRun struct{ Reason NotRunReason }
+
+// Lost says that a call was sent and no usable reply came: it may have run.
+type Lost struct{ Cause string }
+
+func (Answered) result()    {}
+func (FailedReply) result() {}
+func (NotRun) result()      {}
+func (Lost) result()        {}
+
+// NotRunReason says why a call did not run.
+type NotRunReason int
+
+// The reasons.
+const (
+	Shed          NotRunReason = iota // the leaf has no room
+	WrongServer                       // another server answers at the address
+	NoConnection                      // no connection could be made
+	Declined                          // the leaf rejects the request as it is
+	BrokenAtStart                     // the connection was dead before the request was written
+)
+
+var reasonNames = [...]string{"shed", "wrong-server", "no-connection", "declined", "dead-connection"}
+
+// String is the reason's name in logs.
+func (r NotRunReason) String() string { return reasonNames[r] }
+
+// Action is what the program around a search has to do.
+type Action interface{ action() }
+
+// Send asks for a call to a leaf.
+type Send struct {
+	Call     int // number of the call in the search
+	Part     int // index of the service among the search's
+	Leaf     lister.Leaf
+	TimeLeft tier.Millis // what the leaf may take
+	Extra    bool        // a hedge or retry
+}
+
+// Cancel gives a call up. Its result is not awaited.
+type Cancel struct{ Call int }
+
+// Finish ends the search. No action follows.
+type Finish struct{ Outcome Outcome }
+
+func (Send) action()   {}
+func (Cancel) action() {}
+func (Finish) action() {}
+
+// Part is a service's part of the answer.
+type Part struct {
+	index int
+	reply any
+}
+
+// Index is the service's place among the search's services.
+func (p Part) Index() int { return p.index }
+
+// Reply is what the program gave with Answered or FailedReply.
+func (p Part) Reply() any { return p.reply }
+
+// Cause says why a search ended as it did.
+type Cause string
+
+// The causes.
+const (
+	Complete      Cause = "complete"       // every part is in
+	AtAim         Cause = "aim-reached"    // answered with the parts that are in
+	PastAim       Cause = "past-aim"       // the least share came in after the aim
+	LeafFailure   Cause = "leaf-failure"   // a leaf's own failure is passed on
+	NoLeaf        Cause = "no-leaf"        // no leaf is known for too many parts
+	LeafsRefused  Cause = "leafs-refused"  // each leaf said that it did not run it
+	PartsLost     Cause = "parts-lost"     // too many parts can't come any more
+	OutOfTime     Cause = "out-of-time"    // the deadline or the route's timeout passed
+	OutcomeUnsure Cause = "outcome-unsure" // sent once, and no reply came
+)
+
+// Outcome is the end of a search.
+type Outcome struct {
+	cause   Cause
+	parts   []Part
+	failure any
+	maybe   bool
+	sent    int
+	extra   int
+}
+
+// Cause says why it ended.
+func (o Outcome) Cause() Cause { return o.cause }
+
+// Parts are the answers that are in, by index.
+func (o Outcome) Parts() []Part { return o.parts }
+
+// Success reports whether the parts make an answer.
+func (o Outcome) Success() bool {
+	return o.cause == Complete || o.cause == AtAim || o.cause == PastAim
+}
+
+// Failure is a leaf's own failing reply to pass on, or nil.
+func (o Outcome) Failure() any { return o.failure }
+
+// MayHaveRun reports whether a leaf may have begun to work on the request.
+func (o Outcome) MayHaveRun() bool { return o.maybe }
+
+// Sent is the number of calls made.
+func (o Outcome) Sent() int { return o.sent }
+
+// Extra is how many of them were hedges and retries.
+func (o Outcome) Extra() int { return o.extra }
