--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -23,7 +23,7 @@
 
 // Entry is one VM.
 type Entry struct {
-	settings *platform.Settings
+	settings atomic.Pointer[platform.Settings]
 	clock    *tier.Clock
 	log      *eventlog.Log
 	courier  *courier.Courier
@@ -39,7 +39,8 @@
 
 // New returns a VM that is not yet serving.
 func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
-	e := &Entry{settings: s, clock: clock, log: log, courier: courier.New()}
+	e := &Entry{clock: clock, log: log, courier: courier.New()}
+	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
 		Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: storeDialTimeout.Duration(), KeepAlive: -1}).DialContext,
@@ -60,15 +61,25 @@
 const assumedMembers = 10
 
 func (e *Entry) place(dataCentre string) balancer.Place {
+	s := e.settings.Load()
 	switch {
-	case dataCentre == e.settings.DataCentre():
+	case dataCentre == s.DataCentre():
 		return balancer.SameDataCentre
-	case e.settings.Region(dataCentre) == e.settings.Region(e.settings.DataCentre()):
+	case s.Region(dataCentre) == s.Region(s.DataCentre()):
 		return balancer.SameRegion
 	}
 	return balancer.OtherRegion
 }
 
+// Reload takes new settings. Addresses and the store's client stay as they
+// were at the start: they are the process's own.
+func (e *Entry) Reload(s *platform.Settings) {
+	e.settings.Store(s)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.Budgeter().Configure(s.RetryRatio(), s.RetrySlack())
+}
+
 // Ready reports whether callers may be sent to this VM.
 func (e *Entry) Ready() bool { return e.table.Load() != nil && !e.stopping.Load() }
 
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -96,6 +96,7 @@
 	addServer(&g, server, callers)
 	check := &http.Server{Handler: e.Readiness(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, check, readiness)
+	g.Add(func() error { return watchSettings(ctx, e, log) }, func(error) { cancel() })
 	g.Add(func() error { return waitForStop(ctx, e, server, s) }, func(error) { cancel() })
 	if err := g.Run(); err != nil && !errors.Is(err, errStopped) {
 		return errors.Wrap(err, "front")
@@ -104,6 +105,52 @@
 	return nil
 }
 
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reads the settings again on SIGHUP, or when the file has
+// changed. A file that can't be used leaves the settings as they are.
+func watchSettings(ctx context.Context, e *entry.Entry, log *eventlog.Log) error {
+	path := os.Getenv(platform.SettingsVariable)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	changed := modified(path)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		cause := "SIGHUP"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangup:
+		case <-ticker.C:
+			if modified(path).Equal(changed) {
+				continue
+			}
+			cause = "file changed"
+		}
+		changed = modified(path)
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Fault("settings-kept", "cause", cause, "error", err)
+			continue
+		}
+		e.Reload(s)
+		log.State("settings-read", "cause", cause)
+	}
+}
+
+// modified is when the file was last written, or zero if that can't be told.
+func modified(path string) time.Time {
+	i, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return i.ModTime()
+}
+
 // errStopped ends the group after a planned stop.
 var errStopped = errors.New("stopped as planned")
 
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -30,6 +30,12 @@
 	return b
 }
 
+// Configure changes the bounds.
+func (b *Budgeter) Configure(ratio, slack float64) {
+	b.ratio, b.slack = ratio, slack
+	b.SetMembers(b.members)
+}
+
 // SetMembers tells among how many VMs the slack is divided.
 func (b *Budgeter) SetMembers(n int) {
 	b.members = max(n, 1)
