Ask shards through VMs near their leafs

Change: a shard with a leaf in the entry VM's region goes to the VM that owns it there by rendezvous hashing; the rest go to one VM in another region, which divides them again. The first reply only says that the share has arrived; without it the entry VM asks the leafs itself. The slack of extra calls goes to the owners.

--- a/cicadagraded/courier/courier.go
+++ b/cicadagraded/courier/courier.go
@@ -57,7 +57,9 @@
 func (e *NotSentError) Unwrap() error { return e.cause }
 
 // Error names the address and the cause.
-func (e *NotSentError) Error() string { return "nothing was sent to " + e.address + ": " + e.cause.Error() }
+func (e *NotSentError) Error() string {
+	return "nothing was sent to " + e.address + ": " + e.cause.Error()
+}
 
 // LostError says that the request was sent, at least in part, and no whole
 // reply came.
--- a/cicadagraded/courier/message.go
+++ b/cicadagraded/courier/message.go
@@ -39,6 +39,17 @@
 	return &Message{method: method, head: b.Bytes(), body: body}
 }
 
+// RestoreMessage returns a message from another VM's Head and Body.
+func RestoreMessage(method string, head, body []byte) *Message {
+	return &Message{method: method, head: head, body: body}
+}
+
+// Head is the common part as it goes over the wire, without its end.
+func (m *Message) Head() []byte { return m.head }
+
+// Body is the body.
+func (m *Message) Body() []byte { return m.body }
+
 // Method is the request's method.
 func (m *Message) Method() string { return m.method }
 
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/sharer"
 )
 
 // Entry is one VM.
@@ -30,7 +32,10 @@
 	store    *platform.Store
 	table    atomic.Pointer[router.Table]
 	seen     atomic.Int64 // when the store last answered, on the clock
+	listed   atomic.Bool  // the VM's own registration is in the store
 	stopping atomic.Bool
+	stopped  chan struct{}
+	peers    *peers
 	calls    sync.WaitGroup
 
 	mu   sync.Mutex
@@ -39,7 +44,7 @@
 
 // New returns a VM that is not yet serving.
 func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
-	e := &Entry{clock: clock, log: log, courier: courier.New()}
+	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{})}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
 		Transport: &http.Transport{
@@ -51,8 +56,11 @@
 			DisableCompression:  true,
 		},
 	})
+	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
+		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
+	self := sharer.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
 	e.core = searcher.NewCore(lister.New(), balancer.New(e.place),
-		budgeter.New(s.RetryRatio(), s.RetrySlack(), assumedMembers))
+		budgeter.New(s.RetryRatio(), s.RetrySlack(), assumedMembers), sharer.New(self))
 	return e
 }
 
@@ -86,6 +94,7 @@
 // Stop makes the VM fail its readiness check and ask callers to leave.
 func (e *Entry) Stop() {
 	e.stopping.Store(true)
+	close(e.stopped)
 	e.log.State("stopping", "reason", "SIGTERM")
 }
 
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/cicadagraded/courier"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
@@ -141,7 +141,12 @@
 
 // scatter answers from all shards.
 func (e *Entry) scatter(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
-	o, left := e.search(r.Context(), q, q.route.Shards(), m)
+	run := e.newRun(q.sender.Attempt(), true, m, q.terms(), q.route.Shards(), e.divide(q.route.Name(), q.route.Shards()))
+	run.shared = sharedTerms{
+		route: q.route.Name(), top: q.route.Top(), attempts: q.route.Attempts(), rank: q.route.Rank(),
+		minimum: q.route.MinimumPartsOf, shards: q.route.Shards(),
+	}
+	o, left := run.drive(r.Context())
 	if left {
 		e.report(q, o, 0, "caller-left")
 		return
@@ -151,21 +156,33 @@
 		return
 	}
 	top := ranker.New(q.route.Top())
-	proofs := make([]string, 0, len(o.Parts()))
-	for _, p := range o.Parts() {
+	proofs := make([]string, 0, len(q.route.Shards()))
+	proofs = mergeAll(top, o.Parts(), o.Shares(), proofs)
+	platform.WriteParts(w.Header(), proofs, o.Missing())
+	e.write(w, http.StatusOK, top.Bytes())
+	e.report(q, o, http.StatusOK, string(o.Cause()))
+}
+
+// mergeAll merges the replies of leafs and of other VMs into top, and appends
+// their proofs.
+func mergeAll(top *ranker.Ranker, parts []searcher.Part, shares []any, proofs []string) []string {
+	for _, p := range parts {
 		reply := p.Reply().(*courier.Reply)
 		top.Add(reply.Body())
 		proofs = append(proofs, platform.ReadLeafReply(reply.Status(), reply.Header()).Proof())
 	}
-	platform.WriteParts(w.Header(), proofs, len(q.route.Shards())-len(proofs))
-	e.write(w, http.StatusOK, top.Bytes())
-	e.report(q, o, http.StatusOK, string(o.Cause()))
+	for _, s := range shares {
+		reply := s.(*gatherv1.GatherReply)
+		top.Add(reply.GetRecords())
+		proofs = append(proofs, reply.GetProofs()...)
+	}
+	return proofs
 }
 
 // forward answers from one leaf.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
 	service := q.route.Target(rand.Float64())
-	o, left := e.search(r.Context(), q, []string{service}, m)
+	o, left := e.newRun(q.sender.Attempt(), q.route.Repeatable(), m, q.terms(), []string{service}, nil).drive(r.Context())
 	if left {
 		e.report(q, o, 0, "caller-left")
 		return
@@ -218,13 +235,6 @@
 	}
 	e.log.Request("request-ended", "request", q.sender.Attempt(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
-		"parts", len(o.Parts()), "of", max(1, len(q.route.Shards())), "calls", o.Sent(), "extra", o.Extra(),
+		"missing", o.Missing(), "of", max(1, len(q.route.Shards())), "shares", len(o.Shares()), "calls", o.Sent(), "extra", o.Extra(),
 		"may-have-run", o.MayHaveRun(), "view-age-ms", int64(e.viewAge()))
 }
-
-// search runs a search to its end; the second result says that the caller has
-// left.
-func (e *Entry) search(ctx context.Context, q *request, services []string, m *courier.Message) (searcher.Outcome, bool) {
-	r := &run{entry: e, request: q, message: m, cancels: map[int]context.CancelFunc{}}
-	return r.drive(ctx, services)
-}
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -11,62 +11,85 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/sharer"
 )
 
 // freshConnection is the longest idle time of a connection for a request that
 // must not run twice: on an older one the leaf's close may cross it.
 const freshConnection = 400 * tier.Millisecond
 
-// ended is the result of one call.
-type ended struct {
-	call   int
-	result searcher.Result
-}
+// event is a step of a search that something outside it has caused.
+type event func(s *searcher.Search, now tier.Millis) []searcher.Action
 
 // run carries out the actions of one search.
 type run struct {
-	entry   *Entry
-	request *request
-	message *courier.Message
-	search  *searcher.Search
-	results chan ended
-	cancels map[int]context.CancelFunc
-	outcome searcher.Outcome
-	done    bool
+	entry      *Entry
+	attempt    string
+	repeatable bool
+	message    *courier.Message
+	search     *searcher.Search
+	shared     sharedTerms
+	flush      func(searcher.Flush) error
+	events     chan event
+	cancels    map[int]context.CancelFunc
+	recalls    map[int]context.CancelFunc
+	outcome    searcher.Outcome
+	done       bool
+}
+
+// eventBuffer is how many events of one search wait without holding their
+// senders up.
+const eventBuffer = 32
+
+// newRun returns a run of a search over services.
+func (e *Entry) newRun(attempt string, repeatable bool, m *courier.Message, terms searcher.Terms,
+	services []string, shares []sharer.Share,
+) *run {
+	return &run{
+		entry: e, attempt: attempt, repeatable: repeatable, message: m,
+		search:  searcher.New(e.core, terms, services, shares),
+		events:  make(chan event, len(services)+eventBuffer),
+		cancels: make(map[int]context.CancelFunc, len(services)),
+	}
 }
 
-func (r *run) drive(ctx context.Context, services []string) (searcher.Outcome, bool) {
+// drive runs the search to its end; the second result says that the caller
+// has left.
+func (r *run) drive(ctx context.Context) (searcher.Outcome, bool) {
 	e := r.entry
-	q := r.request
-	// Each leaf may be asked a few times; a result never waits for a reader.
-	r.results = make(chan ended, len(services)*(q.route.Attempts()+2))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.search = searcher.New(e.core, q.terms(), services)
-	r.step(ctx, func(now tier.Millis) []searcher.Action { return r.search.Start(now) })
+	r.step(ctx, (*searcher.Search).Start)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !r.done {
-		now := e.clock.Now()
-		timer.Reset(max(0, r.search.Next()-now).Duration() + time.Millisecond/2)
+		timer.Reset(max(0, r.search.Next()-e.clock.Now()).Duration() + time.Millisecond/2)
 		select {
-		case n := <-r.results:
-			r.step(ctx, func(now tier.Millis) []searcher.Action { return r.search.Ended(now, n.call, n.result) })
+		case advance := <-r.events:
+			r.step(ctx, advance)
 		case <-timer.C:
-			r.step(ctx, func(now tier.Millis) []searcher.Action { return r.search.Tick(now) })
+			r.step(ctx, (*searcher.Search).Tick)
 		case <-ctx.Done():
-			r.step(ctx, func(now tier.Millis) []searcher.Action { return r.search.Abandon(now) })
+			r.step(ctx, (*searcher.Search).Abandon)
 			return r.outcome, true
 		}
 	}
 	return r.outcome, false
 }
 
+// tell hands an event to the search unless it has ended.
+func (r *run) tell(ctx context.Context, advance event) {
+	select {
+	case r.events <- advance:
+	case <-ctx.Done():
+	}
+}
+
 // step advances the search and carries out what it asks for.
-func (r *run) step(ctx context.Context, advance func(tier.Millis) []searcher.Action) {
+func (r *run) step(ctx context.Context, advance event) {
 	e := r.entry
 	e.mu.Lock()
-	actions := advance(e.clock.Now())
+	actions := advance(r.search, e.clock.Now())
 	e.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -77,31 +100,49 @@
 				cancel()
 				delete(r.cancels, a.Call)
 			}
+		case searcher.Delegate:
+			r.delegate(ctx, a)
+		case searcher.Recall:
+			if recall, ok := r.recalls[a.Share]; ok {
+				recall()
+				delete(r.recalls, a.Share)
+				if a.Silent {
+					e.peers.drop(a.Member.VM().Address())
+					e.log.Request("share-taken-back", "request", r.attempt, "peer", a.Member.VM().Name())
+				}
+			}
+		case searcher.Flush:
+			if err := r.flush(a); err != nil {
+				e.log.Request("share-not-reported", "request", r.attempt, "error", err)
+			}
 		case searcher.Finish:
 			r.outcome, r.done = a.Outcome, true
 		}
 	}
 }
 
-func (r *run) send(ctx context.Context, a searcher.Send) {
-	ctx, cancel := context.WithTimeout(ctx, a.TimeLeft.Duration())
+func (r *run) send(searching context.Context, a searcher.Send) {
+	ctx, cancel := context.WithTimeout(searching, a.TimeLeft.Duration())
 	r.cancels[a.Call] = cancel
 	headers := platform.CallHeaders(a.Leaf.ID(), a.TimeLeft)
 	call := courier.Call{Method: r.message.Method(), Message: r.message.With(headers[:]...)}
-	if id := r.request.sender.Attempt(); id != "" {
+	if id := r.attempt; id != "" {
 		call.Ours = func(h http.Header) bool {
 			echoed := platform.ReadLeafReply(0, h).Attempt()
 			return echoed == "" || echoed == id
 		}
 	}
-	if !r.request.route.Repeatable() {
+	if !r.repeatable {
 		call.MaxIdle = freshConnection
 	}
 	address := a.Leaf.Address()
 	r.entry.calls.Go(func() {
 		defer cancel()
 		reply, err := r.entry.courier.Do(ctx, address, call)
-		r.results <- ended{call: a.Call, result: classify(reply, err)}
+		result := classify(reply, err)
+		r.tell(searching, func(s *searcher.Search, now tier.Millis) []searcher.Action {
+			return s.Ended(now, a.Call, result)
+		})
 	})
 }
 
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -95,6 +95,11 @@
 	if err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
+	members, membersAt, err := e.store.ListAt(ctx, membersPrefix)
+	if err != nil {
+		return errors.Wrap(err, "Entry.readAll")
+	}
+	wasAway := v.away
 	e.regained(v)
 	if configuration.Present() {
 		e.applyConfiguration(configuration)
@@ -108,10 +113,11 @@
 	e.core.Lister().Replace(now, entries)
 	e.mu.Unlock()
 	e.settleView()
+	e.replaceMembers(members, wasAway)
 	if at == 0 {
 		at = listAt
 	}
-	v.revision, v.listed = min(at, listAt), true
+	v.revision, v.listed = min(at, listAt, membersAt), true
 	return nil
 }
 
@@ -123,6 +129,8 @@
 		}
 	case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
 		e.applyLeaf(c)
+	case strings.HasPrefix(c.Key(), membersPrefix):
+		e.applyMember(c)
 	}
 }
 
@@ -173,6 +181,7 @@
 func (e *Entry) settleView() {
 	e.mu.Lock()
 	e.core.Lister().Tick(e.clock.Now())
+	e.core.Sharer().Tick(e.clock.Now())
 	changes := e.core.Lister().Changes()
 	for _, c := range changes {
 		if c.State() == lister.StateGone {
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -87,11 +87,18 @@
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
+	others, err := net.Listen("tcp", s.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return log.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunView(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunMembership(ctx) }, func(error) { cancel() })
+	peer := &http.Server{Handler: e.Peers(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	addServer(&g, peer, others)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, server, callers)
 	check := &http.Server{Handler: e.Readiness(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -105,6 +105,12 @@
 // Forget drops what was seen of a leaf that is gone.
 func (b *Balancer) Forget(id string) { delete(b.leafs, id) }
 
+// Near reports whether a leaf is in this VM's region.
+func (b *Balancer) Near(f lister.Leaf) bool { return b.distance(f.DataCentre()) != OtherRegion }
+
+// Usual is the latency of a sound leaf where f lies, in milliseconds.
+func (b *Balancer) Usual(class string, f lister.Leaf) float64 { return b.usual(class, f) }
+
 // usual is the latency to expect of a sound leaf for a class of requests.
 func (b *Balancer) usual(class string, f lister.Leaf) float64 {
 	if v, ok := b.base[baseKey{class, f.DataCentre()}]; ok {
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -3,11 +3,17 @@
 // sum stays under the bound of all VMs, whichever of them live.
 package budgeter
 
-// Share of the bound that is spent; the rest covers VMs that join unseen.
+// Shares of the bound that are spent.
 const (
+	// ratioShare leaves room for requests that this VM counts and the bound
+	// does not.
 	ratioShare = 0.9
-	slackShare = 0.6
-	fullBucket = 1.0
+	// ownerShare is the part of the slack that the VMs share that usually ask
+	// a service, one in each of its regions.
+	ownerShare = 0.6
+	// othersShare is the part for all VMs, which ask a service when its usual
+	// VMs are gone.
+	othersShare = 0.3
 )
 
 // Budgeter holds a bucket for each service.
@@ -20,54 +26,55 @@
 
 type bucket struct {
 	tokens float64
+	owners int // VMs that usually ask the service, if this is one of them
 }
 
 // New returns the budgeter of one VM. For each service and window all VMs
 // together may make ratio extra calls for each request, and slack more.
 func New(ratio, slack float64, members int) *Budgeter {
-	b := &Budgeter{ratio: ratio, slack: slack, buckets: map[string]*bucket{}}
-	b.SetMembers(members)
-	return b
+	return &Budgeter{ratio: ratio, slack: slack, members: max(members, 1), buckets: map[string]*bucket{}}
 }
 
 // Configure changes the bounds.
-func (b *Budgeter) Configure(ratio, slack float64) {
-	b.ratio, b.slack = ratio, slack
-	b.SetMembers(b.members)
-}
+func (b *Budgeter) Configure(ratio, slack float64) { b.ratio, b.slack = ratio, slack }
 
 // SetMembers tells among how many VMs the slack is divided.
-func (b *Budgeter) SetMembers(n int) {
-	b.members = max(n, 1)
-	for _, u := range b.buckets {
-		u.tokens = min(u.tokens, b.burst())
-	}
-}
+func (b *Budgeter) SetMembers(n int) { b.members = max(n, 1) }
 
-// burst is the most that is saved up: a window sees at most this and the
+// most is the most that a bucket saves up: a window sees at most this and the
 // ratio of its requests.
-func (b *Budgeter) burst() float64 {
-	return max(fullBucket, b.slack*slackShare/float64(b.members))
+func (b *Budgeter) most(u *bucket) float64 {
+	most := b.slack * othersShare / float64(b.members)
+	if u.owners > 0 {
+		most += b.slack * ownerShare / float64(u.owners)
+	}
+	return max(1, most)
 }
 
+// bucket returns a service's bucket. A new one holds no more than any VM may:
+// the VM that asked the service before may have spent an owner's part.
 func (b *Budgeter) bucket(service string) *bucket {
 	u, ok := b.buckets[service]
 	if !ok {
-		u = &bucket{tokens: b.burst()}
+		u = &bucket{}
+		u.tokens = b.most(u)
 		b.buckets[service] = u
 	}
 	return u
 }
 
-// First counts the first call of a request to a service.
-func (b *Budgeter) First(service string) {
+// First counts the first call of a request to a service. owners is the number
+// of VMs that usually ask it, or 0 if this VM is none of them.
+func (b *Budgeter) First(service string, owners int) {
 	u := b.bucket(service)
-	u.tokens = min(b.burst(), u.tokens+b.ratio*ratioShare)
+	u.owners = owners
+	u.tokens = min(b.most(u), u.tokens+b.ratio*ratioShare)
 }
 
 // Take spends one extra call, and reports whether there was one.
 func (b *Budgeter) Take(service string) bool {
 	u := b.bucket(service)
+	u.tokens = min(u.tokens, b.most(u))
 	if u.tokens < 1 {
 		return false
 	}
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -8,6 +8,7 @@
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/sharer"
 )
 
 // Defaults of a Core.
@@ -18,12 +19,26 @@
 	// hedgeFactor hedges a call at this multiple of its expected latency, if
 	// that is later.
 	hedgeFactor = 2.0
+	// hedgeReserve is the multiple of a hedge's expected latency that is kept
+	// before the aim.
+	hedgeReserve = 1.2
+	// leastPatience keeps a hedge from going out with the first call.
+	leastPatience = 5 * tier.Millisecond
 	// hedgeSlack is added to it, for the granularity of timers.
 	hedgeSlack = 4.0
 	// retryPause is the wait before a leaf is asked again that had no room.
 	retryPause = 25 * tier.Millisecond
 	// leastTime is the least time worth giving a leaf.
 	leastTime = 2 * tier.Millisecond
+	// acceptFactor and acceptSlack are how long a VM may take to say that it
+	// has got a share: round trips, and milliseconds for its processor.
+	acceptFactor = 2.0
+	acceptSlack  = 25.0
+	// hopMargin is kept for the work of two VMs on a share's reply.
+	hopMargin = 5 * tier.Millisecond
+	// reportSlack is how long after the aim a share's report may come before
+	// the VM that has it is taken for stuck.
+	reportSlack = 10 * tier.Millisecond
 )
 
 // Core is what the searches of one VM share. It is not safe for concurrent
@@ -32,11 +47,26 @@
 	lister   *lister.Lister
 	balancer *balancer.Balancer
 	budgeter *budgeter.Budgeter
+	sharer   *sharer.Sharer
 }
 
 // NewCore returns a core.
-func NewCore(l *lister.Lister, b *balancer.Balancer, u *budgeter.Budgeter) *Core {
-	return &Core{lister: l, balancer: b, budgeter: u}
+func NewCore(l *lister.Lister, b *balancer.Balancer, u *budgeter.Budgeter, s *sharer.Sharer) *Core {
+	return &Core{lister: l, balancer: b, budgeter: u, sharer: s}
+}
+
+// owners is the number of VMs that usually ask a service, one in each region
+// with a leaf of it, or 0 if this VM is none of them.
+func (c *Core) owners(now tier.Millis, service string) int {
+	leafs := c.lister.Leafs(service)
+	home := false
+	for _, f := range leafs {
+		home = home || c.balancer.Near(f)
+	}
+	if !home || !c.sharer.Owns(now, service) {
+		return 0
+	}
+	return max(1, len(leafs))
 }
 
 // Lister is the list of leafs.
@@ -48,6 +78,9 @@
 // Budgeter holds the budget of extra calls.
 func (c *Core) Budgeter() *budgeter.Budgeter { return c.budgeter }
 
+// Sharer divides searches among VMs.
+func (c *Core) Sharer() *sharer.Sharer { return c.sharer }
+
 // Terms are what a request is owed.
 type Terms struct {
 	class      string
@@ -55,6 +88,7 @@
 	attempts   int
 	minimum    int
 	whole      bool
+	flushes    bool
 	aim        tier.Millis
 	end        tier.Millis
 }
@@ -83,3 +117,7 @@
 
 // PassFailures hands a leaf's own failure on if no other leaf answers.
 func PassFailures() TermsOption { return func(t *Terms) { t.whole = true } }
+
+// ForAnotherVM hands parts on by Flush: all that are in at the aim, and each
+// later one at once. The search goes on until no part can come any more.
+func ForAnotherVM() TermsOption { return func(t *Terms) { t.flushes = true } }
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -3,6 +3,7 @@
 import (
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/sharer"
 )
 
 // Result is how one call to a leaf ended.
@@ -62,9 +63,46 @@
 // Finish ends the search. No action follows.
 type Finish struct{ Outcome Outcome }
 
-func (Send) action()   {}
-func (Cancel) action() {}
-func (Finish) action() {}
+// Delegate has another VM ask a share of the services.
+type Delegate struct {
+	Share  int // number of the share in the search
+	Member sharer.Member
+	Parts  []int
+	Aim    tier.Millis // time left until its reply has to be sent
+	End    tier.Millis // time left until nobody waits any more
+}
+
+// Recall gives a share up. Its replies are not awaited.
+type Recall struct {
+	Share  int
+	Member sharer.Member
+	Silent bool // its VM did not answer in time
+}
+
+// Flush hands on the parts that came in since the last one, in a search for
+// another VM. It may be empty: then it only says that the search goes on.
+type Flush struct {
+	In     []int // places of all parts that came in
+	Parts  []Part
+	Shares []any
+}
+
+func (Send) action()     {}
+func (Cancel) action()   {}
+func (Finish) action()   {}
+func (Delegate) action() {}
+func (Recall) action()   {}
+func (Flush) action()    {}
+
+// Brought is what a VM that asks a share reports.
+type Brought struct {
+	Parts      []int // places among the search's services
+	Reply      any
+	Last       bool
+	MayHaveRun bool
+	Calls      int
+	Extra      int
+}
 
 // Part is a service's part of the answer.
 type Part struct {
@@ -98,6 +136,8 @@
 type Outcome struct {
 	cause   Cause
 	parts   []Part
+	shares  []any
+	missing int
 	failure any
 	maybe   bool
 	sent    int
@@ -107,9 +147,15 @@
 // Cause says why it ended.
 func (o Outcome) Cause() Cause { return o.cause }
 
-// Parts are the answers that are in, by index.
+// Parts are the answers of leafs that this VM asked itself, by index.
 func (o Outcome) Parts() []Part { return o.parts }
 
+// Shares are the replies of VMs that asked shares.
+func (o Outcome) Shares() []any { return o.shares }
+
+// Missing is the number of services whose part is not in.
+func (o Outcome) Missing() int { return o.missing }
+
 // Success reports whether the parts make an answer.
 func (o Outcome) Success() bool {
 	return o.cause == Complete || o.cause == AtAim || o.cause == PastAim
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -3,6 +3,7 @@
 import (
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/sharer"
 )
 
 // call is one sending to a leaf.
@@ -25,6 +26,22 @@
 	retryAt tier.Millis // when to send again after a refusal, or never
 	failure any
 	asked   bool
+	share   int // number of the share that has it, or none
+	flushed bool
+}
+
+// none is the number of no share.
+const none = -1
+
+// share is the state of the parts that another VM asks.
+type share struct {
+	member   sharer.Member
+	parts    []int
+	sent     tier.Millis
+	acceptBy tier.Millis // when its VM is taken for dead
+	reported bool
+	ended    bool
+	replies  []any
 }
 
 const never = tier.Millis(1) << 60
@@ -35,19 +52,32 @@
 	terms  Terms
 	parts  []part
 	calls  []call
+	shares []share
 	in     int
 	lost   int
 	extra  int
 	maybe  bool // a leaf may have begun to work on it
 	done   bool
-	notRun int
+	extern int  // calls that other VMs made
+	extExt int  // extra ones among them
+	late   bool // the parts at the aim have been flushed
 }
 
-// New returns a search over services.
-func New(core *Core, terms Terms, services []string) *Search {
+// New returns a search over services. Shares that are not this VM's own are
+// given to their VMs; without any, this VM asks all.
+func New(core *Core, terms Terms, services []string, shares []sharer.Share) *Search {
 	s := &Search{core: core, terms: terms, parts: make([]part, len(services))}
 	for i, name := range services {
-		s.parts[i] = part{service: name, hedgeAt: never, retryAt: never}
+		s.parts[i] = part{service: name, hedgeAt: never, retryAt: never, share: none}
+	}
+	for _, h := range shares {
+		if h.Self() {
+			continue
+		}
+		for _, i := range h.Parts() {
+			s.parts[i].share = len(s.shares)
+		}
+		s.shares = append(s.shares, share{member: h.Member(), parts: h.Parts()})
 	}
 	s.calls = make([]call, 0, len(services)+len(services)/4)
 	return s
@@ -56,8 +86,13 @@
 // Start sends the first calls.
 func (s *Search) Start(now tier.Millis) []Action {
 	actions := make([]Action, 0, len(s.parts)+1)
+	for k := range s.shares {
+		actions = s.delegate(now, k, actions)
+	}
 	for i := range s.parts {
-		actions = s.send(now, i, actions)
+		if s.parts[i].share == none {
+			actions = s.send(now, i, actions)
+		}
 	}
 	return s.settle(now, actions)
 }
@@ -92,7 +127,6 @@
 		s.maybe = true
 		actions = s.again(now, c.part, s.terms.repeatable, 0, actions)
 	case NotRun:
-		s.notRun++
 		pause := tier.Millis(0)
 		if r.Reason == Shed {
 			pause = retryPause
@@ -108,6 +142,13 @@
 		return nil
 	}
 	var actions []Action
+	for k := range s.shares {
+		h := &s.shares[k]
+		stuck := !h.reported && now >= s.terms.aim+reportSlack
+		if !h.ended && (now >= h.acceptBy || stuck) {
+			actions = s.takeBack(now, k, append(actions, Recall{Share: k, Member: h.member, Silent: true}))
+		}
+	}
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.in || p.lost {
@@ -129,9 +170,17 @@
 func (s *Search) Next() tier.Millis {
 	next := s.terms.end
 	if s.in < len(s.parts) {
-		if s.in >= s.terms.minimum && s.terms.aim < next {
+		if (s.in >= s.terms.minimum || s.terms.flushes) && !s.late && s.terms.aim < next {
 			next = s.terms.aim
 		}
+		for k := range s.shares {
+			if h := &s.shares[k]; !h.ended {
+				next = min(next, h.acceptBy)
+				if !h.reported {
+					next = min(next, s.terms.aim+reportSlack)
+				}
+			}
+		}
 		for i := range s.parts {
 			p := &s.parts[i]
 			if !p.in && !p.lost {
@@ -179,9 +228,9 @@
 	if s.terms.end-now < leastTime {
 		return actions
 	}
-	f, cost, found := s.pick(now, p, true)
+	f, _, found := s.pick(now, p, true)
 	if !found && len(p.tried) > 0 {
-		f, cost, found = s.pick(now, p, false)
+		f, _, found = s.pick(now, p, false)
 	}
 	if !found || p.asked && !s.core.budgeter.Take(p.service) {
 		if p.open == 0 {
@@ -189,7 +238,7 @@
 		}
 		return actions
 	}
-	return s.call(now, i, f, cost, p.asked, actions)
+	return s.call(now, i, f, p.asked, actions)
 }
 
 // hedge makes a second call beside one that is out.
@@ -209,7 +258,7 @@
 	if !s.core.budgeter.Take(p.service) {
 		return actions
 	}
-	return s.call(now, i, f, cost, true, actions)
+	return s.call(now, i, f, true, actions)
 }
 
 func (s *Search) pick(now tier.Millis, p *part, fresh bool) (lister.Leaf, float64, bool) {
@@ -218,11 +267,11 @@
 	})
 }
 
-func (s *Search) call(now tier.Millis, i int, f lister.Leaf, cost float64, extra bool, actions []Action) []Action {
+func (s *Search) call(now tier.Millis, i int, f lister.Leaf, extra bool, actions []Action) []Action {
 	p := &s.parts[i]
 	if !p.asked {
 		p.asked = true
-		s.core.budgeter.First(p.service)
+		s.core.budgeter.First(p.service, s.core.owners(now, p.service))
 	}
 	if extra {
 		s.extra++
@@ -235,18 +284,23 @@
 	s.calls = append(s.calls, call{part: i, leaf: f, sent: now})
 	p.hedgeAt = never
 	if s.terms.repeatable && len(p.tried) < s.terms.attempts {
-		p.hedgeAt = now + s.patience(now, cost)
+		p.hedgeAt = now + s.patience(now, p, f)
 	}
 	return append(actions, Send{
 		Call: len(s.calls) - 1, Part: i, Leaf: f, TimeLeft: s.terms.end - now, Extra: extra,
 	})
 }
 
-// patience is how long to wait for a call before hedging it.
-func (s *Search) patience(now tier.Millis, expected float64) tier.Millis {
+// patience is how long to wait for a call before hedging it: a good while
+// longer than it should take, but not so long that the hedge comes too late.
+func (s *Search) patience(now tier.Millis, p *part, f lister.Leaf) tier.Millis {
 	byAim := hedgeShare * float64(s.terms.aim-now)
-	byLatency := hedgeFactor*expected + hedgeSlack
-	return max(1, tier.Millis(max(byAim, byLatency)))
+	byLatency := hedgeFactor*s.core.balancer.Usual(s.terms.class, f) + hedgeSlack
+	wait := max(byAim, byLatency)
+	if _, cost, found := s.pick(now, p, true); found {
+		wait = min(wait, float64(s.terms.aim-now)-hedgeReserve*cost)
+	}
+	return max(leastPatience, tier.Millis(wait))
 }
 
 // again retries a part after a call that brought nothing.
@@ -307,6 +361,9 @@
 		return actions
 	}
 	n := len(s.parts)
+	if s.terms.flushes {
+		return s.settleFlushing(now, actions)
+	}
 	switch {
 	case s.in == n:
 		return s.finish(now, Complete, actions)
@@ -326,6 +383,43 @@
 	return actions
 }
 
+// settleFlushing is settle for a search that another VM waits for: that VM
+// decides whether the parts suffice.
+func (s *Search) settleFlushing(now tier.Millis, actions []Action) []Action {
+	ended := s.in+s.lost == len(s.parts) || now >= s.terms.end
+	if now < s.terms.aim && !ended {
+		return actions
+	}
+	var f Flush
+	for i := range s.parts {
+		p := &s.parts[i]
+		if !p.in || p.flushed {
+			continue
+		}
+		p.flushed = true
+		f.In = append(f.In, i)
+		if p.reply != nil {
+			f.Parts = append(f.Parts, Part{index: i, reply: p.reply})
+		}
+	}
+	for k := range s.shares {
+		f.Shares = append(f.Shares, s.shares[k].replies...)
+		s.shares[k].replies = nil
+	}
+	if len(f.In) > 0 || !s.late {
+		actions = append(actions, f)
+	}
+	s.late = true
+	if !ended {
+		return actions
+	}
+	cause := Complete
+	if s.in < len(s.parts) {
+		cause = PartsLost
+	}
+	return s.finish(now, cause, actions)
+}
+
 // lateSlack tells an answer at the aim from one after it.
 const lateSlack = 5 * tier.Millisecond
 
@@ -333,7 +427,7 @@
 	switch {
 	case s.terms.whole && s.parts[0].failure != nil:
 		return LeafFailure
-	case len(s.calls) == 0:
+	case len(s.calls) == 0 && len(s.shares) == 0:
 		return NoLeaf
 	case !s.maybe:
 		return LeafsRefused
@@ -352,13 +446,19 @@
 		}
 	}
 	actions = s.cancelAll(now, actions)
-	o := Outcome{cause: cause, maybe: s.maybe, sent: len(s.calls), extra: s.extra}
+	o := Outcome{
+		cause: cause, maybe: s.maybe, missing: len(s.parts) - s.in,
+		sent: len(s.calls) + s.extern, extra: s.extra + s.extExt,
+	}
+	for k := range s.shares {
+		o.shares = append(o.shares, s.shares[k].replies...)
+	}
 	if cause == LeafFailure {
 		o.failure = s.parts[0].failure
 	}
 	o.parts = make([]Part, 0, s.in)
 	for i := range s.parts {
-		if s.parts[i].in {
+		if s.parts[i].in && s.parts[i].reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: s.parts[i].reply})
 		}
 	}
@@ -381,6 +481,14 @@
 			actions = s.cancel(now, k, actions)
 		}
 	}
+	for k := range s.shares {
+		if h := &s.shares[k]; !h.ended {
+			h.ended = true
+			s.maybe = true
+			s.core.sharer.Gathered(s.terms.class, h.member.Region(), now-h.sent)
+			actions = append(actions, Recall{Share: k, Member: h.member})
+		}
+	}
 	return actions
 }
 
--- /dev/null
+++ b/tier/sharer/sharer.go
@@ -0,0 +1,351 @@
+// Package sharer divides the shards of a request among VMs near their leafs,
+// so that each leaf is asked by few VMs: its queue is counted, its connections
+// are few, and merged records cross the regions instead of whole parts.
+// Nothing is agreed between VMs: a share may always be asked by anyone.
+package sharer
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/picker"
+)
+
+const (
+	// strongShare is the part of the most cores in a region that a VM needs to
+	// be given shares of others' requests.
+	strongShare = 0.5
+	// suspectFor is how long a VM that did not answer is passed over. A VM
+	// that restarts is back in about a second.
+	suspectFor = 1500 * tier.Millisecond
+	// keepFor is how long members are kept that are missing in the list after
+	// an outage of the store, until they had time to register again.
+	keepFor = 4 * tier.Second
+	// roundTripWeight is the weight of one round trip in the estimate.
+	roundTripWeight = 0.2
+	// regionBias is the exponent by which faster regions are preferred.
+	regionBias = 3.0
+	// nearlyMost is the part of the most shards that a region needs to have
+	// leafs of to be chosen.
+	nearlyMost = 0.8
+	// gatherWeight is the weight of one request in a region's usual time.
+	gatherWeight = 0.1
+)
+
+// Round trips expected before any was measured, in milliseconds.
+const (
+	priorNearTrip = 3.0
+	priorFarTrip  = 45.0
+)
+
+// Member is an entry VM that can be given shares.
+type Member struct {
+	vm     tier.VM
+	region string
+	cores  float64
+}
+
+// NewMember returns a VM in a region with its processor time in cores.
+func NewMember(vm tier.VM, region string, cores float64) Member {
+	return Member{vm: vm, region: region, cores: cores}
+}
+
+// VM is the VM.
+func (m Member) VM() tier.VM { return m.vm }
+
+// Region is where it lies.
+func (m Member) Region() string { return m.region }
+
+// Cores is its processor time.
+func (m Member) Cores() float64 { return m.cores }
+
+type state struct {
+	member  Member
+	missing tier.Millis // since when it is missing in the list, or 0
+	suspect tier.Millis // until when it is passed over
+	trip    float64
+}
+
+type regionKey struct{ class, region string }
+
+// Sharer is the view of one VM. It is not safe for concurrent use.
+type Sharer struct {
+	self    Member
+	members map[string]*state
+	usual   map[regionKey]float64
+	picked  map[string]string // owners in the own region, until members change
+	pickAt  tier.Millis
+}
+
+// pickedFor is how long owners are remembered: suspicion changes them.
+const pickedFor = 200 * tier.Millisecond
+
+// New returns a sharer that knows only its own VM.
+func New(self Member) *Sharer {
+	s := &Sharer{self: self, members: map[string]*state{}, usual: map[regionKey]float64{}}
+	s.members[self.vm.Name()] = &state{member: self}
+	return s
+}
+
+// Self is the VM itself.
+func (s *Sharer) Self() Member { return s.self }
+
+// Len is the number of members, with the VM itself.
+func (s *Sharer) Len() int { return len(s.members) }
+
+// SetMembers takes the list of VMs as the store has it. Ones that are missing
+// are kept for a while if lapsed says that the store was away.
+func (s *Sharer) SetMembers(now tier.Millis, list []Member, lapsed bool) {
+	seen := map[string]bool{s.self.vm.Name(): true}
+	for _, m := range list {
+		s.Put(m)
+		seen[m.vm.Name()] = true
+	}
+	for name, m := range s.members {
+		switch {
+		case seen[name]:
+			m.missing = 0
+		case !lapsed:
+			delete(s.members, name)
+		case m.missing == 0:
+			m.missing = now
+		}
+	}
+}
+
+// Put takes one VM's registration.
+func (s *Sharer) Put(m Member) {
+	name := m.vm.Name()
+	if name == s.self.vm.Name() {
+		return
+	}
+	old, ok := s.members[name]
+	if !ok || old.member.vm.Incarnation() != m.vm.Incarnation() || old.member.vm.Address() != m.vm.Address() {
+		s.members[name] = &state{member: m}
+		return
+	}
+	old.member, old.missing = m, 0
+}
+
+// Remove takes the end of a VM's registration.
+func (s *Sharer) Remove(name string) {
+	if name != s.self.vm.Name() {
+		delete(s.members, name)
+	}
+}
+
+// Tick drops members that stayed missing.
+func (s *Sharer) Tick(now tier.Millis) {
+	for name, m := range s.members {
+		if m.missing > 0 && now-m.missing >= keepFor {
+			delete(s.members, name)
+		}
+	}
+}
+
+// Failed passes a VM over for a while: it did not answer in time.
+func (s *Sharer) Failed(now tier.Millis, name string) {
+	if m, ok := s.members[name]; ok {
+		m.suspect = now + suspectFor
+	}
+}
+
+// Answered takes the time to a VM and back.
+func (s *Sharer) Answered(name string, trip tier.Millis) {
+	m, ok := s.members[name]
+	if !ok {
+		return
+	}
+	m.suspect = 0
+	if m.trip == 0 {
+		m.trip = float64(trip) + 1
+		return
+	}
+	m.trip += roundTripWeight * (float64(trip) + 1 - m.trip)
+}
+
+// RoundTrip is the time to expect to a VM and back, in milliseconds.
+func (s *Sharer) RoundTrip(m Member) float64 {
+	if k, ok := s.members[m.vm.Name()]; ok && k.trip > 0 {
+		return k.trip
+	}
+	if m.region == s.self.region {
+		return priorNearTrip
+	}
+	return priorFarTrip
+}
+
+// Gathered takes how long the shares of a request took that went to a region.
+func (s *Sharer) Gathered(class, region string, took tier.Millis) {
+	k := regionKey{class, region}
+	old, ok := s.usual[k]
+	if !ok {
+		old = float64(took)
+	}
+	s.usual[k] = old + gatherWeight*(float64(took)-old)
+}
+
+// Share is what one VM is to ask.
+type Share struct {
+	member Member
+	self   bool
+	parts  []int
+}
+
+// Member is the VM to ask the shards.
+func (s Share) Member() Member { return s.member }
+
+// Self reports whether it is the VM itself.
+func (s Share) Self() bool { return s.self }
+
+// Parts are the places of the shards in the request.
+func (s Share) Parts() []int { return s.parts }
+
+// Divide gives each shard of a request to a VM. A shard with a leaf in this
+// VM's region goes to the VM that owns it there. The others go to one VM in each
+// further region, which divides them again. regionsOf lists the regions in which
+// a shard has leafs; draw returns numbers uniform in [0, 1).
+func (s *Sharer) Divide(now tier.Millis, class string, shards []string, regionsOf func(string) []string, draw func() float64) []Share {
+	d := division{at: map[string]int{}, self: s.self.vm.Name()}
+	var away []int
+	able := s.able(now, s.self.region)
+	for i, shard := range shards {
+		switch {
+		case !slices.Contains(regionsOf(shard), s.self.region):
+			away = append(away, i)
+		case len(able) == 0:
+			d.give(s.self, i)
+		default:
+			d.give(pick(shard, s.self.region, able), i)
+		}
+	}
+	for len(away) > 0 {
+		region, found := s.region(class, shards, away, regionsOf, draw())
+		var left []int
+		member := s.self
+		if others := s.able(now, region); found && len(others) > 0 {
+			member = others[int(draw()*float64(len(others)))%len(others)]
+		}
+		for _, i := range away {
+			if found && !slices.Contains(regionsOf(shards[i]), region) {
+				left = append(left, i)
+				continue
+			}
+			d.give(member, i)
+		}
+		away = left
+	}
+	return d.list
+}
+
+// division is a list of shares that grows.
+type division struct {
+	self string
+	at   map[string]int
+	list []Share
+}
+
+func (d *division) give(m Member, part int) {
+	name := m.vm.Name()
+	at, ok := d.at[name]
+	if !ok {
+		at = len(d.list)
+		d.at[name] = at
+		d.list = append(d.list, Share{member: m, self: name == d.self})
+	}
+	d.list[at].parts = append(d.list[at].parts, part)
+}
+
+// Owns reports whether this VM is the one that usually asks a shard in its
+// region.
+func (s *Sharer) Owns(now tier.Millis, shard string) bool {
+	if s.picked == nil || now-s.pickAt >= pickedFor {
+		s.picked, s.pickAt = map[string]string{}, now
+	}
+	name, ok := s.picked[shard]
+	if !ok {
+		if able := s.able(now, s.self.region); len(able) > 0 {
+			name = pick(shard, s.self.region, able).vm.Name()
+		}
+		s.picked[shard] = name
+	}
+	return name == s.self.vm.Name()
+}
+
+// region chooses where shards without a leaf at home are asked: where most of
+// them have one, the usually faster region more often. It finds none if no
+// shard has a leaf.
+func (s *Sharer) region(class string, shards []string, away []int, regionsOf func(string) []string, draw float64) (string, bool) {
+	count := map[string]int{}
+	most := 0
+	for _, i := range away {
+		for _, r := range regionsOf(shards[i]) {
+			count[r]++
+			most = max(most, count[r])
+		}
+	}
+	var names []string
+	for r, n := range count {
+		if float64(n) >= nearlyMost*float64(most) {
+			names = append(names, r)
+		}
+	}
+	if len(names) == 0 {
+		return "", false
+	}
+	sort.Strings(names)
+	total := 0.0
+	weights := make([]float64, len(names))
+	for i, r := range names {
+		usual, ok := s.usual[regionKey{class, r}]
+		if !ok {
+			usual = priorFarTrip
+		}
+		weights[i] = math.Pow(1/max(1, usual), regionBias)
+		total += weights[i]
+	}
+	at := draw * total
+	for i, r := range names {
+		if at < weights[i] {
+			return r, true
+		}
+		at -= weights[i]
+	}
+	return names[len(names)-1], true
+}
+
+// able lists the strong VMs of a region that are not passed over.
+func (s *Sharer) able(now tier.Millis, region string) []Member {
+	most := 0.0
+	var list []Member
+	for _, m := range s.members {
+		if m.member.region != region || now < m.suspect {
+			continue
+		}
+		list = append(list, m.member)
+		most = max(most, m.member.cores)
+	}
+	strong := list[:0]
+	for _, m := range list {
+		if m.cores >= strongShare*most {
+			strong = append(strong, m)
+		}
+	}
+	sort.Slice(strong, func(i, j int) bool { return strong[i].vm.Name() < strong[j].vm.Name() })
+	return strong
+}
+
+// pick is weighted rendezvous hashing: every VM with the same members picks
+// the same one, and a member that leaves moves only its own shards.
+func pick(shard, region string, able []Member) Member {
+	best, most := able[0], math.Inf(-1)
+	for _, m := range able {
+		hash := (float64(picker.Score(shard, region, m.vm.Name())>>11) + 0.5) / (1 << 53)
+		if score := -m.cores / math.Log(hash); score > most {
+			best, most = m, score
+		}
+	}
+	return best
+}
