Queue parts by rank at the VM that owns a leaf, and probe VMs that were passed over

Change: at most slots (owner: slots + 1) calls of a VM at a leaf, one after a reset; parts that find no room wait by rank and aim, and those that miss their aim let others pass. Idle connections end after 4 s, 3 for each address. A VM that was passed over is given shares again after a probe.

--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -37,6 +37,8 @@
 const (
 	// GatherServiceGatherProcedure is the fully-qualified name of the GatherService's Gather RPC.
 	GatherServiceGatherProcedure = "/cicadagrade.gather.v1.GatherService/Gather"
+	// GatherServicePingProcedure is the fully-qualified name of the GatherService's Ping RPC.
+	GatherServicePingProcedure = "/cicadagrade.gather.v1.GatherService/Ping"
 )
 
 // GatherServiceClient is a client for the cicadagrade.gather.v1.GatherService service.
@@ -44,6 +46,8 @@
 	// Gather asks the named shards and merges what they answer. The first reply
 	// only says that the request has arrived.
 	Gather(context.Context, *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error)
+	// Ping only answers: a VM that was passed over is probed by it.
+	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
 }
 
 // NewGatherServiceClient constructs a client for the cicadagrade.gather.v1.GatherService service.
@@ -63,12 +67,19 @@
 			connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 			connect.WithClientOptions(opts...),
 		),
+		ping: connect.NewClient[v1.PingRequest, v1.PingReply](
+			httpClient,
+			baseURL+GatherServicePingProcedure,
+			connect.WithSchema(gatherServiceMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatherServiceClient implements GatherServiceClient.
 type gatherServiceClient struct {
 	gather *connect.Client[v1.GatherRequest, v1.GatherReply]
+	ping   *connect.Client[v1.PingRequest, v1.PingReply]
 }
 
 // Gather calls cicadagrade.gather.v1.GatherService.Gather.
@@ -76,11 +87,18 @@
 	return c.gather.CallServerStream(ctx, req)
 }
 
+// Ping calls cicadagrade.gather.v1.GatherService.Ping.
+func (c *gatherServiceClient) Ping(ctx context.Context, req *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
 // GatherServiceHandler is an implementation of the cicadagrade.gather.v1.GatherService service.
 type GatherServiceHandler interface {
 	// Gather asks the named shards and merges what they answer. The first reply
 	// only says that the request has arrived.
 	Gather(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error
+	// Ping only answers: a VM that was passed over is probed by it.
+	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
 }
 
 // NewGatherServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -96,10 +114,18 @@
 		connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatherServicePingHandler := connect.NewUnaryHandler(
+		GatherServicePingProcedure,
+		svc.Ping,
+		connect.WithSchema(gatherServiceMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cicadagrade.gather.v1.GatherService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatherServiceGatherProcedure:
 			gatherServiceGatherHandler.ServeHTTP(w, r)
+		case GatherServicePingProcedure:
+			gatherServicePingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -112,3 +138,7 @@
 func (UnimplementedGatherServiceHandler) Gather(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Gather is not implemented"))
 }
+
+func (UnimplementedGatherServiceHandler) Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Ping is not implemented"))
+}
--- a/cicadagraded/courier/courier.go
+++ b/cicadagraded/courier/courier.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -30,11 +31,12 @@
 	dialTimeout = 900 * tier.Millisecond
 	// idleLimit is how long an idle connection is used again if its server
 	// names no time of its own.
-	idleLimit = 20 * tier.Second
+	idleLimit = 4 * tier.Second
 	// idleShare is the part of the server's own idle time that is used.
 	idleShare = 0.8
-	// maxIdle bounds the idle connections to one address.
-	maxIdle = 8
+	// maxIdle bounds the idle connections to one address: servers take few
+	// from all VMs together.
+	maxIdle = 3
 	// maxReplyBytes bounds the body of a reply.
 	maxReplyBytes = 8 << 20
 	// maxStrays is how many replies to other requests are skipped on a
@@ -65,9 +67,14 @@
 // reply came.
 type LostError struct {
 	address string
+	fresh   bool
 	cause   error
 }
 
+// Fresh reports whether the connection was a new one that the server ended
+// without a byte.
+func (e *LostError) Fresh() bool { return e.fresh }
+
 // Unwrap is the cause.
 func (e *LostError) Unwrap() error { return e.cause }
 
@@ -171,8 +178,10 @@
 	}
 	if err != nil {
 		_ = n.Close()
-		return nil, &LostError{address: address, cause: err}
+		fresh := !n.used && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF))
+		return nil, &LostError{address: address, fresh: fresh, cause: err}
 	}
+	n.used = true
 	if keep {
 		c.put(address, n)
 	} else {
@@ -292,6 +301,34 @@
 	return err == nil && quiet
 }
 
+// Sweep closes connections that have been idle for too long, so that they do
+// not count at their servers.
+func (c *Courier) Sweep() {
+	now := time.Now()
+	var old []*conn
+	c.mu.Lock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, n := range list {
+			if now.Sub(n.idleAt) > n.limit {
+				old = append(old, n)
+				continue
+			}
+			kept = append(kept, n)
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+	c.mu.Unlock()
+	for _, n := range old {
+		_ = n.Close()
+	}
+}
+
 // Drop closes the idle connections to an address.
 func (c *Courier) Drop(address string) {
 	c.mu.Lock()
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -87,7 +87,7 @@
 		}
 		return list
 	}
-	return e.core.Sharer().Divide(e.clock.Now(), route, shards, regions, rand.Float64)
+	return e.core.Sharer().Divide(route, shards, regions, rand.Float64)
 }
 
 // delegate sends a share to its VM and tells the search what comes back.
@@ -174,6 +174,51 @@
 	return m
 }
 
+const (
+	// probeInterval is how often VMs that are passed over are looked at.
+	probeInterval = 100 * tier.Millisecond
+	// probeTimeout is the longest that a probe's answer may take: the way
+	// between regions and back, and the other VM's processor.
+	probeTimeout = 150 * tier.Millisecond
+)
+
+// RunProbes looks for VMs that were passed over and answer again.
+func (e *Entry) RunProbes(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		due := e.core.Sharer().Probes(e.clock.Now())
+		e.mu.Unlock()
+		for _, m := range due {
+			e.calls.Go(func() { e.probe(ctx, m) })
+		}
+	}
+}
+
+func (e *Entry) probe(ctx context.Context, m sharer.Member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	if _, err := e.peers.at(m.VM().Address()).Ping(ctx, connect.NewRequest(&gatherv1.PingRequest{})); err != nil {
+		e.peers.drop(m.VM().Address())
+		return
+	}
+	e.mu.Lock()
+	e.core.Sharer().Found(e.clock.Now(), m.VM().Name())
+	e.mu.Unlock()
+	e.log.State("vm-answers-again", "peer", m.VM().Name())
+}
+
+// Ping shows another VM that this one answers.
+func (g *gatherer) Ping(context.Context, *connect.Request[gatherv1.PingRequest]) (*connect.Response[gatherv1.PingReply], error) {
+	return connect.NewResponse(&gatherv1.PingReply{}), nil
+}
+
 // gatherer asks shares for other VMs.
 type gatherer struct{ entry *Entry }
 
@@ -186,7 +231,7 @@
 	now := e.clock.Now()
 	terms := searcher.NewTerms(q.GetRoute(), now+tier.Millis(q.GetAimMs()), now+tier.Millis(q.GetEndMs()),
 		searcher.Repeatable(), searcher.WithAttempts(int(q.GetAttempts())),
-		searcher.WithMinimum(int(q.GetMinimum())), searcher.ForAnotherVM())
+		searcher.WithMinimum(int(q.GetMinimum())), searcher.WithRank(int(q.GetRank())), searcher.ForAnotherVM())
 	var shares []sharer.Share
 	if q.GetSpread() {
 		shares = e.divide(q.GetRoute(), q.GetShards())
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -31,6 +31,7 @@
 	shared     sharedTerms
 	flush      func(searcher.Flush) error
 	events     chan event
+	woken      chan struct{}
 	cancels    map[int]context.CancelFunc
 	recalls    map[int]context.CancelFunc
 	outcome    searcher.Outcome
@@ -45,12 +46,23 @@
 func (e *Entry) newRun(attempt string, repeatable bool, m *courier.Message, terms searcher.Terms,
 	services []string, shares []sharer.Share,
 ) *run {
-	return &run{
+	r := &run{
 		entry: e, attempt: attempt, repeatable: repeatable, message: m,
 		search:  searcher.New(e.core, terms, services, shares),
 		events:  make(chan event, len(services)+eventBuffer),
+		woken:   make(chan struct{}, 1),
 		cancels: make(map[int]context.CancelFunc, len(services)),
 	}
+	r.search.Attach(r)
+	return r
+}
+
+// wake has the run look for actions that another search's step has caused.
+func (r *run) wake() {
+	select {
+	case r.woken <- struct{}{}:
+	default:
+	}
 }
 
 // drive runs the search to its end; the second result says that the caller
@@ -67,6 +79,8 @@
 		select {
 		case advance := <-r.events:
 			r.step(ctx, advance)
+		case <-r.woken:
+			r.step(ctx, (*searcher.Search).Resume)
 		case <-timer.C:
 			r.step(ctx, (*searcher.Search).Tick)
 		case <-ctx.Done():
@@ -90,7 +104,11 @@
 	e := r.entry
 	e.mu.Lock()
 	actions := advance(r.search, e.clock.Now())
+	woken := e.core.TakeWoken()
 	e.mu.Unlock()
+	for _, s := range woken {
+		s.Attached().(*run).wake()
+	}
 	for _, a := range actions {
 		switch a := a.(type) {
 		case searcher.Send:
@@ -149,14 +167,15 @@
 // classify says what a call's end proves.
 func classify(reply *courier.Reply, err error) searcher.Result {
 	var notSent *courier.NotSentError
+	var lost *courier.LostError
 	switch {
 	case errors.As(err, &notSent):
 		if notSent.Dialled() {
 			return searcher.NotRun{Reason: searcher.BrokenAtStart}
 		}
 		return searcher.NotRun{Reason: searcher.NoConnection}
-	case err != nil:
-		return searcher.Lost{Cause: err.Error()}
+	case errors.As(err, &lost):
+		return searcher.Lost{Cause: err.Error(), Fresh: lost.Fresh()}
 	}
 	head := platform.ReadLeafReply(reply.Status(), reply.Header())
 	switch {
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -182,6 +182,7 @@
 	e.mu.Lock()
 	e.core.Lister().Tick(e.clock.Now())
 	e.core.Sharer().Tick(e.clock.Now())
+	e.courier.Sweep()
 	changes := e.core.Lister().Changes()
 	for _, c := range changes {
 		if c.State() == lister.StateGone {
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -97,6 +97,7 @@
 	g.Add(func() error { return log.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunView(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunMembership(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunProbes(ctx) }, func(error) { cancel() })
 	peer := &http.Server{Handler: e.Peers(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, peer, others)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -43,6 +43,40 @@
 	priorFar  = 55.0
 )
 
+// longAgo is before anything was seen.
+const longAgo = tier.Millis(math.MinInt32)
+
+// Limits of this VM's calls at one leaf at a time. Each call takes a connection,
+// and a leaf takes few from all VMs together.
+const (
+	// ownerQueue is how many calls the VM that owns a leaf's service has there
+	// beyond its slots, so that no slot idles between two calls.
+	ownerQueue = 1
+	// crowdedLimit holds after a leaf has reset a new connection, which it does
+	// when it has too many.
+	crowdedLimit = 1
+	// crowdedFor is how long that holds: connections of VMs that died linger
+	// for seconds.
+	crowdedFor = 600 * tier.Millisecond
+)
+
+// Room reports whether another call may be sent to a leaf. owner says that this
+// VM usually asks the leaf's service.
+func (b *Balancer) Room(now tier.Millis, f lister.Leaf, owner bool) bool {
+	s, ok := b.leafs[f.ID()]
+	if !ok || s.life != f.Life() {
+		return true
+	}
+	limit := f.Slots()
+	if owner {
+		limit += ownerQueue
+	}
+	if now-s.crowded < crowdedFor {
+		limit = crowdedLimit
+	}
+	return s.inflight < limit
+}
+
 // Place says how far a data centre is.
 type Place int
 
@@ -67,6 +101,7 @@
 	failedAt tier.Millis
 	waiting  tier.Millis // since when calls are out without any reply
 	refused  tier.Millis
+	crowded  tier.Millis // when it last reset a new connection or had no room
 	coldTill tier.Millis
 	wrong    bool // another server answers at its address
 }
@@ -87,7 +122,7 @@
 func (b *Balancer) state(f lister.Leaf) *state {
 	s, ok := b.leafs[f.ID()]
 	if !ok || s.life != f.Life() {
-		s = &state{life: f.Life(), refused: math.MinInt32}
+		s = &state{life: f.Life(), refused: longAgo, crowded: longAgo}
 		b.leafs[f.ID()] = s
 	}
 	return s
@@ -111,6 +146,18 @@
 // Usual is the latency of a sound leaf where f lies, in milliseconds.
 func (b *Balancer) Usual(class string, f lister.Leaf) float64 { return b.usual(class, f) }
 
+// UsualNear is the least usual latency of a class over data centres.
+func (b *Balancer) UsualNear(class string) float64 {
+	least := priorNear
+	found := false
+	for k, v := range b.base {
+		if k.class == class && (!found || v < least) {
+			least, found = v, true
+		}
+	}
+	return least
+}
+
 // usual is the latency to expect of a sound leaf for a class of requests.
 func (b *Balancer) usual(class string, f lister.Leaf) float64 {
 	if v, ok := b.base[baseKey{class, f.DataCentre()}]; ok {
@@ -202,6 +249,12 @@
 	s.failure, s.failedAt = 1, now
 }
 
+// Crowded counts a call whose new connection the leaf reset.
+func (b *Balancer) Crowded(now tier.Millis, f lister.Leaf) {
+	s := b.ended(now, f)
+	s.crowded, s.refused = now, now
+}
+
 // Refused counts a call that the leaf had no room for.
 func (b *Balancer) Refused(now tier.Millis, f lister.Leaf) {
 	b.ended(now, f).refused = now
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -28,6 +28,10 @@
 	hedgeSlack = 4.0
 	// retryPause is the wait before a leaf is asked again that had no room.
 	retryPause = 25 * tier.Millisecond
+	// hedgeRetry is the wait for room at a leaf for a hedge.
+	hedgeRetry = 10 * tier.Millisecond
+	// lookAgain is how often a part that waits for room looks for it.
+	lookAgain = 40 * tier.Millisecond
 	// leastTime is the least time worth giving a leaf.
 	leastTime = 2 * tier.Millisecond
 	// acceptFactor and acceptSlack are how long a VM may take to say that it
@@ -48,11 +52,13 @@
 	balancer *balancer.Balancer
 	budgeter *budgeter.Budgeter
 	sharer   *sharer.Sharer
+	queue    queue
+	woken    []*Search
 }
 
 // NewCore returns a core.
 func NewCore(l *lister.Lister, b *balancer.Balancer, u *budgeter.Budgeter, s *sharer.Sharer) *Core {
-	return &Core{lister: l, balancer: b, budgeter: u, sharer: s}
+	return &Core{lister: l, balancer: b, budgeter: u, sharer: s, queue: queue{}}
 }
 
 // owners is the number of VMs that usually ask a service, one in each region
@@ -89,6 +95,7 @@
 	minimum    int
 	whole      bool
 	flushes    bool
+	rank       int
 	aim        tier.Millis
 	end        tier.Millis
 }
@@ -112,6 +119,9 @@
 // WithAttempts sets to how many leafs each part may be sent.
 func WithAttempts(n int) TermsOption { return func(t *Terms) { t.attempts = max(n, 1) } }
 
+// WithRank sets the rank; a lower one goes first where parts wait.
+func WithRank(rank int) TermsOption { return func(t *Terms) { t.rank = rank } }
+
 // WithMinimum sets the least number of parts of an answer.
 func WithMinimum(n int) TermsOption { return func(t *Terms) { t.minimum = n } }
 
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -21,7 +21,10 @@
 type NotRun struct{ Reason NotRunReason }
 
 // Lost says that a call was sent and no usable reply came: it may have run.
-type Lost struct{ Cause string }
+type Lost struct {
+	Cause string
+	Fresh bool // on a new connection, of which nothing came
+}
 
 func (Answered) result()    {}
 func (FailedReply) result() {}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -28,6 +28,7 @@
 	asked   bool
 	share   int // number of the share that has it, or none
 	flushed bool
+	waiting bool // for room at a leaf
 }
 
 // none is the number of no share.
@@ -48,19 +49,22 @@
 
 // Search is one request. It is not safe for concurrent use.
 type Search struct {
-	core   *Core
-	terms  Terms
-	parts  []part
-	calls  []call
-	shares []share
-	in     int
-	lost   int
-	extra  int
-	maybe  bool // a leaf may have begun to work on it
-	done   bool
-	extern int  // calls that other VMs made
-	extExt int  // extra ones among them
-	late   bool // the parts at the aim have been flushed
+	core    *Core
+	terms   Terms
+	parts   []part
+	calls   []call
+	shares  []share
+	in      int
+	lost    int
+	extra   int
+	maybe   bool // a leaf may have begun to work on it
+	done    bool
+	extern  int      // calls that other VMs made
+	extExt  int      // extra ones among them
+	pending []Action // from another search's step
+	program any
+	woken   bool
+	late    bool // the parts at the aim have been flushed
 }
 
 // New returns a search over services. Shares that are not this VM's own are
@@ -94,7 +98,7 @@
 			actions = s.send(now, i, actions)
 		}
 	}
-	return s.settle(now, actions)
+	return s.settle(now, s.takePending(actions))
 }
 
 // Ended takes the result of a call.
@@ -108,6 +112,7 @@
 	p := &s.parts[c.part]
 	p.open--
 	if s.done {
+		s.core.fill(now, p.service)
 		return nil
 	}
 	var actions []Action
@@ -133,7 +138,8 @@
 		}
 		actions = s.again(now, c.part, r.Reason != Declined, pause, actions)
 	}
-	return s.settle(now, actions)
+	s.core.fill(now, p.service)
+	return s.settle(now, s.takePending(actions))
 }
 
 // Tick does what is due.
@@ -156,14 +162,19 @@
 		}
 		if now >= p.retryAt {
 			p.retryAt = never
-			actions = s.send(now, i, actions)
+			if p.waiting {
+				p.retryAt = now + lookAgain
+				s.core.fill(now, p.service)
+			} else {
+				actions = s.send(now, i, actions)
+			}
 		}
 		if now >= p.hedgeAt {
 			p.hedgeAt = never
 			actions = s.hedge(now, i, actions)
 		}
 	}
-	return s.settle(now, actions)
+	return s.settle(now, s.takePending(actions))
 }
 
 // Next is when Tick has to be called at the latest.
@@ -208,7 +219,13 @@
 	switch r := r.(type) {
 	case Answered:
 		b.Answered(now, s.terms.class, c.leaf, now-c.sent)
-	case FailedReply, Lost:
+	case FailedReply:
+		b.Failed(now, c.leaf)
+	case Lost:
+		if r.Fresh {
+			b.Crowded(now, c.leaf)
+			return
+		}
 		b.Failed(now, c.leaf)
 	case NotRun:
 		switch r.Reason {
@@ -222,21 +239,41 @@
 	}
 }
 
-// send makes the next call of a part, or gives the part up.
+// send makes the next call of a part, has it wait for room, or gives it up.
 func (s *Search) send(now tier.Millis, i int, actions []Action) []Action {
 	p := &s.parts[i]
-	if s.terms.end-now < leastTime {
+	if s.terms.end-now < leastTime || p.waiting {
 		return actions
 	}
 	f, _, found := s.pick(now, p, true)
 	if !found && len(p.tried) > 0 {
 		f, _, found = s.pick(now, p, false)
 	}
-	if !found || p.asked && !s.core.budgeter.Take(p.service) {
+	switch {
+	case !found:
 		if p.open == 0 {
 			s.giveUp(p)
 		}
 		return actions
+	case !s.core.balancer.Room(now, f, s.core.owners(now, p.service) > 0):
+		// Waiting for the best leaf beats a worse one now: its cost has the
+		// wait in it.
+		if other, cost, ok := s.core.roomFor(now, s, p); ok && now+tier.Millis(cost) <= s.terms.aim {
+			f = other
+			break
+		}
+		s.core.enqueue(now, s, i)
+		return actions
+	}
+	if p.asked && !s.core.budgeter.Take(p.service) {
+		switch {
+		case p.open > 0:
+		case now < s.terms.aim:
+			p.retryAt = now + retryPause
+		default:
+			s.giveUp(p)
+		}
+		return actions
 	}
 	return s.call(now, i, f, p.asked, actions)
 }
@@ -247,8 +284,11 @@
 	if len(p.tried) >= s.terms.attempts {
 		return actions
 	}
-	f, cost, found := s.pick(now, p, true)
+	f, cost, found := s.core.roomFor(now, s, p)
 	if !found {
+		if now < s.terms.aim {
+			p.hedgeAt = now + hedgeRetry
+		}
 		return actions
 	}
 	late := now+tier.Millis(cost) > s.terms.aim
@@ -446,6 +486,7 @@
 		}
 	}
 	actions = s.cancelAll(now, actions)
+	s.pending = nil
 	o := Outcome{
 		cause: cause, maybe: s.maybe, missing: len(s.parts) - s.in,
 		sent: len(s.calls) + s.extern, extra: s.extra + s.extExt,
@@ -476,6 +517,9 @@
 }
 
 func (s *Search) cancelAll(now tier.Millis, actions []Action) []Action {
+	for i := range s.parts {
+		s.core.dequeue(s, i)
+	}
 	for k := range s.calls {
 		if !s.calls[k].ended {
 			actions = s.cancel(now, k, actions)
@@ -497,6 +541,7 @@
 	c.ended = true
 	s.parts[c.part].open--
 	s.core.balancer.Cancelled(now, s.terms.class, c.leaf, now-c.sent)
+	s.core.fill(now, s.parts[c.part].service)
 	return append(actions, Cancel{Call: k})
 }
 
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -63,7 +63,7 @@
 	if s.done || s.shares[k].ended {
 		return nil
 	}
-	return s.settle(now, s.takeBack(now, k, nil))
+	return s.settle(now, s.takePending(s.takeBack(now, k, nil)))
 }
 
 // takeBack has this VM ask what is still missing of a share. The other VM may
--- a/tier/sharer/sharer.go
+++ b/tier/sharer/sharer.go
@@ -17,9 +17,14 @@
 	// strongShare is the part of the most cores in a region that a VM needs to
 	// be given shares of others' requests.
 	strongShare = 0.5
-	// suspectFor is how long a VM that did not answer is passed over. A VM
-	// that restarts is back in about a second.
-	suspectFor = 1500 * tier.Millisecond
+	// probeAfter is the wait before a VM is probed that did not answer in time;
+	// each time that happens again soon doubles it.
+	probeAfter = 400 * tier.Millisecond
+	// probeAtMost bounds the doubling.
+	probeAtMost = 3200 * tier.Millisecond
+	// soundAfter is how long a VM has to answer in time until a failure counts
+	// as the first again.
+	soundAfter = 5 * tier.Second
 	// keepFor is how long members are kept that are missing in the list after
 	// an outage of the store, until they had time to register again.
 	keepFor = 4 * tier.Second
@@ -64,7 +69,10 @@
 type state struct {
 	member  Member
 	missing tier.Millis // since when it is missing in the list, or 0
-	suspect tier.Millis // until when it is passed over
+	suspect bool        // it is passed over until a probe succeeds
+	probeAt tier.Millis // when to probe it
+	backoff tier.Millis
+	cleared tier.Millis // when it was last found sound after a suspicion
 	trip    float64
 }
 
@@ -145,10 +153,39 @@
 	}
 }
 
-// Failed passes a VM over for a while: it did not answer in time.
+// Failed passes a VM over until a probe succeeds: it did not answer in time.
 func (s *Sharer) Failed(now tier.Millis, name string) {
-	if m, ok := s.members[name]; ok {
-		m.suspect = now + suspectFor
+	m, ok := s.members[name]
+	if !ok || m.suspect || name == s.self.vm.Name() {
+		return
+	}
+	if m.backoff == 0 || now-m.cleared >= soundAfter {
+		m.backoff = probeAfter
+	} else {
+		m.backoff = min(2*m.backoff, probeAtMost)
+	}
+	m.suspect, m.probeAt = true, now+m.backoff
+	s.picked = nil
+}
+
+// Probes lists the VMs to probe now. Each is listed again a while later if no
+// Found follows.
+func (s *Sharer) Probes(now tier.Millis) []Member {
+	var due []Member
+	for _, m := range s.members {
+		if m.suspect && now >= m.probeAt {
+			m.probeAt = now + m.backoff
+			due = append(due, m.member)
+		}
+	}
+	return due
+}
+
+// Found ends the suspicion of a VM that answered a probe in time.
+func (s *Sharer) Found(now tier.Millis, name string) {
+	if m, ok := s.members[name]; ok && m.suspect {
+		m.suspect, m.cleared = false, now
+		s.picked = nil
 	}
 }
 
@@ -158,7 +195,6 @@
 	if !ok {
 		return
 	}
-	m.suspect = 0
 	if m.trip == 0 {
 		m.trip = float64(trip) + 1
 		return
@@ -207,10 +243,10 @@
 // VM's region goes to the VM that owns it there. The others go to one VM in each
 // further region, which divides them again. regionsOf lists the regions in which
 // a shard has leafs; draw returns numbers uniform in [0, 1).
-func (s *Sharer) Divide(now tier.Millis, class string, shards []string, regionsOf func(string) []string, draw func() float64) []Share {
+func (s *Sharer) Divide(class string, shards []string, regionsOf func(string) []string, draw func() float64) []Share {
 	d := division{at: map[string]int{}, self: s.self.vm.Name()}
 	var away []int
-	able := s.able(now, s.self.region)
+	able := s.able(s.self.region)
 	for i, shard := range shards {
 		switch {
 		case !slices.Contains(regionsOf(shard), s.self.region):
@@ -225,7 +261,7 @@
 		region, found := s.region(class, shards, away, regionsOf, draw())
 		var left []int
 		member := s.self
-		if others := s.able(now, region); found && len(others) > 0 {
+		if others := s.able(region); found && len(others) > 0 {
 			member = others[int(draw()*float64(len(others)))%len(others)]
 		}
 		for _, i := range away {
@@ -266,7 +302,7 @@
 	}
 	name, ok := s.picked[shard]
 	if !ok {
-		if able := s.able(now, s.self.region); len(able) > 0 {
+		if able := s.able(s.self.region); len(able) > 0 {
 			name = pick(shard, s.self.region, able).vm.Name()
 		}
 		s.picked[shard] = name
@@ -317,11 +353,11 @@
 }
 
 // able lists the strong VMs of a region that are not passed over.
-func (s *Sharer) able(now tier.Millis, region string) []Member {
+func (s *Sharer) able(region string) []Member {
 	most := 0.0
 	var list []Member
 	for _, m := range s.members {
-		if m.member.region != region || now < m.suspect {
+		if m.member.region != region || m.suspect {
 			continue
 		}
 		list = append(list, m.member)
