Follow VMs that watch the store; leave rotation when cut off

A VM that the store turns away kept an old view though its peers had a new one.

Change: three VMs ask the store for changes, the others follow them (tier/relayer), all of them the store or any VM when that fails. A VM that neither store nor VMs answer for 2.5 s fails its readiness check. Refusals of a leaf count as a rate, so that one which sheds a third of its calls is passed over.

--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -37,6 +37,8 @@
 const (
 	// GatherServiceGatherProcedure is the fully-qualified name of the GatherService's Gather RPC.
 	GatherServiceGatherProcedure = "/cicadagrade.gather.v1.GatherService/Gather"
+	// GatherServiceFetchProcedure is the fully-qualified name of the GatherService's Fetch RPC.
+	GatherServiceFetchProcedure = "/cicadagrade.gather.v1.GatherService/Fetch"
 	// GatherServicePingProcedure is the fully-qualified name of the GatherService's Ping RPC.
 	GatherServicePingProcedure = "/cicadagrade.gather.v1.GatherService/Ping"
 )
@@ -46,6 +48,8 @@
 	// Gather asks the named shards and merges what they answer. The first reply
 	// only says that the request has arrived.
 	Gather(context.Context, *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error)
+	// Fetch returns what the VM has read of the store.
+	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
 	// Ping only answers: a VM that was passed over is probed by it.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
 }
@@ -67,6 +71,12 @@
 			connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 			connect.WithClientOptions(opts...),
 		),
+		fetch: connect.NewClient[v1.FetchRequest, v1.FetchReply](
+			httpClient,
+			baseURL+GatherServiceFetchProcedure,
+			connect.WithSchema(gatherServiceMethods.ByName("Fetch")),
+			connect.WithClientOptions(opts...),
+		),
 		ping: connect.NewClient[v1.PingRequest, v1.PingReply](
 			httpClient,
 			baseURL+GatherServicePingProcedure,
@@ -79,6 +89,7 @@
 // gatherServiceClient implements GatherServiceClient.
 type gatherServiceClient struct {
 	gather *connect.Client[v1.GatherRequest, v1.GatherReply]
+	fetch  *connect.Client[v1.FetchRequest, v1.FetchReply]
 	ping   *connect.Client[v1.PingRequest, v1.PingReply]
 }
 
@@ -87,6 +98,11 @@
 	return c.gather.CallServerStream(ctx, req)
 }
 
+// Fetch calls cicadagrade.gather.v1.GatherService.Fetch.
+func (c *gatherServiceClient) Fetch(ctx context.Context, req *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error) {
+	return c.fetch.CallUnary(ctx, req)
+}
+
 // Ping calls cicadagrade.gather.v1.GatherService.Ping.
 func (c *gatherServiceClient) Ping(ctx context.Context, req *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
 	return c.ping.CallUnary(ctx, req)
@@ -97,6 +113,8 @@
 	// Gather asks the named shards and merges what they answer. The first reply
 	// only says that the request has arrived.
 	Gather(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error
+	// Fetch returns what the VM has read of the store.
+	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
 	// Ping only answers: a VM that was passed over is probed by it.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
 }
@@ -114,6 +132,12 @@
 		connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatherServiceFetchHandler := connect.NewUnaryHandler(
+		GatherServiceFetchProcedure,
+		svc.Fetch,
+		connect.WithSchema(gatherServiceMethods.ByName("Fetch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gatherServicePingHandler := connect.NewUnaryHandler(
 		GatherServicePingProcedure,
 		svc.Ping,
@@ -124,6 +148,8 @@
 		switch r.URL.Path {
 		case GatherServiceGatherProcedure:
 			gatherServiceGatherHandler.ServeHTTP(w, r)
+		case GatherServiceFetchProcedure:
+			gatherServiceFetchHandler.ServeHTTP(w, r)
 		case GatherServicePingProcedure:
 			gatherServicePingHandler.ServeHTTP(w, r)
 		default:
@@ -139,6 +165,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Gather is not implemented"))
 }
 
+func (UnimplementedGatherServiceHandler) Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Fetch is not implemented"))
+}
+
 func (UnimplementedGatherServiceHandler) Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Ping is not implemented"))
 }
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -18,6 +18,7 @@
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/relayer"
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/sharer"
@@ -33,6 +34,7 @@
 	table    atomic.Pointer[router.Table]
 	seen     atomic.Int64 // when the store last answered, on the clock
 	listed   atomic.Bool  // the VM's own registration is in the store
+	isolated atomic.Bool  // neither the store nor any VM answers
 	stopping atomic.Bool
 	stopped  chan struct{}
 	peers    *peers
@@ -40,11 +42,13 @@
 
 	mu   sync.Mutex
 	core *searcher.Core
+	// relayer holds what has been read of the store, for other VMs.
+	relayer *relayer.Relayer
 }
 
 // New returns a VM that is not yet serving.
 func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
-	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{})}
+	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
 		Transport: &http.Transport{
@@ -89,7 +93,9 @@
 }
 
 // Ready reports whether callers may be sent to this VM.
-func (e *Entry) Ready() bool { return e.table.Load() != nil && !e.stopping.Load() }
+func (e *Entry) Ready() bool {
+	return e.table.Load() != nil && !e.stopping.Load() && !e.isolated.Load()
+}
 
 // Stop makes the VM fail its readiness check and ask callers to leave.
 func (e *Entry) Stop() {
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -44,7 +44,7 @@
 
 // ServeHTTP takes a caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if e.stopping.Load() {
+	if e.stopping.Load() || e.isolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	start := e.clock.Now()
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -6,70 +6,140 @@
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/sharer"
 	"cicadagrade.example/tier/storer"
 )
 
 // Times of the view.
 const (
-	// pollInterval is how often the store is asked for changes: leafs write
-	// all the time, so that a waiting call would return at once anyhow.
-	pollInterval = 500 * tier.Millisecond
+	// pollInterval is how often the store, or the VM that is followed, is
+	// asked for changes: leafs write all the time, so that a waiting call
+	// would return at once anyhow.
+	pollInterval = 450 * tier.Millisecond
 	// pollJitter spreads the VMs' calls.
 	pollJitter = 100 * tier.Millisecond
 	// retryInterval is the pause after a call that failed.
-	retryInterval = 250 * tier.Millisecond
+	retryInterval = 200 * tier.Millisecond
 	// callTimeout takes a connection for silent: many times the store's
 	// usual 4 ms, and short beside the time in which a change has to hold.
 	callTimeout = 900 * tier.Millisecond
+	// fetchTimeout is the same for another VM.
+	fetchTimeout = 300 * tier.Millisecond
+	// fetchTries is how many VMs are asked if the store does not answer.
+	fetchTries = 3
 	// storeDialTimeout is the longest wait for a connection to the store.
 	storeDialTimeout = 700 * tier.Millisecond
 	// staleAfter is the age of the view from which on an unknown route is no
 	// proof that there is none.
 	staleAfter = 2 * tier.Second
+	// followedAge is the oldest view that a followed VM may have: with it and
+	// the own interval, changes are still in force in time.
+	followedAge = 1600 * tier.Millisecond
+	// isolatedAfter is the age of the view from which on a VM that no other VM
+	// answers asks not to be sent callers.
+	isolatedAfter = 2500 * tier.Millisecond
 )
 
-// view is what has been read of the store.
+// view is what the loop remembers of its sources.
 type view struct {
-	revision int64
-	listed   bool
-	away     bool
+	read bool // everything has been read once
+	away bool // the store did not answer the last call
 }
 
 // RunView keeps the view until ctx ends.
 func (e *Entry) RunView(ctx context.Context) error {
 	v := &view{}
 	for ctx.Err() == nil {
-		err := e.poll(ctx, v)
-		pause := pollInterval + tier.Millis(rand.Int64N(int64(pollJitter)))
-		if err != nil && ctx.Err() == nil {
-			e.lost(v, err)
-			pause = retryInterval + tier.Millis(rand.Int64N(int64(pollJitter)))
+		pause := pollInterval
+		if err := e.refresh(ctx, v); err != nil && ctx.Err() == nil {
+			pause = retryInterval
 		}
+		e.settleView()
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause.Duration()):
+		case <-time.After((pause + tier.Millis(rand.Int64N(int64(pollJitter)))).Duration()):
 		}
 	}
 	return nil
 }
 
-// poll reads everything, or what has changed since.
+// refresh brings the view up to date: from a VM that watches the store, from
+// the store, or, if it does not answer, from any VM.
+func (e *Entry) refresh(ctx context.Context, v *view) error {
+	if v.read {
+		if m, ok := e.followed(); ok && e.follow(ctx, m, followedAge) == nil {
+			return nil
+		}
+	}
+	err := e.poll(ctx, v)
+	if err == nil {
+		return nil
+	}
+	if !v.away && ctx.Err() == nil {
+		v.away = true
+		e.log.Fault("store-lost", "error", err, "view-age-ms", int64(e.viewAge()))
+	}
+	e.mu.Lock()
+	sound := e.core.Sharer().Sound()
+	e.mu.Unlock()
+	rand.Shuffle(len(sound), func(i, j int) { sound[i], sound[j] = sound[j], sound[i] })
+	for _, m := range sound[:min(len(sound), fetchTries)] {
+		if e.follow(ctx, m, followedAge) == nil {
+			v.read = true
+			return nil
+		}
+	}
+	e.mu.Lock()
+	e.core.Lister().Lost()
+	e.mu.Unlock()
+	return err
+}
+
+// followed picks the VM to follow, unless this one watches the store itself.
+func (e *Entry) followed() (sharer.Member, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.core.Sharer()
+	list := s.Watchers()
+	var near []sharer.Member
+	for _, m := range list {
+		if m.VM().Name() == s.Self().VM().Name() {
+			return sharer.Member{}, false
+		}
+		if m.Region() == s.Self().Region() {
+			near = append(near, m)
+		}
+	}
+	if len(near) > 0 {
+		list = near
+	}
+	if len(list) == 0 {
+		return sharer.Member{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
+// poll asks the store for what has changed, or for everything.
 func (e *Entry) poll(ctx context.Context, v *view) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if !v.listed {
+	e.mu.Lock()
+	after := e.relayer.Revision()
+	e.mu.Unlock()
+	if after == 0 {
 		return e.readAll(ctx, v)
 	}
-	changes, at, err := e.store.Changes(ctx, "", v.revision, 0)
+	changes, at, err := e.store.Changes(ctx, "", after, 0)
 	var gone *platform.HistoryLostError
 	if errors.As(err, &gone) {
 		e.log.State("history-lost", "after", gone.After())
-		v.listed = false
 		return e.readAll(ctx, v)
 	}
 	if err != nil {
@@ -77,61 +147,139 @@
 	}
 	e.regained(v)
 	for _, c := range changes {
-		e.apply(c)
+		e.apply(c, at)
 	}
-	v.revision = at
-	e.settleView()
+	e.reached(at, 0)
 	return nil
 }
 
-// readAll reads the configuration and all leafs, and goes on with the changes
-// since the first of the reads.
+// readAll reads the configuration, the leafs and the VMs, and goes on with the
+// changes since the first of these reads.
 func (e *Entry) readAll(ctx context.Context, v *view) error {
 	configuration, at, err := e.store.GetAt(ctx, platform.ConfigurationKey)
 	if err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
-	leafs, listAt, err := e.store.ListAt(ctx, platform.LeafsPrefix)
+	list, listAt, err := e.store.ListAt(ctx, platform.LeafsPrefix)
 	if err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
-	members, membersAt, err := e.store.ListAt(ctx, membersPrefix)
+	members, _, err := e.store.ListAt(ctx, membersPrefix)
 	if err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
-	wasAway := v.away
+	lapsed := v.away
 	e.regained(v)
+	v.read = true
+	list = append(list, members...)
 	if configuration.Present() {
-		e.applyConfiguration(configuration)
+		list = append(list, configuration)
 	}
-	entries := make([]lister.Entry, 0, len(leafs))
-	for _, l := range leafs {
-		entries = append(entries, e.decodeLeaf(l))
+	if at == 0 {
+		at = listAt
 	}
+	e.replace(list, min(at, listAt), lapsed)
+	e.reached(min(at, listAt), 0)
+	return nil
+}
+
+// follow takes what another VM has read since, if that is fresh enough.
+func (e *Entry) follow(ctx context.Context, m sharer.Member, oldest tier.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancel()
 	e.mu.Lock()
-	now := e.clock.Now()
-	e.core.Lister().Replace(now, entries)
+	after := e.relayer.Revision()
 	e.mu.Unlock()
-	e.settleView()
-	e.replaceMembers(members, wasAway)
-	if at == 0 {
-		at = listAt
+	p, err := e.peers.at(m.VM().Address()).Fetch(ctx, connect.NewRequest(&gatherv1.FetchRequest{After: after}))
+	if err != nil {
+		if ctx.Err() != nil {
+			e.peers.drop(m.VM().Address())
+		}
+		e.mu.Lock()
+		e.core.Sharer().Failed(e.clock.Now(), m.VM().Name())
+		e.mu.Unlock()
+		e.log.Request("fetch-failed", "peer", m.VM().Name(), "error", err)
+		return errors.Wrap(err, "Entry.follow")
 	}
-	v.revision, v.listed = min(at, listAt, membersAt), true
+	reply := p.Msg
+	age := tier.Millis(reply.GetAgeMs())
+	if age > oldest {
+		return errors.Errorf("Entry.follow: the view of %s is %d ms old", m.VM().Name(), age)
+	}
+	if reply.GetRevision() >= after {
+		list := make([]storer.Value, 0, len(reply.GetItems()))
+		for _, i := range reply.GetItems() {
+			list = append(list, storer.NewValue(i.GetKey(), i.GetValue(), i.GetRevision()))
+		}
+		if reply.GetWhole() {
+			e.replace(list, reply.GetRevision(), true)
+		} else {
+			for _, c := range list {
+				e.apply(c, reply.GetRevision())
+			}
+		}
+	}
+	e.reached(reply.GetRevision(), age)
 	return nil
 }
 
-func (e *Entry) apply(c storer.Value) {
+// Fetch tells another VM what this one has read.
+func (g *gatherer) Fetch(_ context.Context, c *connect.Request[gatherv1.FetchRequest]) (*connect.Response[gatherv1.FetchReply], error) {
+	e := g.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply := &gatherv1.FetchReply{Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge())}
+	if reply.Revision == 0 || c.Msg.GetAfter() > reply.Revision {
+		return connect.NewResponse(reply), nil
+	}
+	list, whole := e.relayer.Since(c.Msg.GetAfter())
+	reply.Whole = whole
+	for _, v := range list {
+		reply.Items = append(reply.Items, &gatherv1.Item{Key: v.Key(), Value: v.Data(), Revision: v.Revision()})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// replace takes everything as of a revision. lapsed says that entries may be
+// missing only because the store was away.
+func (e *Entry) replace(list []storer.Value, revision int64, lapsed bool) {
+	var entries []lister.Entry
+	var members []storer.Value
+	for _, c := range list {
+		switch {
+		case c.Key() == platform.ConfigurationKey:
+			e.applyConfiguration(c)
+		case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
+			entries = append(entries, e.decodeLeaf(c))
+		case strings.HasPrefix(c.Key(), membersPrefix):
+			members = append(members, c)
+		}
+	}
+	e.mu.Lock()
+	e.relayer.Replace(list, revision)
+	e.core.Lister().Replace(e.clock.Now(), entries)
+	e.mu.Unlock()
+	e.replaceMembers(members, lapsed)
+}
+
+// apply takes one change, read at a revision.
+func (e *Entry) apply(c storer.Value, revision int64) {
+	notable := true
 	switch {
 	case c.Key() == platform.ConfigurationKey:
 		if c.Present() {
 			e.applyConfiguration(c)
 		}
 	case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
-		e.applyLeaf(c)
+		notable = e.applyLeaf(c)
 	case strings.HasPrefix(c.Key(), membersPrefix):
 		e.applyMember(c)
+	default:
+		return
 	}
+	e.mu.Lock()
+	e.relayer.Put(c, revision, notable)
+	e.mu.Unlock()
 }
 
 func (e *Entry) applyConfiguration(c storer.Value) {
@@ -161,19 +309,21 @@
 	return entry
 }
 
-func (e *Entry) applyLeaf(c storer.Value) {
+// applyLeaf reports whether the change matters to what may be used.
+func (e *Entry) applyLeaf(c storer.Value) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	if !c.Present() {
 		e.core.Lister().Remove(now, c.Key())
-		return
+		return true
 	}
 	entry := e.decodeLeaf(c)
-	e.core.Lister().Put(now, entry)
+	changed := e.core.Lister().Put(now, entry)
 	if entry.Readable() {
 		e.core.Balancer().Heard(now, entry.Leaf())
 	}
+	return changed
 }
 
 // settleView logs what has changed, and drops what was kept of leafs that are
@@ -182,14 +332,18 @@
 	e.mu.Lock()
 	e.core.Lister().Tick(e.clock.Now())
 	e.core.Sharer().Tick(e.clock.Now())
-	e.courier.Sweep()
 	changes := e.core.Lister().Changes()
 	for _, c := range changes {
 		if c.State() == lister.StateGone {
 			e.core.Balancer().Forget(c.Leaf().ID())
 		}
 	}
+	isolated := e.viewAge() > isolatedAfter && e.core.Sharer().Len() > 1 && len(e.core.Sharer().Sound()) == 0
 	e.mu.Unlock()
+	e.courier.Sweep()
+	if e.isolated.Swap(isolated) != isolated {
+		e.log.State("isolation", "isolated", isolated, "view-age-ms", int64(e.viewAge()))
+	}
 	for _, c := range changes {
 		if c.State() != lister.StateReady {
 			e.courier.Drop(c.Leaf().Address())
@@ -199,24 +353,24 @@
 	}
 }
 
-func (e *Entry) lost(v *view, err error) {
+// regained says that the store has answered.
+func (e *Entry) regained(v *view) {
 	if v.away {
-		return
+		v.away = false
+		e.log.State("store-regained", "view-age-ms", int64(e.viewAge()))
 	}
-	v.away = true
-	e.mu.Lock()
-	e.core.Lister().Lost()
-	e.mu.Unlock()
-	e.log.Fault("store-lost", "error", err, "view-age-ms", e.viewAge())
 }
 
-func (e *Entry) regained(v *view) {
-	if v.away {
-		v.away = false
-		e.log.State("store-regained", "away-ms", e.viewAge())
+// reached says that the view holds everything up to a revision, as of an age.
+func (e *Entry) reached(revision int64, age tier.Millis) {
+	e.mu.Lock()
+	e.relayer.Reached(revision)
+	e.mu.Unlock()
+	if at := int64(e.clock.Now() - age); at > e.seen.Load() {
+		e.seen.Store(at)
 	}
-	e.seen.Store(int64(e.clock.Now()))
 }
 
-// viewAge is the time since the store last answered.
+// viewAge is the time since the store last answered this VM, or the one that
+// it follows.
 func (e *Entry) viewAge() tier.Millis { return e.clock.Now() - tier.Millis(e.seen.Load()) }
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -25,6 +25,14 @@
 	failureHalfLife = 2000.0
 	// failureCost is what a leaf that always fails costs, in milliseconds.
 	failureCost = 400.0
+	// shedCost is what a leaf costs that has room for no call, in milliseconds;
+	// one that turns away every third call is worse than one in another region.
+	shedCost = 150.0
+	// shedHalfLife is how fast refusals are forgotten.
+	shedHalfLife = 2500.0
+	// wrongFor is how long a leaf is left out after another server answered at
+	// its address: by then the store has told what became of it.
+	wrongFor = 5 * tier.Second
 	// refusedCost is what a refusal for lack of room costs while it is fresh.
 	refusedCost = 60.0
 	// refusedFor is how long a refusal counts: the time to work off a queue.
@@ -103,7 +111,9 @@
 	refused  tier.Millis
 	crowded  tier.Millis // when it last reset a new connection or had no room
 	coldTill tier.Millis
-	wrong    bool // another server answers at its address
+	wrongTil tier.Millis // another server answers at its address
+	shed     float64     // part of the calls lately that it had no room for
+	shedAt   tier.Millis
 }
 
 // Balancer keeps what this VM has seen of leafs. It is not safe for
@@ -131,7 +141,7 @@
 // Heard takes a leaf's registration, for how long it is cold.
 func (b *Balancer) Heard(now tier.Millis, f lister.Leaf) {
 	s := b.state(f)
-	s.wrong = false
+	s.wrongTil = 0
 	if f.Cold() > 0 {
 		s.coldTill = now + f.Cold()
 	}
@@ -179,6 +189,7 @@
 	}
 	cost := usual + decayed(s.excess, now-s.excessAt, excessHalfLife)
 	cost += failureCost * decayed(s.failure, now-s.failedAt, failureHalfLife)
+	cost += shedCost * decayed(s.shed, now-s.shedAt, shedHalfLife)
 	if over := s.inflight + 1 - f.Slots(); over > 0 {
 		cost += usual * float64(over) / float64(f.Slots())
 	}
@@ -200,7 +211,7 @@
 func (b *Balancer) Pick(now tier.Millis, class string, list []lister.Leaf, usable func(lister.Leaf) bool) (lister.Leaf, float64, bool) {
 	best, least, found := lister.Leaf{}, 0.0, false
 	for _, f := range list {
-		if s, ok := b.leafs[f.ID()]; ok && s.life == f.Life() && s.wrong {
+		if s, ok := b.leafs[f.ID()]; ok && s.life == f.Life() && now < s.wrongTil {
 			continue
 		}
 		if usable != nil && !usable(f) {
@@ -234,6 +245,7 @@
 	excess := decayed(s.excess, now-s.excessAt, excessHalfLife)
 	s.excess, s.excessAt = excess+excessWeight*(max(0, float64(latency)-base)-excess), now
 	s.failure, s.failedAt = decayed(s.failure, now-s.failedAt, failureHalfLife)*(1-failureWeight), now
+	s.shed, s.shedAt = decayed(s.shed, now-s.shedAt, shedHalfLife)*(1-failureWeight), now
 }
 
 // Failed counts a call that got no usable reply.
@@ -257,13 +269,16 @@
 
 // Refused counts a call that the leaf had no room for.
 func (b *Balancer) Refused(now tier.Millis, f lister.Leaf) {
-	b.ended(now, f).refused = now
+	s := b.ended(now, f)
+	s.refused = now
+	rate := decayed(s.shed, now-s.shedAt, shedHalfLife)
+	s.shed, s.shedAt = rate+failureWeight*(1-rate), now
 }
 
 // Misdirected counts a call that another server answered at the leaf's
 // address: the leaf is gone until it registers anew.
 func (b *Balancer) Misdirected(now tier.Millis, f lister.Leaf) {
-	b.ended(now, f).wrong = true
+	b.ended(now, f).wrongTil = now + wrongFor
 }
 
 // Cancelled counts a call that was given up after waiting for some time.
--- a/tier/lister/leaf.go
+++ b/tier/lister/leaf.go
@@ -65,3 +65,10 @@
 
 // Life tells two lives under one id apart.
 func (l Leaf) Life() int64 { return l.born }
+
+// sameBut reports whether two registrations differ in nothing but how long the
+// leaf is still cold, which passes by itself.
+func (l Leaf) sameBut(o Leaf) bool {
+	o.cold = l.cold
+	return l == o
+}
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -103,12 +103,15 @@
 	l.rebuild()
 }
 
-// Put takes one entry that was written.
-func (l *Lister) Put(now tier.Millis, e Entry) {
+// Put takes one entry that was written, and reports whether it changes what may
+// be used: most writes only show that the leaf lives.
+func (l *Lister) Put(now tier.Millis, e Entry) bool {
 	l.regained(now)
-	if l.put(now, e) {
+	changed := l.put(now, e)
+	if changed {
 		l.rebuild()
 	}
+	return changed
 }
 
 // Remove takes the removal of a key.
@@ -158,7 +161,7 @@
 	}
 	departed := e.leaf.leaving || same && old.departed
 	e.leaf.leaving = departed
-	changed := old.lapsed || old.entry.leaf != e.leaf
+	changed := old.lapsed || !old.entry.leaf.sameBut(e.leaf)
 	report := old.lapsed || !same || old.departed != departed || old.entry.leaf.address != e.leaf.address
 	*old = held{entry: e, heard: now, departed: departed}
 	if report {
--- /dev/null
+++ b/tier/relayer/relayer_test.go
@@ -0,0 +1,74 @@
+package relayer
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cicadagrade.example/tier/storer"
+)
+
+// A follower that takes what Since returns, at any times and from either of two
+// relayers that read the store in batches of their own, knows every key as the
+// relayers do. Removals come without a revision of their own.
+func TestFollowerMissesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]int64{}
+		var log []storer.Value
+		revision := int64(10)
+		relayers := []*Relayer{New(), New()}
+		read := []int{0, 0}
+		for _, r := range relayers {
+			r.Replace(nil, revision)
+		}
+		follower := map[string]int64{}
+		after := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
+				revision++
+				if _, ok := store[key]; ok && rapid.Bool().Draw(t, "remove") {
+					delete(store, key)
+					log = append(log, storer.NewValue(key, nil, 0))
+					continue
+				}
+				store[key] = revision
+				log = append(log, storer.NewValue(key, []byte("v"), revision))
+			case 1:
+				i := rapid.IntRange(0, 1).Draw(t, "relayer")
+				for _, v := range log[read[i]:] {
+					relayers[i].Put(v, revision, true)
+				}
+				read[i] = len(log)
+				relayers[i].Reached(revision)
+			case 2:
+				r := relayers[rapid.IntRange(0, 1).Draw(t, "source")]
+				if r.Revision() < after {
+					continue
+				}
+				list, whole := r.Since(after)
+				if whole {
+					clear(follower)
+				}
+				for _, v := range list {
+					if v.Present() {
+						follower[v.Key()] = v.Revision()
+					} else {
+						delete(follower, v.Key())
+					}
+				}
+				after = r.Revision()
+				if len(follower) != len(r.items) {
+					t.Fatalf("the follower knows %v, the relayer %v", follower, r.items)
+				}
+				for key, v := range r.items {
+					if follower[key] != v.Revision() {
+						t.Fatalf("key %s: the follower has revision %d, the relayer %d", key, follower[key], v.Revision())
+					}
+				}
+			}
+		}
+	})
+}
--- a/tier/sharer/sharer.go
+++ b/tier/sharer/sharer.go
@@ -202,6 +202,47 @@
 	m.trip += roundTripWeight * (float64(trip) + 1 - m.trip)
 }
 
+// watchers is how many VMs of a fleet ask the store for changes. The others
+// follow them; one can be lost and one silent.
+const watchers = 3
+
+// Watchers lists the VMs that ask the store for changes, among the strong ones
+// that answer.
+func (s *Sharer) Watchers() []Member {
+	most := 0.0
+	for _, m := range s.members {
+		most = max(most, m.member.cores)
+	}
+	var list []Member
+	for _, m := range s.members {
+		if !m.suspect && m.member.cores >= strongShare*most {
+			list = append(list, m.member)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return picker.Score("watcher", "", list[i].vm.Name()) > picker.Score("watcher", "", list[j].vm.Name())
+	})
+	return list[:min(watchers, len(list))]
+}
+
+// Sound lists the other VMs that answer, those of the own region first.
+func (s *Sharer) Sound() []Member {
+	var list []Member
+	for name, m := range s.members {
+		if !m.suspect && name != s.self.vm.Name() {
+			list = append(list, m.member)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		near, other := list[i].region == s.self.region, list[j].region == s.self.region
+		if near != other {
+			return near
+		}
+		return list[i].vm.Name() < list[j].vm.Name()
+	})
+	return list
+}
+
 // RoundTrip is the time to expect to a VM and back, in milliseconds.
 func (s *Sharer) RoundTrip(m Member) float64 {
 	if k, ok := s.members[m.vm.Name()]; ok && k.trip > 0 {
