Send everything to followers that a full read has overtaken

A full read may hold keys newer than the revision it goes on from; their changes come again, count as no news, and are not relayed, so that a follower in between lacks those leafs for good.

Change: followers before the newest key of a full read get everything. TestFollowerMissesNothing, extended to full reads, failed before.

--- a/tier/relayer/relayer.go
+++ b/tier/relayer/relayer.go
@@ -38,8 +38,12 @@
 	for _, v := range list {
 		r.items[v.Key()] = v
 	}
-	// What changed in between is not known.
+	// What changed in between is not known. Pages may hold later changes, which
+	// come again but are no news then: who has not reached them gets everything.
 	r.history, r.floor, r.revision = nil, revision, revision
+	for _, v := range list {
+		r.floor = max(r.floor, v.Revision())
+	}
 }
 
 // Put takes a change that came with a read up to a revision of the store, which
--- a/tier/relayer/relayer_test.go
+++ b/tier/relayer/relayer_test.go
@@ -11,7 +11,9 @@
 
 // A follower that takes what Since returns, at any times and from either of two
 // relayers that read the store in batches of their own, knows every key as the
-// relayers do. Removals come without a revision of their own.
+// relayers do. Removals come without a revision of their own; a relayer that reads
+// everything may find keys newer than the revision that it goes on from, and takes
+// their changes for old news later.
 func TestFollowerMissesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := map[string]int64{}
@@ -25,7 +27,16 @@
 		follower := map[string]int64{}
 		after := int64(0)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 3:
+				i := rapid.IntRange(0, 1).Draw(t, "relayer")
+				var all []storer.Value
+				for key, v := range store {
+					all = append(all, storer.NewValue(key, []byte("v"), v))
+				}
+				back := rapid.IntRange(0, len(log)).Draw(t, "back")
+				relayers[i].Replace(all, max(relayers[i].Revision(), revision-int64(back)))
+				read[i] = min(read[i], len(log)-back)
 			case 0:
 				key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
 				revision++
@@ -39,7 +50,8 @@
 			case 1:
 				i := rapid.IntRange(0, 1).Draw(t, "relayer")
 				for _, v := range log[read[i]:] {
-					relayers[i].Put(v, revision, true)
+					old, known := relayers[i].items[v.Key()]
+					relayers[i].Put(v, revision, !v.Present() || !known || old.Revision() < v.Revision())
 				}
 				read[i] = len(log)
 				relayers[i].Reached(revision)
