Refuse requests that can't get their shards, one order at every queue

Change: such requests are refused at once, but for a quarter, and those that come back; where parts wait, a priority drawn for each request orders them, the same at every VM, and those that can't make their aim with the leaf's present latency let others pass.

Tried and dropped: leaving overloaded shards out in turn, so that each serves those that ask it.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -44,11 +44,13 @@
 	core *searcher.Core
 	// relayer holds what has been read of the store, for other VMs.
 	relayer *relayer.Relayer
+	// patience is the most time that callers of a route have begun with.
+	patience map[string]tier.Millis
 }
 
 // New returns a VM that is not yet serving.
 func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
-	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New()}
+	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), patience: map[string]tier.Millis{}}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
 		Transport: &http.Transport{
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -28,8 +28,19 @@
 	// comeBack is when a caller is to try again after a refusal that a look
 	// at the store or a leaf's restart will end.
 	comeBack = 250 * tier.Millisecond
-	// mergeReserve is the time of the last milliseconds to the caller's own
-	// deadline in which an answer would not reach it any more.
+	// troubleLasts is when a caller is to try again whose shards can't serve all:
+	// the trials that find them back take about as long.
+	troubleLasts = 600 * tier.Millisecond
+	// cameBackShare is the part of a first request's time that one has left at
+	// most that comes back.
+	cameBackShare = 0.95
+	// cameBackFirst is the bit of a priority by which requests that come back
+	// go before others.
+	cameBackFirst = 1 << 63
+	// maxPatience bounds the routes whose callers' time is remembered.
+	maxPatience = 4096
+	// endMargin is the time before the caller's own deadline in which an answer
+	// would not reach it any more.
 	endMargin = 8 * tier.Millisecond
 )
 
@@ -40,6 +51,8 @@
 	sender platform.Sender
 	start  tier.Millis
 	body   []byte
+	// priority orders requests of one rank where parts wait.
+	priority uint64
 }
 
 // ServeHTTP takes a caller's request.
@@ -127,7 +140,8 @@
 	if a := q.route.Aim(); a > 0 {
 		aim = q.start + a - answerMargin
 	}
-	options := []searcher.TermsOption{searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank())}
+	options := []searcher.TermsOption{searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank()),
+		searcher.WithPriority(q.priority)}
 	if q.route.Repeatable() {
 		options = append(options, searcher.Repeatable())
 	}
@@ -139,12 +153,29 @@
 	return searcher.NewTerms(q.route.Name(), aim, end, options...)
 }
 
-// scatter answers from all shards.
+// scatter answers from the shards.
 func (e *Entry) scatter(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
-	run := e.newRun(q.sender.Attempt(), true, m, q.terms(), q.route.Shards(), e.divide(q.route.Name(), q.route.Shards()))
+	shards := q.route.Shards()
+	e.mu.Lock()
+	back := e.cameBack(q)
+	hopeless := e.core.Forecaster().Hopeless(q.start, shards, q.route.MinimumParts(), back, rand.Float64())
+	e.mu.Unlock()
+	if hopeless {
+		platform.WriteRetryAfter(w.Header(), troubleLasts+tier.Millis(rand.Int64N(int64(troubleLasts))))
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		e.log.Request("refused", "request", q.sender.Attempt(), "status", http.StatusServiceUnavailable,
+			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
+		return
+	}
+	q.priority = rand.Uint64() >> 1
+	if back {
+		q.priority |= cameBackFirst
+	}
+	run := e.newRun(q.sender.Attempt(), true, m, q.terms(), shards, e.divide(q.route.Name(), shards))
 	run.shared = sharedTerms{
-		route: q.route.Name(), top: q.route.Top(), attempts: q.route.Attempts(), rank: q.route.Rank(),
-		minimum: q.route.MinimumPartsOf, shards: q.route.Shards(),
+		route: q.route.Name(), top: q.route.Top(), attempts: q.route.Attempts(), rank: q.route.Rank(), priority: q.priority,
+		minimum: q.route.MinimumPartsOf, shards: shards,
 	}
 	o, left := run.drive(r.Context())
 	if left {
@@ -163,6 +194,21 @@
 	e.report(q, o, http.StatusOK, string(o.Cause()))
 }
 
+// cameBack reports whether a caller has waited before: it has less time left
+// than callers of the route begin with.
+func (e *Entry) cameBack(q *request) bool {
+	left, limited := q.sender.TimeLeft()
+	if !limited {
+		return false
+	}
+	most := max(e.patience[q.route.Name()], left)
+	if len(e.patience) > maxPatience {
+		clear(e.patience)
+	}
+	e.patience[q.route.Name()] = most
+	return float64(left) < cameBackShare*float64(most)
+}
+
 // mergeAll merges the replies of leafs and of other VMs into top, and appends
 // their proofs.
 func mergeAll(top *ranker.Ranker, parts []searcher.Part, shares []any, proofs []string) []string {
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -156,18 +156,6 @@
 // Usual is the latency of a sound leaf where f lies, in milliseconds.
 func (b *Balancer) Usual(class string, f lister.Leaf) float64 { return b.usual(class, f) }
 
-// UsualNear is the least usual latency of a class over data centres.
-func (b *Balancer) UsualNear(class string) float64 {
-	least := priorNear
-	found := false
-	for k, v := range b.base {
-		if k.class == class && (!found || v < least) {
-			least, found = v, true
-		}
-	}
-	return least
-}
-
 // usual is the latency to expect of a sound leaf for a class of requests.
 func (b *Balancer) usual(class string, f lister.Leaf) float64 {
 	if v, ok := b.base[baseKey{class, f.DataCentre()}]; ok {
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -7,6 +7,7 @@
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
+	"cicadagrade.example/tier/forecaster"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/sharer"
 )
@@ -48,17 +49,18 @@
 // Core is what the searches of one VM share. It is not safe for concurrent
 // use: one search steps at a time.
 type Core struct {
-	lister   *lister.Lister
-	balancer *balancer.Balancer
-	budgeter *budgeter.Budgeter
-	sharer   *sharer.Sharer
-	queue    queue
-	woken    []*Search
+	lister     *lister.Lister
+	balancer   *balancer.Balancer
+	budgeter   *budgeter.Budgeter
+	sharer     *sharer.Sharer
+	forecaster *forecaster.Forecaster
+	queue      queue
+	woken      []*Search
 }
 
 // NewCore returns a core.
 func NewCore(l *lister.Lister, b *balancer.Balancer, u *budgeter.Budgeter, s *sharer.Sharer) *Core {
-	return &Core{lister: l, balancer: b, budgeter: u, sharer: s, queue: queue{}}
+	return &Core{lister: l, balancer: b, budgeter: u, sharer: s, forecaster: forecaster.New(), queue: queue{}}
 }
 
 // owners is the number of VMs that usually ask a service, one in each region
@@ -87,6 +89,9 @@
 // Sharer divides searches among VMs.
 func (c *Core) Sharer() *sharer.Sharer { return c.sharer }
 
+// Forecaster tells hopeless requests.
+func (c *Core) Forecaster() *forecaster.Forecaster { return c.forecaster }
+
 // Terms are what a request is owed.
 type Terms struct {
 	class      string
@@ -96,6 +101,7 @@
 	whole      bool
 	flushes    bool
 	rank       int
+	priority   uint64
 	aim        tier.Millis
 	end        tier.Millis
 }
@@ -122,6 +128,10 @@
 // WithRank sets the rank; a lower one goes first where parts wait.
 func WithRank(rank int) TermsOption { return func(t *Terms) { t.rank = rank } }
 
+// WithPriority orders requests of one rank where parts wait; a greater one goes
+// first.
+func WithPriority(p uint64) TermsOption { return func(t *Terms) { t.priority = p } }
+
 // WithMinimum sets the least number of parts of an answer.
 func WithMinimum(n int) TermsOption { return func(t *Terms) { t.minimum = n } }
 
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -15,21 +15,27 @@
 type queue map[string][]waiter
 
 // before orders waiters: those that can still make their aim first, then by
-// rank, then by aim. Searches that came first stay together over all services,
-// so that under overload whole answers come out, not parts of each.
-func (w waiter) before(o waiter, now tier.Millis, usual float64) bool {
-	late, otherLate := w.late(now, usual), o.late(now, usual)
+// rank, then by priority, which is the same at every VM and service. So under
+// overload some requests get all their parts, instead of all some: in order of
+// their aims, each would be served just too late.
+func (w waiter) before(o waiter, now tier.Millis) bool {
+	late, otherLate := w.late(now), o.late(now)
 	if late != otherLate {
 		return otherLate
 	}
 	if w.search.terms.rank != o.search.terms.rank {
 		return w.search.terms.rank < o.search.terms.rank
 	}
-	return w.search.terms.aim < o.search.terms.aim
+	return w.search.terms.priority > o.search.terms.priority
 }
 
-func (w waiter) late(now tier.Millis, usual float64) bool {
-	return now+tier.Millis(usual) > w.search.terms.aim
+// late reports whether the part would come after the aim even if it were sent
+// now: to the leaf that is expected to answer first.
+func (w waiter) late(now tier.Millis) bool {
+	c := w.search.core
+	p := &w.search.parts[w.part]
+	_, cost, found := c.balancer.Pick(now, w.search.terms.class, c.lister.Leafs(p.service), nil)
+	return !found || now+tier.Millis(cost) > w.search.terms.aim
 }
 
 // enqueue has a part wait for room.
@@ -70,8 +76,7 @@
 		list := c.queue[service]
 		best := 0
 		for k := 1; k < len(list); k++ {
-			usual := c.balancer.UsualNear(list[k].search.terms.class)
-			if list[k].before(list[best], now, usual) {
+			if list[k].before(list[best], now) {
 				best = k
 			}
 		}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -29,6 +29,7 @@
 	share   int // number of the share that has it, or none
 	flushed bool
 	waiting bool // for room at a leaf
+	late    bool // it came after the aim
 }
 
 // none is the number of no share.
@@ -120,7 +121,7 @@
 	case Answered:
 		s.maybe = true
 		if !p.in && !p.lost {
-			p.in, p.reply = true, r.Reply
+			p.in, p.reply, p.late = true, r.Reply, now > s.terms.aim
 			s.in++
 		}
 		actions = s.cancelPart(now, c.part, actions)
@@ -485,6 +486,9 @@
 			s.maybe = true
 		}
 	}
+	if !s.terms.flushes && len(s.parts) > 1 {
+		s.judge(now)
+	}
 	actions = s.cancelAll(now, actions)
 	s.pending = nil
 	o := Outcome{
@@ -506,6 +510,19 @@
 	return append(actions, Finish{Outcome: o})
 }
 
+// judge tells which parts made the aim.
+func (s *Search) judge(now tier.Millis) {
+	for i := range s.parts {
+		p := &s.parts[i]
+		switch {
+		case p.in && !p.late:
+			s.core.forecaster.Came(now, p.service)
+		case p.in || p.lost || now >= s.terms.aim:
+			s.core.forecaster.Missed(now, p.service)
+		}
+	}
+}
+
 func (s *Search) cancelPart(now tier.Millis, i int, actions []Action) []Action {
 	for k := range s.calls {
 		c := &s.calls[k]
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -36,7 +36,7 @@
 	s.maybe = s.maybe || b.MayHaveRun
 	for _, i := range b.Parts {
 		if p := &s.parts[i]; p.share == k && !p.in && !p.lost {
-			p.in = true
+			p.in, p.late = true, now > s.terms.aim
 			s.in++
 		}
 	}
