--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -11,8 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cicadagrade.example/cicadagraded/courier"
 	"cicadagrade.example/cicadagraded/eventlog"
+	"cicadagrade.example/cicadagraded/meter"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
@@ -38,6 +41,10 @@
 	stopping atomic.Bool
 	stopped  chan struct{}
 	peers    *peers
+	meter    *meter.Meter
+	sent     atomic.Int64
+	extra    atomic.Int64
+	missing  atomic.Int64
 	calls    sync.WaitGroup
 
 	mu   sync.Mutex
@@ -49,8 +56,12 @@
 }
 
 // New returns a VM that is not yet serving.
-func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) *Entry {
-	e := &Entry{clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), patience: map[string]tier.Millis{}}
+func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) (*Entry, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, errors.Wrap(err, "New")
+	}
+	e := &Entry{meter: m, clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), patience: map[string]tier.Millis{}}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
 		Transport: &http.Transport{
@@ -67,7 +78,7 @@
 	self := sharer.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
 	e.core = searcher.NewCore(lister.New(), balancer.New(e.place),
 		budgeter.New(s.RetryRatio(), s.RetrySlack(), assumedMembers), sharer.New(self))
-	return e
+	return e, errors.Wrap(e.observe(), "New")
 }
 
 // assumedMembers is how many VMs divide the slack of extra calls until the
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -122,8 +123,9 @@
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
+	e.meter.Ended("", "", cause, 0)
 	e.log.Request("refused", "request", s.Attempt(), "status", status, "cause", cause, "version", version,
-		"view-age-ms", e.viewAge())
+		"view-age-ms", int64(e.viewAge()))
 }
 
 // terms are what the route and the caller grant.
@@ -161,6 +163,7 @@
 	hopeless := e.core.Forecaster().Hopeless(q.start, shards, q.route.MinimumParts(), back, rand.Float64())
 	e.mu.Unlock()
 	if hopeless {
+		e.meter.Ended(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
 		platform.WriteRetryAfter(w.Header(), troubleLasts+tier.Millis(rand.Int64N(int64(troubleLasts))))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -273,14 +276,26 @@
 	e.report(q, o, status, string(o.Cause()))
 }
 
-// report logs how a request ended, unless it was plainly served.
+// report counts how a request ended, and logs it unless it was plainly served.
 func (e *Entry) report(q *request, o searcher.Outcome, status int, cause string) {
 	took := e.clock.Now() - q.start
+	e.meter.Ended(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
+	e.count(o)
 	if o.Cause() == searcher.Complete && o.Extra() == 0 && status < 300 && took <= q.route.Aim() {
 		return
 	}
 	e.log.Request("request-ended", "request", q.sender.Attempt(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
-		"missing", o.Missing(), "of", max(1, len(q.route.Shards())), "shares", len(o.Shares()), "calls", o.Sent(), "extra", o.Extra(),
-		"may-have-run", o.MayHaveRun(), "view-age-ms", int64(e.viewAge()))
+		"aim-ms", int64(q.route.Aim()), "missing", o.Missing(), "of", max(1, len(q.route.Shards())),
+		"shares", len(o.Shares()), "calls", o.Sent(), "extra", o.Extra(),
+		"may-have-run", o.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", missText(o))
+}
+
+// missText names the parts that are not in, for one log line.
+func missText(o searcher.Outcome) string {
+	words := make([]string, len(o.Misses()))
+	for i, m := range o.Misses() {
+		words[i] = m.String()
+	}
+	return strings.Join(words, " ")
 }
--- /dev/null
+++ b/cicadagraded/entry/metrics.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"net/http"
+	"runtime/metrics"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/meter"
+	"cicadagrade.example/tier/searcher"
+)
+
+// gauge is one row of the table of gauges. docs/OPERATIONS.md is checked
+// against it by a test.
+type gauge struct {
+	name        string
+	description string
+	read        func(*Entry) int64
+}
+
+// gauges lists every gauge. Those that only grow count since the start of the
+// process.
+func gauges() []gauge {
+	return []gauge{
+		{"cicadagrade.entry.ready", "1 if the VM asks to be sent callers", func(e *Entry) int64 { return flag(e.Ready()) }},
+		{"cicadagrade.entry.isolated", "1 if neither the store nor any VM answers", func(e *Entry) int64 { return flag(e.isolated.Load()) }},
+		{"cicadagrade.entry.configuration.version", "version of the configuration in force, 0 without any", (*Entry).version},
+		{"cicadagrade.entry.view.age", "time since the store answered this VM or the one it follows, in milliseconds", func(e *Entry) int64 { return int64(e.viewAge()) }},
+		{"cicadagrade.entry.view.revision", "revision of the store up to which the VM has read", locked(func(e *Entry) int64 { return e.relayer.Revision() })},
+		{"cicadagrade.entry.leafs", "registrations of leafs, usable or not", locked(func(e *Entry) int64 { return int64(e.core.Lister().Len()) })},
+		{"cicadagrade.entry.vms", "VMs known, with this one", locked(func(e *Entry) int64 { return int64(e.core.Sharer().Len()) })},
+		{"cicadagrade.entry.vms.sound", "other VMs that answer", locked(func(e *Entry) int64 { return int64(len(e.core.Sharer().Sound())) })},
+		{"cicadagrade.entry.parts.waiting", "parts that wait for room at a leaf", locked(func(e *Entry) int64 { return int64(e.core.Waiting()) })},
+		{"cicadagrade.entry.calls", "calls to leafs, also those that other VMs made for this one", func(e *Entry) int64 { return e.sent.Load() }},
+		{"cicadagrade.entry.calls.extra", "hedges and retries among them", func(e *Entry) int64 { return e.extra.Load() }},
+		{"cicadagrade.entry.parts.missing", "parts that were not in when their request ended", func(e *Entry) int64 { return e.missing.Load() }},
+		{"cicadagrade.entry.connections.opened", "connections opened to leafs", func(e *Entry) int64 { return e.courier.Counts().Dials }},
+		{"cicadagrade.entry.connections.spoiled", "connections dropped for bytes that belong to no request", func(e *Entry) int64 { return e.courier.Counts().Spoiled }},
+		{"cicadagrade.entry.replies.stray", "replies to earlier requests that were skipped", func(e *Entry) int64 { return e.courier.Counts().Strays }},
+		{"cicadagrade.entry.memory", "memory of the process, in bytes", func(*Entry) int64 { return sample("/memory/classes/total:bytes") }},
+		{"cicadagrade.entry.goroutines", "goroutines", func(*Entry) int64 { return sample("/sched/goroutines:goroutines") }},
+	}
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func locked(read func(*Entry) int64) func(*Entry) int64 {
+	return func(e *Entry) int64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return read(e)
+	}
+}
+
+func (e *Entry) version() int64 {
+	if t := e.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+func sample(name string) int64 {
+	s := []metrics.Sample{{Name: name}}
+	metrics.Read(s)
+	if s[0].Value.Kind() != metrics.KindUint64 {
+		return 0 // not known to this runtime
+	}
+	return int64(s[0].Value.Uint64())
+}
+
+// observe registers the gauges.
+func (e *Entry) observe() error {
+	for _, g := range gauges() {
+		read := g.read
+		if err := e.meter.Observe(g.name, g.description, func() []meter.Point {
+			return []meter.Point{meter.NewPoint(read(e))}
+		}); err != nil {
+			return errors.Wrap(err, "Entry.observe")
+		}
+	}
+	return nil
+}
+
+// count adds up what the ends of searches tell.
+func (e *Entry) count(o searcher.Outcome) {
+	e.sent.Add(int64(o.Sent()))
+	e.extra.Add(int64(o.Extra()))
+	e.missing.Add(int64(o.Missing()))
+}
+
+// MetricsPath is where the metrics are served.
+const MetricsPath = "/metrics"
+
+// Metrics serves the metrics in the Prometheus format.
+func (e *Entry) Metrics() http.Handler {
+	m := http.NewServeMux()
+	m.Handle(MetricsPath, e.meter.Handler())
+	return m
+}
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -51,8 +52,12 @@
 	memoryShare = 0.6
 )
 
+// defaultMetricsPort is the port that the deploy file names.
+const defaultMetricsPort = 9464
+
 func frontCommand() *cobra.Command {
-	return &cobra.Command{
+	var metricsPort int
+	c := &cobra.Command{
 		Use:   "front",
 		Short: "Run an entry VM on the users' platform",
 		Long:  frontHelp,
@@ -62,13 +67,19 @@
 			if err != nil {
 				return errors.Wrap(err, "front")
 			}
-			return errors.Wrap(front(c.Context(), s), "front")
+			if metricsPort < 1 || metricsPort >= 1<<16 {
+				return errors.Wrap(tier.NewInvalidError("command line", []tier.FieldProblem{
+					tier.NewFieldProblem("--metrics-port", metricsPort, "1 to 65535")}), "front")
+			}
+			return errors.Wrap(front(c.Context(), s, metricsPort), "front")
 		},
 	}
+	c.Flags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics, on the VM's address")
+	return c
 }
 
 // front serves until a planned stop.
-func front(ctx context.Context, s *platform.Settings) error {
+func front(ctx context.Context, s *platform.Settings, metricsPort int) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -77,7 +88,10 @@
 	log := eventlog.New(os.Stdout, clock, "vm", s.Name())
 	log.State("starting", "callers", s.CallersAddress(), "readiness", s.ReadinessAddress(),
 		"data-centre", s.DataCentre(), "store", s.StoreAddress())
-	e := entry.New(s, clock, log)
+	e, err := entry.New(s, clock, log)
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
 
 	callers, err := net.Listen("tcp", s.CallersAddress())
 	if err != nil {
@@ -91,9 +105,15 @@
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
+	meters, err := net.Listen("tcp", net.JoinHostPort(s.IP(), strconv.Itoa(metricsPort)))
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
+	metrics := &http.Server{Handler: e.Metrics(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	addServer(&g, metrics, meters)
 	g.Add(func() error { return log.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunView(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunMembership(ctx) }, func(error) { cancel() })
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -1,6 +1,8 @@
 package searcher
 
 import (
+	"strconv"
+
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/sharer"
@@ -135,12 +137,32 @@
 	OutcomeUnsure Cause = "outcome-unsure" // sent once, and no reply came
 )
 
+// Miss is a service whose part is not in, with what was seen last of it.
+type Miss struct {
+	service string
+	leaf    string
+	why     string
+	waited  tier.Millis
+}
+
+// Service names the service.
+func (m Miss) Service() string { return m.service }
+
+// String tells service, leaf, reason and how long its last call has been out.
+func (m Miss) String() string {
+	if m.leaf == "" {
+		return m.service + ":" + m.why
+	}
+	return m.service + ":" + m.why + "@" + m.leaf + "/" + strconv.FormatInt(int64(m.waited), 10) + "ms"
+}
+
 // Outcome is the end of a search.
 type Outcome struct {
 	cause   Cause
 	parts   []Part
 	shares  []any
 	missing int
+	misses  []Miss
 	failure any
 	maybe   bool
 	sent    int
@@ -164,6 +186,9 @@
 	return o.cause == Complete || o.cause == AtAim || o.cause == PastAim
 }
 
+// Misses say why parts are not in, of at most a few services.
+func (o Outcome) Misses() []Miss { return o.misses }
+
 // Failure is a leaf's own failing reply to pass on, or nil.
 func (o Outcome) Failure() any { return o.failure }
 
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -12,6 +12,7 @@
 	leaf  lister.Leaf
 	sent  tier.Millis
 	ended bool
+	why   string // how it ended, if it brought nothing
 }
 
 // part is the state of one service.
@@ -108,7 +109,7 @@
 	if c.ended {
 		return nil
 	}
-	c.ended = true
+	c.ended, c.why = true, whyOf(r)
 	s.observe(now, c, r)
 	p := &s.parts[c.part]
 	p.open--
@@ -486,13 +487,14 @@
 			s.maybe = true
 		}
 	}
+	misses := s.misses(now)
 	if !s.terms.flushes && len(s.parts) > 1 {
 		s.judge(now)
 	}
 	actions = s.cancelAll(now, actions)
 	s.pending = nil
 	o := Outcome{
-		cause: cause, maybe: s.maybe, missing: len(s.parts) - s.in,
+		cause: cause, maybe: s.maybe, missing: len(s.parts) - s.in, misses: misses,
 		sent: len(s.calls) + s.extern, extra: s.extra + s.extExt,
 	}
 	for k := range s.shares {
@@ -510,6 +512,60 @@
 	return append(actions, Finish{Outcome: o})
 }
 
+// maxMisses bounds the services that an outcome explains: they go into one log
+// line.
+const maxMisses = 6
+
+// misses says why parts are not in.
+func (s *Search) misses(now tier.Millis) []Miss {
+	var list []Miss
+	for i := range s.parts {
+		p := &s.parts[i]
+		if p.in {
+			continue
+		}
+		if len(list) == maxMisses {
+			break
+		}
+		m := Miss{service: p.service, why: "no-leaf"}
+		switch {
+		case p.share != none:
+			m.why = "asked-by-" + s.shares[p.share].member.VM().Name()
+		case p.waiting:
+			m.why = "waits-for-room"
+		case p.asked && !p.lost:
+			m.why = "no-budget"
+		}
+		for k := range s.calls {
+			if c := &s.calls[k]; c.part == i {
+				m.leaf, m.waited = c.leaf.ID(), now-c.sent
+				m.why = c.why
+				if !c.ended {
+					m.why = "slow"
+				}
+			}
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// whyOf names how a call ended that brought nothing.
+func whyOf(r Result) string {
+	switch r := r.(type) {
+	case FailedReply:
+		return "failed"
+	case Lost:
+		if r.Fresh {
+			return "connection-reset"
+		}
+		return "lost"
+	case NotRun:
+		return r.Reason.String()
+	}
+	return ""
+}
+
 // judge tells which parts made the aim.
 func (s *Search) judge(now tier.Millis) {
 	for i := range s.parts {
