--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -10,10 +10,10 @@
 	ratioShare = 0.9
 	// ownerShare is the part of the slack that the VMs share that usually ask
 	// a service, one in each of its regions.
-	ownerShare = 0.6
+	ownerShare = 0.5
 	// othersShare is the part for all VMs, which ask a service when its usual
 	// VMs are gone.
-	othersShare = 0.3
+	othersShare = 0.25
 )
 
 // Budgeter holds a bucket for each service.
@@ -44,6 +44,9 @@
 // most is the most that a bucket saves up: a window sees at most this and the
 // ratio of its requests.
 func (b *Budgeter) most(u *bucket) float64 {
+	if b.ratio == 0 && b.slack == 0 {
+		return 0
+	}
 	most := b.slack * othersShare / float64(b.members)
 	if u.owners > 0 {
 		most += b.slack * ownerShare / float64(u.owners)
@@ -56,8 +59,7 @@
 func (b *Budgeter) bucket(service string) *bucket {
 	u, ok := b.buckets[service]
 	if !ok {
-		u = &bucket{}
-		u.tokens = b.most(u)
+		u = &bucket{tokens: b.slack * othersShare / float64(b.members)}
 		b.buckets[service] = u
 	}
 	return u
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -29,6 +29,9 @@
 	hedgeSlack = 4.0
 	// retryPause is the wait before a leaf is asked again that had no room.
 	retryPause = 25 * tier.Millisecond
+	// maxRefusals is how many calls of a part beyond its attempts may be turned
+	// away until it is given up.
+	maxRefusals = 2
 	// hedgeRetry is the wait for room at a leaf for a hedge.
 	hedgeRetry = 10 * tier.Millisecond
 	// lookAgain is how often a part that waits for room looks for it.
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -100,11 +100,13 @@
 	}
 }
 
-// roomFor picks a leaf with room for a part that has not been sent to it.
+// roomFor picks a leaf with room for a part: one that it has not been sent to,
+// or any if there is no such leaf and no call is out.
 func (c *Core) roomFor(now tier.Millis, s *Search, p *part) (lister.Leaf, float64, bool) {
 	owner := c.owners(now, p.service) > 0
+	again := p.open == 0 && !s.hasFresh(now, p)
 	return c.balancer.Pick(now, s.terms.class, c.lister.Leafs(p.service), func(f lister.Leaf) bool {
-		return c.balancer.Room(now, f, owner) && !contains(p.tried, f.ID())
+		return c.balancer.Room(now, f, owner) && (again || !contains(p.tried, f.ID()))
 	})
 }
 
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -23,6 +23,8 @@
 	lost    bool // can't come any more
 	tried   []string
 	open    int
+	ran     int // calls that ended and may have run
+	notRun  int // calls that ended and did not run
 	hedgeAt tier.Millis // when to send a second call, or never
 	retryAt tier.Millis // when to send again after a refusal, or never
 	failure any
@@ -128,12 +130,15 @@
 		actions = s.cancelPart(now, c.part, actions)
 	case FailedReply:
 		s.maybe = true
+		p.ran++
 		p.failure = r.Reply
 		actions = s.again(now, c.part, s.terms.repeatable, 0, actions)
 	case Lost:
 		s.maybe = true
+		p.ran++
 		actions = s.again(now, c.part, s.terms.repeatable, 0, actions)
 	case NotRun:
+		p.notRun++
 		pause := tier.Millis(0)
 		if r.Reason == Shed {
 			pause = retryPause
@@ -283,7 +288,7 @@
 // hedge makes a second call beside one that is out.
 func (s *Search) hedge(now tier.Millis, i int, actions []Action) []Action {
 	p := &s.parts[i]
-	if len(p.tried) >= s.terms.attempts {
+	if p.ran+p.open >= s.terms.attempts {
 		return actions
 	}
 	f, cost, found := s.core.roomFor(now, s, p)
@@ -325,7 +330,7 @@
 	s.core.balancer.Sent(now, f)
 	s.calls = append(s.calls, call{part: i, leaf: f, sent: now})
 	p.hedgeAt = never
-	if s.terms.repeatable && len(p.tried) < s.terms.attempts {
+	if s.terms.repeatable && p.ran+p.open < s.terms.attempts {
 		p.hedgeAt = now + s.patience(now, p, f)
 	}
 	return append(actions, Send{
@@ -345,30 +350,21 @@
 	return max(leastPatience, tier.Millis(wait))
 }
 
-// again retries a part after a call that brought nothing.
+// again retries a part after a call that brought nothing. Calls that a leaf did
+// not run do not count as attempts, but they are bounded too.
 func (s *Search) again(now tier.Millis, i int, allowed bool, pause tier.Millis, actions []Action) []Action {
 	p := &s.parts[i]
 	if p.in || p.lost {
 		return actions
 	}
-	if !allowed {
-		if p.open == 0 {
-			s.giveUp(p)
-		}
-		return actions
-	}
 	if p.open > 0 {
 		return actions // another call is out
 	}
-	if len(p.tried) >= s.terms.attempts && s.terms.attempts > 1 && s.sendsOf(i) >= s.terms.attempts {
+	if !allowed || p.ran >= s.terms.attempts || p.notRun >= s.terms.attempts+maxRefusals {
 		s.giveUp(p)
 		return actions
 	}
 	if pause > 0 && !s.hasFresh(now, p) {
-		if s.sendsOf(i) >= s.terms.attempts {
-			s.giveUp(p)
-			return actions
-		}
 		p.retryAt = now + pause
 		return actions
 	}
@@ -380,16 +376,6 @@
 	return found
 }
 
-func (s *Search) sendsOf(i int) int {
-	n := 0
-	for k := range s.calls {
-		if s.calls[k].part == i {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *Search) giveUp(p *part) {
 	if !p.lost && !p.in {
 		p.lost = true
--- a/tier/sharer/sharer.go
+++ b/tier/sharer/sharer.go
@@ -271,6 +271,9 @@
 	parts  []int
 }
 
+// NewShare returns parts of a request that another VM is to ask.
+func NewShare(m Member, parts []int) Share { return Share{member: m, parts: parts} }
+
 // Member is the VM to ask the shards.
 func (s Share) Member() Member { return s.member }
 
