--- a/cicadagrade/configuration.go
+++ b/cicadagrade/configuration.go
@@ -12,8 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
-	"cicadagrade.example/tier/etcdgateway"
 	"cicadagrade.example/tier/keeper"
 	"cicadagrade.example/tier/parser"
 	"cicadagrade.example/tier/storer"
@@ -118,7 +118,7 @@
 	return nil
 }
 
-func (o *configurer) open() *etcdgateway.Gateway { return etcdgateway.New(o.store) }
+func (o *configurer) open() *platform.Store { return platform.NewStore(o.store) }
 
 // key is the store's key of the document that a command names.
 func (o *configurer) key(args []string) (string, error) {
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -18,8 +18,8 @@
 	"cicadagrade.example/cicadagraded/meter"
 	"cicadagrade.example/cicadagraded/owner"
 	"cicadagrade.example/cicadagraded/watcher"
+	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
-	"cicadagrade.example/tier/etcdgateway"
 	"cicadagrade.example/tier/gossiper"
 	"cicadagrade.example/tier/keeper"
 	"cicadagrade.example/tier/ring"
@@ -102,7 +102,7 @@
 	gossip.SetSeeds(d.settings.seeds)
 	d.gossip = gossip
 	d.store = &storeHealth{clock: d.clock, logger: d.logger}
-	store := etcdgateway.New(d.settings.dialled(d.settings.storeAddress), etcdgateway.WithObserver(d.store.observe))
+	store := platform.NewStore(d.settings.dialled(d.settings.storeAddress), platform.WithObserver(d.store.observe))
 	d.seeder = &seeder{
 		store: store, key: d.settings.vmListPrefix + d.self.DataCentre(),
 		seeds: d.settings.seeds, gossip: gossip, logger: d.logger,
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -5,11 +5,8 @@
 
 import (
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -63,16 +60,7 @@
 	}
 	e := &Entry{meter: m, clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), patience: map[string]tier.Millis{}}
 	e.settings.Store(s)
-	e.store = platform.NewStore(s.StoreAddress(), &http.Client{
-		Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: storeDialTimeout.Duration(), KeepAlive: -1}).DialContext,
-			// A connection that went silent is dropped with the call that
-			// timed out on it.
-			MaxIdleConnsPerHost: 2,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-		},
-	})
+	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(callTimeout))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
 	self := sharer.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -142,8 +142,10 @@
 	if a := q.route.Aim(); a > 0 {
 		aim = q.start + a - answerMargin
 	}
-	options := []searcher.TermsOption{searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank()),
-		searcher.WithPriority(q.priority)}
+	options := []searcher.TermsOption{
+		searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank()),
+		searcher.WithPriority(q.priority),
+	}
 	if q.route.Repeatable() {
 		options = append(options, searcher.Repeatable())
 	}
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -34,8 +34,6 @@
 	fetchTimeout = 300 * tier.Millisecond
 	// fetchTries is how many VMs are asked if the store does not answer.
 	fetchTries = 3
-	// storeDialTimeout is the longest wait for a connection to the store.
-	storeDialTimeout = 700 * tier.Millisecond
 	// staleAfter is the age of the view from which on an unknown route is no
 	// proof that there is none.
 	staleAfter = 2 * tier.Second
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -69,7 +69,8 @@
 			}
 			if metricsPort < 1 || metricsPort >= 1<<16 {
 				return errors.Wrap(tier.NewInvalidError("command line", []tier.FieldProblem{
-					tier.NewFieldProblem("--metrics-port", metricsPort, "1 to 65535")}), "front")
+					tier.NewFieldProblem("--metrics-port", metricsPort, "1 to 65535"),
+				}), "front")
 			}
 			return errors.Wrap(front(c.Context(), s, metricsPort), "front")
 		},
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -23,8 +23,8 @@
 	lost    bool // can't come any more
 	tried   []string
 	open    int
-	ran     int // calls that ended and may have run
-	notRun  int // calls that ended and did not run
+	ran     int         // calls that ended and may have run
+	notRun  int         // calls that ended and did not run
 	hedgeAt tier.Millis // when to send a second call, or never
 	retryAt tier.Millis // when to send again after a refusal, or never
 	failure any
