--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -33,7 +33,6 @@
 	top      int
 	attempts int
 	rank     int
-	priority uint64
 	minimum  func(n int) int
 	shards   []string
 }
@@ -105,8 +104,7 @@
 	q := &gatherv1.GatherRequest{
 		Attempt: r.attempt, Method: r.message.Method(), Head: r.message.Head(), Body: r.message.Body(),
 		Route: r.shared.route, Shards: shards, Top: uint32(r.shared.top), Attempts: uint32(r.shared.attempts),
-		Rank: uint32(r.shared.rank), Priority: r.shared.priority,
-		Spread:  a.Member.Region() != r.entry.core.Sharer().Self().Region(),
+		Rank: uint32(r.shared.rank), Spread: a.Member.Region() != r.entry.core.Sharer().Self().Region(),
 		Minimum: uint32(r.shared.minimum(len(shards))),
 		AimMs:   int64(a.Aim), EndMs: int64(a.End),
 	}
@@ -234,7 +232,7 @@
 	terms := searcher.NewTerms(q.GetRoute(), now+tier.Millis(q.GetAimMs()), now+tier.Millis(q.GetEndMs()),
 		searcher.Repeatable(), searcher.WithAttempts(int(q.GetAttempts())),
 		searcher.WithMinimum(int(q.GetMinimum())), searcher.WithRank(int(q.GetRank())),
-		searcher.WithPriority(q.GetPriority()), searcher.ForAnotherVM())
+		searcher.ForAnotherVM())
 	var shares []sharer.Share
 	if q.GetSpread() {
 		shares = e.divide(q.GetRoute(), q.GetShards())
@@ -242,7 +240,7 @@
 	run := e.newRun(q.GetAttempt(), true, courier.RestoreMessage(q.GetMethod(), q.GetHead(), q.GetBody()),
 		terms, q.GetShards(), shares)
 	run.shared = sharedTerms{
-		route: q.GetRoute(), top: int(q.GetTop()), attempts: int(q.GetAttempts()), rank: int(q.GetRank()), priority: q.GetPriority(),
+		route: q.GetRoute(), top: int(q.GetTop()), attempts: int(q.GetAttempts()), rank: int(q.GetRank()),
 		minimum: func(n int) int { return n * int(q.GetMinimum()) / max(1, len(q.GetShards())) }, shards: q.GetShards(),
 	}
 	run.flush = func(f searcher.Flush) error { return stream.Send(reportOf(q, f)) }
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -35,9 +35,6 @@
 	// cameBackShare is the part of a first request's time that one has left at
 	// most that comes back.
 	cameBackShare = 0.95
-	// cameBackFirst is the bit of a priority by which requests that come back
-	// go before others.
-	cameBackFirst = 1 << 63
 	// maxPatience bounds the routes whose callers' time is remembered.
 	maxPatience = 4096
 	// endMargin is the time before the caller's own deadline in which an answer
@@ -52,8 +49,6 @@
 	sender platform.Sender
 	start  tier.Millis
 	body   []byte
-	// priority orders requests of one rank where parts wait.
-	priority uint64
 }
 
 // ServeHTTP takes a caller's request.
@@ -144,7 +139,6 @@
 	}
 	options := []searcher.TermsOption{
 		searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank()),
-		searcher.WithPriority(q.priority),
 	}
 	if q.route.Repeatable() {
 		options = append(options, searcher.Repeatable())
@@ -173,13 +167,9 @@
 			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
 		return
 	}
-	q.priority = rand.Uint64() >> 1
-	if back {
-		q.priority |= cameBackFirst
-	}
 	run := e.newRun(q.sender.Attempt(), true, m, q.terms(), shards, e.divide(q.route.Name(), shards))
 	run.shared = sharedTerms{
-		route: q.route.Name(), top: q.route.Top(), attempts: q.route.Attempts(), rank: q.route.Rank(), priority: q.priority,
+		route: q.route.Name(), top: q.route.Top(), attempts: q.route.Attempts(), rank: q.route.Rank(),
 		minimum: q.route.MinimumPartsOf, shards: shards,
 	}
 	o, left := run.drive(r.Context())
--- /dev/null
+++ b/cicadagraded/entry/session_test.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"cicadagrade.example/cicadagraded/eventlog"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/standin/storeserver"
+	"cicadagrade.example/tier"
+)
+
+// TestSessions plays whole sessions: callers, an entry VM, the store's stand-in
+// and leafs, over loopback.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".txt")
+		t.Run(name, func(t *testing.T) {
+			s := newSession(t)
+			in, err := os.Open(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = in.Close() }()
+			lines := bufio.NewScanner(in)
+			for lines.Scan() {
+				s.play(lines.Text())
+			}
+			goldie.New(t).Assert(t, name, []byte(s.out.String()))
+		})
+	}
+}
+
+// session is one deployment. Its words:
+//
+//	configuration FILE              the operator writes it, the VM takes it
+//	leaf ID SERVICE ANSWER          a leaf that gives one answer to all: records
+//	                                as letters, or a status such as 500 or 503!
+//	                                (not run), or mute
+//	unreadable ID                   an entry that can't be read
+//	ask METHOD PATH [HEADER=VALUE]  what a caller gets
+//	raw TEXT                        bytes from a caller, and the answer's status
+//	seen ID                         requests that the leaf has run
+type session struct {
+	t     *testing.T
+	out   strings.Builder
+	store *platform.Store
+	entry *Entry
+	front *httptest.Server
+	leafs map[string]*leaf
+}
+
+// leaf is a backend server of a test.
+type leaf struct {
+	id     string
+	answer string
+	mu     sync.Mutex
+	seen   []string
+}
+
+func newSession(t *testing.T) *session {
+	t.Helper()
+	s := &session{t: t, leafs: map[string]*leaf{}}
+	store := httptest.NewServer(storeserver.New(tier.NewClock()))
+	s.store = platform.NewStore(store.URL)
+	raw, err := os.ReadFile("testdata/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.ReplaceAll(string(raw), "STORE", store.Listener.Addr().String())
+	settings, err := platform.DecodeSettings([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := tier.NewClock()
+	s.entry, err = New(settings, clock, eventlog.New(io.Discard, clock))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.front = httptest.NewServer(s.entry)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.entry.RunView(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		s.front.Close()
+		s.entry.Close()
+		s.store.Close()
+		store.Close()
+	})
+	return s
+}
+
+func (s *session) play(line string) {
+	s.out.WriteString(line + "\n")
+	words := strings.Fields(line)
+	if len(words) == 0 || words[0] == "#" {
+		return
+	}
+	switch words[0] {
+	case "configuration":
+		raw, err := os.ReadFile(filepath.Join("testdata", words[1]))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.put(platform.ConfigurationKey, raw)
+		s.settled()
+	case "leaf":
+		s.leaf(words[1], words[2], words[3])
+	case "unreadable":
+		s.put(platform.LeafsPrefix+words[1], []byte(`{"service": 7}`))
+		s.settled()
+	case "ask":
+		s.ask(words[1], words[2], words[3:])
+	case "raw":
+		s.raw(strings.TrimPrefix(line, "raw "))
+	case "seen":
+		l := s.leafs[words[1]]
+		l.mu.Lock()
+		fmt.Fprintf(&s.out, "  %s\n", strings.Join(l.seen, ", "))
+		l.mu.Unlock()
+	default:
+		s.t.Fatalf("no word %q", words[0])
+	}
+}
+
+func (s *session) put(key string, raw []byte) {
+	if _, err := s.store.Put(context.Background(), key, raw, 0); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// settled waits until the VM has read everything that is in the store.
+func (s *session) settled() {
+	_, at, err := s.store.GetAt(context.Background(), "none")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for {
+		s.entry.mu.Lock()
+		read := s.entry.relayer.Revision()
+		s.entry.mu.Unlock()
+		if read >= at {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *session) leaf(id, service, answer string) {
+	l := &leaf{id: id, answer: answer}
+	s.leafs[id] = l
+	server := httptest.NewServer(l)
+	s.t.Cleanup(server.Close)
+	raw, err := json.Marshal(map[string]any{
+		"service": service, "address": server.Listener.Addr().String(), "zone": "depot-a",
+		"slots": 2, "state": "ready", "sequence": 1, "born": 1,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.put(platform.LeafsPrefix+id, raw)
+	s.settled()
+}
+
+// ServeHTTP answers as the leaf was told to.
+func (l *leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if r.Header.Get("Expected-Instance") != l.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h := w.Header()
+	h.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	var status int
+	_, notStatus := fmt.Sscanf(l.answer, "%d", &status)
+	if strings.HasSuffix(l.answer, "!") {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(status)
+		return
+	}
+	l.mu.Lock()
+	l.seen = append(l.seen, fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, body))
+	l.mu.Unlock()
+	switch {
+	case l.answer == "mute":
+		panic(http.ErrAbortHandler)
+	case notStatus == nil:
+		h.Set("Response-Signature", "proof-"+l.id)
+		w.WriteHeader(status)
+		return
+	}
+	h.Set("Response-Signature", "proof-"+l.id)
+	h.Set("Connection", "close")
+	for _, letter := range l.answer {
+		_, _ = io.WriteString(w, strings.Repeat(string(letter), platform.RecordBytes))
+	}
+}
+
+func (s *session) ask(method, path string, headers []string) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("order 7")
+	}
+	q, err := http.NewRequest(method, s.front.URL+path, body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	q.Host = "search.example"
+	q.Header.Set("Attempt-Id", "a1")
+	q.Header.Set("Time-Remaining", "4000")
+	for _, h := range headers {
+		k, v, _ := strings.Cut(h, "=")
+		q.Header.Set(k, v)
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	got, err := io.ReadAll(p.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	fmt.Fprintf(&s.out, "  %d", p.StatusCode)
+	var names []string
+	for k := range p.Header {
+		switch k {
+		case "Date", "Content-Length", "Content-Type":
+		case "Retry-After":
+			names = append(names, k+": set")
+		default:
+			value := p.Header.Get(k)
+			if k == "Part-Signatures" {
+				list := strings.Split(value, ", ")
+				sort.Strings(list)
+				value = strings.Join(list, ", ")
+			}
+			names = append(names, k+": "+value)
+		}
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		s.out.WriteString("; " + n)
+	}
+	var letters []byte
+	for i := 0; i+platform.RecordBytes <= len(got); i += platform.RecordBytes {
+		letters = append(letters, got[i])
+	}
+	fmt.Fprintf(&s.out, "; records %q\n", letters)
+}
+
+// raw sends bytes as they are; \r\n stands for the ends of lines.
+func (s *session) raw(text string) {
+	c, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte(strings.ReplaceAll(text, `\r\n`, "\r\n"))); err != nil {
+		s.t.Fatal(err)
+	}
+	p, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = p.Body.Close()
+	fmt.Fprintf(&s.out, "  %d\n", p.StatusCode)
+}
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -104,7 +104,6 @@
 	whole      bool
 	flushes    bool
 	rank       int
-	priority   uint64
 	aim        tier.Millis
 	end        tier.Millis
 }
@@ -131,10 +130,6 @@
 // WithRank sets the rank; a lower one goes first where parts wait.
 func WithRank(rank int) TermsOption { return func(t *Terms) { t.rank = rank } }
 
-// WithPriority orders requests of one rank where parts wait; a greater one goes
-// first.
-func WithPriority(p uint64) TermsOption { return func(t *Terms) { t.priority = p } }
-
 // WithMinimum sets the least number of parts of an answer.
 func WithMinimum(n int) TermsOption { return func(t *Terms) { t.minimum = n } }
 
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -15,9 +15,8 @@
 type queue map[string][]waiter
 
 // before orders waiters: those that can still make their aim first, then by
-// rank, then by priority, which is the same at every VM and service. So under
-// overload some requests get all their parts, instead of all some: in order of
-// their aims, each would be served just too late.
+// rank, then by aim, so that searches that came first stay together over all
+// services.
 func (w waiter) before(o waiter, now tier.Millis) bool {
 	late, otherLate := w.late(now), o.late(now)
 	if late != otherLate {
@@ -26,7 +25,7 @@
 	if w.search.terms.rank != o.search.terms.rank {
 		return w.search.terms.rank < o.search.terms.rank
 	}
-	return w.search.terms.priority > o.search.terms.priority
+	return w.search.terms.aim < o.search.terms.aim
 }
 
 // late reports whether the part would come after the aim even if it were sent
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -49,7 +49,7 @@
 //	budget RATIO SLACK
 //	leaf ID SERVICE DC [SLOTS]      DC a or b is at home, others are far
 //	peer NAME REGION
-//	search NAME aim AIM end END [minimum N] [attempts N] [once] [peer] [rank N] [priority N] [share PEER=PART,..] SERVICE ...
+//	search NAME aim AIM end END [minimum N] [attempts N] [once] [peer] [rank N] [share PEER=PART,..] SERVICE ...
 //	NAME answer CALL | fail CALL | lose CALL | reset CALL | shed CALL | wrong CALL | refuse CALL
 //	NAME accept SHARE | bring SHARE PART,.. [last] | break SHARE
 //	NAME leave
@@ -136,9 +136,6 @@
 		case "rank":
 			i++
 			options = append(options, WithRank(s.number(words[i])))
-		case "priority":
-			i++
-			options = append(options, WithPriority(uint64(s.number(words[i]))))
 		case "once":
 			once = true
 		case "peer":
