Let callers' connections end after a few seconds

Ruled out: slow leafs and shares (VMs' own times as before).

Change: a caller's connection ends politely with a response after 4 to 6 s, so that the balancer places it anew.

--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -53,10 +53,10 @@
 
 // ServeHTTP takes a caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if e.stopping.Load() || e.isolated.Load() {
+	start := e.clock.Now()
+	if e.stopping.Load() || e.isolated.Load() || connectionEnds(r.Context(), start) {
 		w.Header().Set("Connection", "close")
 	}
-	start := e.clock.Now()
 	table := e.table.Load()
 	sender := platform.ReadSender(r.Header)
 	if table == nil {
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -121,7 +121,10 @@
 	g.Add(func() error { return e.RunProbes(ctx) }, func(error) { cancel() })
 	peer := &http.Server{Handler: e.Peers(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, peer, others)
-	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	server := &http.Server{
+		Handler: e, ConnContext: e.ConnectionContext,
+		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+	}
 	addServer(&g, server, callers)
 	check := &http.Server{Handler: e.Readiness(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, check, readiness)
