--- a/cicadagraded/root.go
+++ b/cicadagraded/root.go
@@ -31,6 +31,11 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(serveCommand(), frontCommand())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return tier.NewInvalidError("command line", []tier.FieldProblem{
+			tier.NewFieldProblem("flags", err.Error(), "the flags that --help lists"),
+		})
+	})
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cicadagraded:", err)
 		return exitCode(err)
--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -67,7 +67,7 @@
 		{"api-address", "where callers reach this VM", "127.0.0.1:7070", addressAllowed, setAddress(func(s *settings) *string { return &s.apiAddress })},
 		{"peer-address", "where this VM listens for other VMs", "127.0.0.1:7071", addressAllowed, setAddress(func(s *settings) *string { return &s.peerAddress })},
 		{"peer-advertise", "where other VMs reach this VM; empty: peer-address", "", "empty, or " + addressAllowed, setOptional(setAddress(func(s *settings) *string { return &s.peerAdvertise }))},
-		{"store", "the platform's key-value service (etcd v3 JSON gateway)", "127.0.0.1:2379", addressAllowed, setAddress(func(s *settings) *string { return &s.storeAddress })},
+		{"store", "the platform's metadata store", "127.0.0.1:2379", addressAllowed, setAddress(func(s *settings) *string { return &s.storeAddress })},
 		{"vm-list-prefix", "start of the store's key of the platform's list of VMs; the data centre's name follows", "platform/vms/", "1 to 256 bytes", setText(256, func(s *settings) *string { return &s.vmListPrefix })},
 		{"seeds", "peer addresses of some other VMs, separated by commas", "", "empty, or IP numbers with ports, separated by commas", setSeeds},
 		{"dial", "other addresses to dial in place of those of VMs and the store, such as a relay's", "", "empty, or pairs ADDRESS=ADDRESS of IP numbers with ports, separated by commas", setDial},
--- a/standin/store.go
+++ b/standin/store.go
@@ -16,9 +16,9 @@
 	"cicadagrade.example/tier"
 )
 
-const storeHelp = `Play the platform's key-value service: an empty in-memory store that speaks
-the JSON gateway format of etcd v3 (/v3/kv, /v3/lease, /v3/watch) until it
-gets SIGINT or SIGTERM.
+const storeHelp = `Play the platform's metadata store: an empty in-memory store that speaks its
+protocol (/kv-key, /kv-range, /kv-watch, /kv-txn, /kv-lease) until it gets
+SIGINT or SIGTERM.
 
 Faults are set over HTTP while it runs:
 
