--- a/cicadagraded/eventlog/eventlog.go
+++ b/cicadagraded/eventlog/eventlog.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// Dropped is the number of lines that were left out since the last call.
+// takeDropped is the number of lines that were left out since the last call.
 func (l *Log) takeDropped() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -284,14 +284,6 @@
 	}
 }
 
-// Inflight is the number of this VM's calls at the leaf.
-func (b *Balancer) Inflight(f lister.Leaf) int {
-	if s, ok := b.leafs[f.ID()]; ok {
-		return s.inflight
-	}
-	return 0
-}
-
 func (b *Balancer) ended(now tier.Millis, f lister.Leaf) *state {
 	s := b.state(f)
 	b.release(s)
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -49,13 +49,12 @@
 
 // Lister is the list of one VM. It is not safe for concurrent use.
 type Lister struct {
-	entries    map[string]*held
-	byService  map[string][]Leaf
-	changes    []Change
-	away       bool
-	returned   tier.Millis
-	inWindow   bool
-	generation int64
+	entries   map[string]*held
+	byService map[string][]Leaf
+	changes   []Change
+	away      bool
+	returned  tier.Millis
+	inWindow  bool
 }
 
 // Change is a difference in what may be used, for logs and for whoever keeps
@@ -199,7 +198,6 @@
 // rebuild orders the usable leafs by service. Of two entries with one address
 // the one that was heard last is right: addresses are used again.
 func (l *Lister) rebuild() {
-	l.generation++
 	at := make(map[string]*held, len(l.entries))
 	for _, h := range l.entries {
 		address := h.entry.leaf.address
@@ -239,9 +237,6 @@
 // Len is the number of entries, usable or not.
 func (l *Lister) Len() int { return len(l.entries) }
 
-// Away reports whether the store can't be read at the moment.
-func (l *Lister) Away() bool { return l.away }
-
 // Changes returns what has changed since the last call.
 func (l *Lister) Changes() []Change {
 	c := l.changes
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -218,9 +218,6 @@
 	return s.cancelAll(now, nil)
 }
 
-// Sent is the number of calls so far.
-func (s *Search) Sent() int { return len(s.calls) }
-
 func (s *Search) observe(now tier.Millis, c *call, r Result) {
 	b := s.core.balancer
 	switch r := r.(type) {
