--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -21,6 +20,7 @@
 
 	"cicadagrade.example/cicadagraded/eventlog"
 	"cicadagrade.example/platform"
+	"cicadagrade.example/standin/responder"
 	"cicadagrade.example/standin/storeserver"
 	"cicadagrade.example/tier"
 )
@@ -57,7 +57,7 @@
 //	                                as letters, or a status such as 500 or 503!
 //	                                (not run), or mute
 //	unreadable ID                   an entry that can't be read
-//	ask METHOD PATH [HEADER=VALUE]  what a caller gets
+//	ask METHOD PATH [HEADER=VALUE]  what a caller gets; expect=LEAF has it name one
 //	raw TEXT                        bytes from a caller, and the answer's status
 //	seen ID                         requests that the leaf has run
 type session struct {
@@ -66,20 +66,12 @@
 	store *platform.Store
 	entry *Entry
 	front *httptest.Server
-	leafs map[string]*leaf
-}
-
-// leaf is a backend server of a test.
-type leaf struct {
-	id     string
-	answer string
-	mu     sync.Mutex
-	seen   []string
+	leafs map[string]*responder.Leaf
 }
 
 func newSession(t *testing.T) *session {
 	t.Helper()
-	s := &session{t: t, leafs: map[string]*leaf{}}
+	s := &session{t: t, leafs: map[string]*responder.Leaf{}}
 	store := httptest.NewServer(storeserver.New(tier.NewClock()))
 	s.store = platform.NewStore(store.URL)
 	raw, err := os.ReadFile("testdata/settings.toml")
@@ -128,17 +120,14 @@
 	case "leaf":
 		s.leaf(words[1], words[2], words[3])
 	case "unreadable":
-		s.put(platform.LeafsPrefix+words[1], []byte(`{"service": 7}`))
+		s.put(platform.LeafsPrefix+words[1], responder.Unreadable())
 		s.settled()
 	case "ask":
 		s.ask(words[1], words[2], words[3:])
 	case "raw":
 		s.raw(strings.TrimPrefix(line, "raw "))
 	case "seen":
-		l := s.leafs[words[1]]
-		l.mu.Lock()
-		fmt.Fprintf(&s.out, "  %s\n", strings.Join(l.seen, ", "))
-		l.mu.Unlock()
+		fmt.Fprintf(&s.out, "  %s\n", strings.Join(s.leafs[words[1]].Seen(), ", "))
 	default:
 		s.t.Fatalf("no word %q", words[0])
 	}
@@ -168,14 +157,11 @@
 }
 
 func (s *session) leaf(id, service, answer string) {
-	l := &leaf{id: id, answer: answer}
+	l := responder.New(id, answer)
 	s.leafs[id] = l
 	server := httptest.NewServer(l)
 	s.t.Cleanup(server.Close)
-	raw, err := json.Marshal(map[string]any{
-		"service": service, "address": server.Listener.Addr().String(), "zone": "depot-a",
-		"slots": 2, "state": "ready", "sequence": 1, "born": 1,
-	})
+	raw, err := l.Registration(service, server.Listener.Addr().String(), "depot-a")
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -183,40 +169,6 @@
 	s.settled()
 }
 
-// ServeHTTP answers as the leaf was told to.
-func (l *leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
-	if r.Header.Get("Expected-Instance") != l.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	h := w.Header()
-	h.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	var status int
-	_, notStatus := fmt.Sscanf(l.answer, "%d", &status)
-	if strings.HasSuffix(l.answer, "!") {
-		h.Set("Not-Executed", "1")
-		w.WriteHeader(status)
-		return
-	}
-	l.mu.Lock()
-	l.seen = append(l.seen, fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, body))
-	l.mu.Unlock()
-	switch {
-	case l.answer == "mute":
-		panic(http.ErrAbortHandler)
-	case notStatus == nil:
-		h.Set("Response-Signature", "proof-"+l.id)
-		w.WriteHeader(status)
-		return
-	}
-	h.Set("Response-Signature", "proof-"+l.id)
-	h.Set("Connection", "close")
-	for _, letter := range l.answer {
-		_, _ = io.WriteString(w, strings.Repeat(string(letter), platform.RecordBytes))
-	}
-}
-
 func (s *session) ask(method, path string, headers []string) {
 	var body io.Reader
 	if method == http.MethodPost {
@@ -227,10 +179,13 @@
 		s.t.Fatal(err)
 	}
 	q.Host = "search.example"
-	q.Header.Set("Attempt-Id", "a1")
-	q.Header.Set("Time-Remaining", "4000")
+	responder.Address(q.Header, "a1", 4000)
 	for _, h := range headers {
 		k, v, _ := strings.Cut(h, "=")
+		if k == "expect" {
+			responder.Expect(q.Header, v)
+			continue
+		}
 		q.Header.Set(k, v)
 	}
 	p, err := http.DefaultClient.Do(q)
@@ -251,7 +206,7 @@
 			names = append(names, k+": set")
 		default:
 			value := p.Header.Get(k)
-			if k == "Part-Signatures" {
+			if responder.IsProofs(k) {
 				list := strings.Split(value, ", ")
 				sort.Strings(list)
 				value = strings.Join(list, ", ")
