--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -36,14 +36,15 @@
 	listed   atomic.Bool  // the VM's own registration is in the store
 	isolated atomic.Bool  // neither the store nor any VM answers
 	stopping atomic.Bool
-	stopped  chan struct{}
+	stopped  chan struct{} // closed when the VM begins to stop
 	peers    *peers
 	meter    *meter.Meter
-	sent     atomic.Int64
-	extra    atomic.Int64
-	missing  atomic.Int64
+	sent     atomic.Int64 // calls to leafs
+	extra    atomic.Int64 // hedges and retries among them
+	missing  atomic.Int64 // parts that were not in when their request ended
 	calls    sync.WaitGroup
 
+	// mu guards what decides: one search steps at a time.
 	mu   sync.Mutex
 	core *searcher.Core
 	// relayer holds what has been read of the store, for other VMs.
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -86,13 +86,3 @@
 
 // Left is how many extra calls a service has left.
 func (b *Budgeter) Left(service string) float64 { return b.bucket(service).tokens }
-
-// Keep forgets the buckets of services that are not named, so that the map
-// does not grow with every renaming of services.
-func (b *Budgeter) Keep(named func(service string) bool) {
-	for s := range b.buckets {
-		if !named(s) {
-			delete(b.buckets, s)
-		}
-	}
-}
