Remove the leaving of an owner and the list's word, which nothing drives

Cause: prober.ListSays has no source in any program, and dispatcher.Leaving was superseded by Standby, which `serve` sends when another VM owns the set. Ruled out: giving them a caller; a stopping VM's sets go to others by gossip, and a second way to say so would be one more state to get wrong. Before and after: no program changes what it does. The takeover script keeps its last case with Standby in the place of Leaving, the property test ends with Standby; the list's script and the case of a leaving owner go with the code they tested.

--- a/tier/dispatcher/admission.go
+++ b/tier/dispatcher/admission.go
@@ -61,8 +61,6 @@
 	p := d.newPart(e)
 	d.pressure.arrived(r)
 	switch {
-	case d.leaving:
-		d.refuse(e.part, r, tier.RefuseLeaving, 0)
 	case d.index < 0 || d.index >= min(d.owners, d.maxOwners):
 		d.refuse(e.part, r, tier.RefuseNoOwner, 0)
 	case e.deadline <= d.now:
--- a/tier/dispatcher/dispatcher.go
+++ b/tier/dispatcher/dispatcher.go
@@ -31,9 +31,7 @@
 
 	now     tier.Millis
 	begun   bool
-	leaving bool
 	standby bool
-	left    tier.Millis // when leaving began
 	shared  tier.Millis // when the present share was given
 
 	servers  map[string]*server
@@ -132,8 +130,6 @@
 		d.shareChanged(e)
 	case *Standby:
 		d.standBy()
-	case *Leaving:
-		d.leave()
 	case *Tick:
 		d.fillAll()
 	}
@@ -189,12 +185,6 @@
 	d.applyShares()
 }
 
-func (d *Dispatcher) leave() {
-	if !d.leaving {
-		d.leaving, d.left = true, d.now
-	}
-}
-
 // buildMap takes over servers and shards of the set, keeping what is known of
 // those that stay.
 func (d *Dispatcher) buildMap() {
--- a/tier/dispatcher/events.go
+++ b/tier/dispatcher/events.go
@@ -3,7 +3,7 @@
 import "cicadagrade.example/tier"
 
 // Event is what a dispatcher is told: *Submit, *Replied, *Cancelled,
-// *BackendChanged, *HoldingChanged, *SetChanged, *ShareChanged, *Standby, *Leaving or
+// *BackendChanged, *HoldingChanged, *SetChanged, *ShareChanged, *Standby or
 // *Tick.
 type Event interface{ event() }
 
@@ -135,10 +135,6 @@
 // ShareChanged ends it.
 type Standby struct{}
 
-// Leaving says that another VM takes over: nothing new is accepted, and what
-// was accepted is finished.
-type Leaving struct{}
-
 // Tick says that the time of Next has come.
 type Tick struct{}
 
@@ -149,6 +145,5 @@
 func (*HoldingChanged) event() {}
 func (*SetChanged) event()     {}
 func (*ShareChanged) event()   {}
-func (*Leaving) event()        {}
 func (*Standby) event()        {}
 func (*Tick) event()           {}
--- a/tier/dispatcher/monitor_test.go
+++ b/tier/dispatcher/monitor_test.go
@@ -12,7 +12,6 @@
 type monitor struct {
 	set      *tier.ShardSet
 	share    shareOf
-	leaving  bool
 	states   map[string]tier.BackendState
 	parts    map[uint64]*watched
 	calls    map[uint64]*Call
@@ -32,7 +31,6 @@
 	notRun int
 	first  map[string]bool
 	ends   int
-	late   bool // submitted to a dispatcher that leaves
 }
 
 func newMonitor(set *tier.ShardSet, share shareOf) *monitor {
@@ -52,7 +50,7 @@
 func (m *monitor) before(e Event) {
 	switch e := e.(type) {
 	case *Submit:
-		m.parts[e.part] = &watched{submit: e, first: map[string]bool{}, late: m.leaving}
+		m.parts[e.part] = &watched{submit: e, first: map[string]bool{}}
 	case *BackendChanged:
 		if _, ok := m.set.Server(e.server); ok {
 			m.states[e.server] = e.state
@@ -61,8 +59,6 @@
 		m.setChanged(e.set)
 	case *ShareChanged:
 		m.share = shareOf{owners: e.owners, index: e.index}
-	case *Leaving:
-		m.leaving = true
 	case *Replied:
 		m.replied(e)
 	}
@@ -123,7 +119,6 @@
 func (m *monitor) called(now tier.Millis, c *Call) {
 	w := m.parts[c.part]
 	m.calls[c.attempt] = c
-	m.check(!w.late, "call %d of part %d that came after leaving", c.attempt, c.part)
 	m.check(w.ends == 0, "call %d after the end of part %d", c.attempt, c.part)
 	m.check(now < w.submit.deadline, "call %d at %d, deadline %d", c.attempt, now, w.submit.deadline)
 	m.check(m.states[c.server].TakesWork(), "call %d to server %s that is %s", c.attempt, c.server, m.states[c.server])
--- a/tier/dispatcher/property_test.go
+++ b/tier/dispatcher/property_test.go
@@ -116,7 +116,7 @@
 			h.step(NewShareChanged(1+pick(2), 0))
 		}
 	}
-	h.step(&Leaving{})
+	h.step(&Standby{})
 	h.submit(pick)
 	h.drain()
 }
--- a/tier/dispatcher/script_test.go
+++ b/tier/dispatcher/script_test.go
@@ -188,11 +188,11 @@
 		return NewHoldingChanged(f[0], f[1], 1, []tier.Version{tier.Version(s.number(f[2]))})
 	case "share": // owners index
 		return NewShareChanged(s.number(f[0]), s.number(f[1]))
+	case "standby":
+		return &Standby{}
 	case "unmap": // shard
 		s.shards = s.shards[:len(s.shards)-1]
 		return NewSetChanged(s.set(2))
-	case "leaving":
-		return &Leaving{}
 	}
 	s.t.Fatalf("unknown event %s", kind)
 	return nil
--- a/tier/dispatcher/server.go
+++ b/tier/dispatcher/server.go
@@ -93,13 +93,10 @@
 
 // share is the owner's part of a server's slots. A new or larger share is
 // held at the earlier one, or at one slot, until the takeover time has passed;
-// an owner that leaves or stands by falls back to one slot before.
+// an owner that stands by falls back to one slot before.
 func (d *Dispatcher) share(s *server) int {
 	n := shareOf{owners: min(d.owners, d.maxOwners), index: d.index}.slots(s.backend.Slots(), s.ordinal)
-	if d.leaving && d.gaveUp(d.left) {
-		n = min(n, 1)
-	}
-	if d.standby && d.gaveUp(d.shared) {
+	if d.standby && d.gaveUp() {
 		n = min(n, 1)
 	}
 	if d.now >= d.shared+d.takeover {
@@ -108,12 +105,12 @@
 	return min(n, max(1, s.base))
 }
 
-// gaveUp reports whether an owner that was told at a time to hand over no
-// longer uses its share. It has half of the takeover time for its queue: the
+// gaveUp reports whether an owner that was told to stand by no longer uses its
+// share. It has half of the takeover time for its queue: the
 // new owner may have been told up to as long before, and its takeover time
 // must not end first.
-func (d *Dispatcher) gaveUp(told tier.Millis) bool {
-	return d.now >= told+min(d.takeover, d.takeover/2+1)
+func (d *Dispatcher) gaveUp() bool {
+	return d.now >= d.shared+min(d.takeover, d.takeover/2+1)
 }
 
 // limit is how many calls the server may run now.
--- a/tier/prober/event.go
+++ b/tier/prober/event.go
@@ -51,13 +51,6 @@
 // NewHealthFailed.
 func NewReplyFailed(refused bool) *ReplyFailed { return &ReplyFailed{refused: refused} }
 
-// ListSays is what the platform's list says, or a peer who saw a sign of
-// leaving first.
-type ListSays struct{ leaving bool }
-
-// NewListSays returns the sign of the platform's list.
-func NewListSays(leaving bool) *ListSays { return &ListSays{leaving: leaving} }
-
 func (*Tick) event()         {}
 func (*Health) event()       {}
 func (*HealthFailed) event() {}
@@ -65,7 +58,6 @@
 func (*ReplyShed) event()    {}
 func (*ReplyLeaving) event() {}
 func (*ReplyFailed) event()  {}
-func (*ListSays) event()     {}
 
 // Action is something that the shell does or passes on.
 type Action interface{ action() }
--- a/tier/prober/prober.go
+++ b/tier/prober/prober.go
@@ -91,7 +91,6 @@
 	leavingAt tier.Millis // the last sign of leaving
 	refusedAt uint64      // the last probe sent before a refusal while leaving
 	refused   bool        // a connection was refused while leaving
-	listed    bool        // the list says leaving
 
 	actions []Action
 }
@@ -139,8 +138,6 @@
 		p.leave("reply")
 	case *ReplyFailed:
 		p.replyFailed(e.refused)
-	case *ListSays:
-		p.list(e.leaving)
 	}
 	return p.actions
 }
--- a/tier/prober/prober_test.go
+++ b/tier/prober/prober_test.go
@@ -80,8 +80,6 @@
 		return &ReplyLeaving{}
 	case "reply failed":
 		return NewReplyFailed(false)
-	case "list leaving", "list staying":
-		return NewListSays(words[1] == "leaving")
 	}
 	if words[0] == "health" {
 		return NewHealth(p.number, state(words[1]))
@@ -103,7 +101,7 @@
 }
 
 func leavingSigns() []Event {
-	return []Event{&ReplyLeaving{}, NewReplyOK(tier.BackendLeaving), NewHealth(1, tier.BackendLeaving), NewListSays(true)}
+	return []Event{&ReplyLeaving{}, NewReplyOK(tier.BackendLeaving), NewHealth(1, tier.BackendLeaving)}
 }
 
 // drawSigns draws what a server that does not end may show.
@@ -112,7 +110,7 @@
 		&Tick{}, &Tick{}, NewHealth(1<<40, tier.BackendLive), NewHealth(0, tier.BackendLive),
 		NewHealth(1<<40, tier.BackendCold), NewHealth(1<<40, tier.BackendShedding),
 		NewHealthFailed(1, false), NewReplyOK(tier.BackendLive), NewReplyOK(tier.BackendUnknown),
-		&ReplyShed{}, NewReplyFailed(false), NewListSays(false),
+		&ReplyShed{}, NewReplyFailed(false),
 	})
 	one := rapid.Custom(func(t *rapid.T) timed {
 		return timed{wait: tier.Millis(rapid.IntRange(0, 2000).Draw(t, "wait")), sign: s.Draw(t, "sign")}
--- a/tier/prober/signs.go
+++ b/tier/prober/signs.go
@@ -11,14 +11,6 @@
 	p.become(tier.BackendLeaving, "leaving by "+source)
 }
 
-func (p *Prober) list(leaving bool) {
-	first := leaving && !p.listed
-	p.listed = leaving
-	if first {
-		p.leave("list")
-	}
-}
-
 func (p *Prober) health(e *Health) {
 	p.missed = 0
 	switch {
@@ -42,7 +34,7 @@
 func (p *Prober) returned(e *Health) {
 	restarted := p.refused && e.number > p.refusedAt
 	stayed := p.now-p.leavingAt >= p.leavingHold
-	if p.listed || !restarted && !stayed {
+	if !restarted && !stayed {
 		return
 	}
 	p.refused = false
