Apply the configuration's limits on headers and idle time

Cause: headerTimeoutMs, idleTimeoutMs and maxHeaderBytes were decoded and not used; fixed bounds held. On the project's own API a body with a bad chunk size got 500. Ruled out: changing an http.Server's limits while it serves (they are read without a lock), and timers on connection states, which can't tell an idle connection from one on which a header has begun. Change: one http.Server for each set of limits; a connection keeps those under which it came, and ends within seconds. A body that can't be read is malformed, unless it is too long or too slow. Before: TestBadFramingIsMalformed got 500; testdata/limits.txt got 200 for a header of 9,000 bytes. After: 400, 431, and silent connections are closed.

--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -59,13 +60,16 @@
 //	unreadable ID                   an entry that can't be read
 //	ask METHOD PATH [HEADER=VALUE]  what a caller gets; expect=LEAF has it name one
 //	raw TEXT                        bytes from a caller, and the answer's status
+//	header BYTES PATH               the status of a GET with a header that long
+//	idle PATH                       a connection is kept silent: after a GET,
+//	                                after half of a header, and before any byte
 //	seen ID                         requests that the leaf has run
 type session struct {
 	t     *testing.T
 	out   strings.Builder
 	store *platform.Store
 	entry *Entry
-	front *httptest.Server
+	front net.Listener
 	leafs map[string]*responder.Leaf
 }
 
@@ -88,14 +92,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.front = httptest.NewServer(s.entry)
+	s.front, err = net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers := NewCallers(s.entry)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = s.entry.RunView(ctx) })
+	group.Go(func() { _ = callers.Serve(s.front) })
 	t.Cleanup(func() {
 		cancel()
+		_ = s.front.Close()
+		callers.Close()
 		group.Wait()
-		s.front.Close()
 		s.entry.Close()
 		s.store.Close()
 		store.Close()
@@ -126,6 +136,16 @@
 		s.ask(words[1], words[2], words[3:])
 	case "raw":
 		s.raw(strings.TrimPrefix(line, "raw "))
+	case "header":
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.raw("GET " + words[2] + " HTTP/1.1\r\nHost: search.example\r\nX-Long: " + strings.Repeat("x", n) + "\r\n\r\n")
+	case "idle":
+		s.idle("GET " + words[1] + " HTTP/1.1\r\nHost: search.example\r\n\r\n")
+		s.idle("GET " + words[1] + " HTTP/1.1\r\nHost:")
+		s.idle("")
 	case "seen":
 		fmt.Fprintf(&s.out, "  %s\n", strings.Join(s.leafs[words[1]].Seen(), ", "))
 	default:
@@ -174,7 +194,7 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("order 7")
 	}
-	q, err := http.NewRequest(method, s.front.URL+path, body)
+	q, err := http.NewRequest(method, "http://"+s.front.Addr().String()+path, body)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -226,8 +246,27 @@
 }
 
 // raw sends bytes as they are; \r\n stands for the ends of lines.
+// idle sends a text and then nothing, until the VM closes the connection. It
+// notes the bytes that come before that.
+func (s *session) idle(text string) {
+	c, err := net.Dial("tcp", s.front.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte(text)); err != nil {
+		s.t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	first, _, _ := strings.Cut(string(got), "\r\n")
+	fmt.Fprintf(&s.out, "  closed after %q\n", first)
+}
+
 func (s *session) raw(text string) {
-	c, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	c, err := net.Dial("tcp", s.front.Addr().String())
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -41,12 +41,11 @@
 	balancerLag = 2500 * tier.Millisecond
 	// stopMargin is kept from the grace period for the end of the process.
 	stopMargin = 400 * tier.Millisecond
-	// headerTime bounds the reading of a request's header until the
-	// configuration says better.
+	// headerTime bounds the reading of a header from the balancer, another VM or
+	// a reader of metrics; idleTime the pause between two. Callers have the
+	// configuration's limits.
 	headerTime = 10 * time.Second
-	// idleTime is how long a caller's connection may be idle. Callers use
-	// connections that have been idle for most of the configured limit.
-	idleTime = 120 * time.Second
+	idleTime   = 120 * time.Second
 	// memoryShare is the part of the memory limit at which the collector
 	// starts to work harder.
 	memoryShare = 0.6
@@ -121,15 +120,12 @@
 	g.Add(func() error { return e.RunProbes(ctx) }, func(error) { cancel() })
 	peer := &http.Server{Handler: e.Peers(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, peer, others)
-	server := &http.Server{
-		Handler: e, ConnContext: e.ConnectionContext,
-		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-	}
-	addServer(&g, server, callers)
+	server := entry.NewCallers(e)
+	addCallers(&g, server, callers)
 	check := &http.Server{Handler: e.Readiness(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	addServer(&g, check, readiness)
 	g.Add(func() error { return watchSettings(ctx, e, log) }, func(error) { cancel() })
-	g.Add(func() error { return waitForStop(ctx, e, server, s) }, func(error) { cancel() })
+	g.Add(func() error { return waitForStop(ctx, e, server, callers, s) }, func(error) { cancel() })
 	if err := g.Run(); err != nil && !errors.Is(err, errStopped) {
 		return errors.Wrap(err, "front")
 	}
@@ -202,7 +198,23 @@
 	})
 }
 
-func waitForStop(ctx context.Context, e *entry.Entry, server *http.Server, s *platform.Settings) error {
+// addCallers serves callers until the group ends.
+func addCallers(g *run.Group, c *entry.Callers, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := c.Serve(l); err != nil {
+			return errors.Wrap(err, "addCallers")
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		_ = l.Close() // a planned stop has closed it already
+		c.Close()
+		close(ended)
+	})
+}
+
+func waitForStop(ctx context.Context, e *entry.Entry, server *entry.Callers, l net.Listener, s *platform.Settings) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -220,6 +232,9 @@
 	left := s.Grace() - balancerLag - stopMargin
 	stop, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
 	defer cancel()
+	if err := l.Close(); err != nil {
+		return errors.Wrap(err, "waitForStop")
+	}
 	if err := server.Shutdown(stop); err != nil {
 		e.Cut(err)
 	}
--- a/cicadagraded/handler/connection_test.go
+++ b/cicadagraded/handler/connection_test.go
@@ -80,3 +80,16 @@
 		t.Errorf("got %q, %v", line, err)
 	}
 }
+
+func TestBadFramingIsMalformed(t *testing.T) {
+	s, _ := startSlow(t)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprint(c, "POST /v1/search HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n{}\r\n0\r\n\r\n")
+	if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.Contains(line, "400") {
+		t.Errorf("got %q, %v", line, err)
+	}
+}
--- a/cicadagraded/handler/wire.go
+++ b/cicadagraded/handler/wire.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net/http"
+	"os"
 
 	"github.com/pkg/errors"
 
@@ -103,11 +105,17 @@
 	Allowed string `json:"allowed"`
 }
 
-// decode reads exactly one JSON object without unknown fields.
+// decode reads exactly one JSON object without unknown fields. A body that is
+// too long, or does not come in time, has an error of its own; any other that
+// can't be read is badly framed or cut short.
 func decode(r io.Reader, into any) error {
 	body, err := io.ReadAll(r)
-	if err != nil {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large), errors.Is(err, os.ErrDeadlineExceeded):
 		return errors.Wrap(err, "decode")
+	case err != nil:
+		return errors.WithStack(&malformedError{cause: err})
 	}
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
