Count aims from the caller's start, with its connection's round trip

A fixed larger margin costs callers who are near. Change: timekeeper; the system tells the round trip of a connection that was just opened (TCP_INFO). The aim is less one trip, and one more for a request whose caller opened the connection for it. Shares that are recalled leave their log line too, with what was missing: their searches have an outcome.

--- a/cicadagraded/entry/connection.go
+++ b/cicadagraded/entry/connection.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/router"
+	"cicadagrade.example/tier/timekeeper"
 )
 
 // connectionAge is how long a caller's connection is used, and half as long
@@ -14,17 +21,68 @@
 // costs a round trip to the balancer.
 const connectionAge = 4 * tier.Second
 
-// endKey is the key of the time at which a connection is to end.
-type endKey struct{}
+// connectionKey is the key of a caller's connection in a request's context.
+type connectionKey struct{}
+
+// connection is a caller's.
+type connection struct {
+	end tier.Millis            // when it is to end
+	way *timekeeper.Connection // guarded by Entry.mu
+}
+
+// ConnectionContext keeps with a caller's connection what is known of it.
+func (e *Entry) ConnectionContext(ctx context.Context, c net.Conn) context.Context {
+	now := e.clock.Now()
+	end := now + connectionAge + tier.Millis(rand.Int64N(int64(connectionAge/2)))
+	trip, err := roundTrip(c)
+	if err != nil && !e.tripless.Swap(true) {
+		e.log.Fault("round-trips-not-known", "error", err)
+	}
+	return context.WithValue(ctx, connectionKey{}, &connection{end: end, way: timekeeper.NewConnection(now, trip)})
+}
 
-// ConnectionContext keeps with a caller's connection when it is to end.
-func (e *Entry) ConnectionContext(ctx context.Context, _ net.Conn) context.Context {
-	end := e.clock.Now() + connectionAge + tier.Millis(rand.Int64N(int64(connectionAge/2)))
-	return context.WithValue(ctx, endKey{}, end)
+// roundTrip is the system's measure of a connection's round trip, which it has
+// from the packets that opened it.
+func roundTrip(c net.Conn) (tier.Millis, error) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return 0, errors.Wrap(err, "roundTrip")
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "roundTrip")
+	}
+	return tier.Millis(math.Round(float64(info.Rtt) / microseconds)), nil
 }
 
+// microseconds are in a millisecond.
+const microseconds = 1000
+
 // connectionEnds reports whether the connection of a request is to end with it.
 func connectionEnds(ctx context.Context, now tier.Millis) bool {
-	end, ok := ctx.Value(endKey{}).(tier.Millis)
-	return ok && now >= end
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	return ok && now >= c.end
+}
+
+// arrived reckons how long a request and its caller have been under way.
+func (e *Entry) arrived(ctx context.Context, route *router.Route, s platform.Sender) timekeeper.Arrival {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	if !ok {
+		c = &connection{way: timekeeper.NewConnection(0, 0)}
+	}
+	left, limited := s.TimeLeft()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.timekeeper.Arrived(e.clock.Now(), c.way, route.Name(), left, limited)
 }
--- a/cicadagraded/entry/connection_test.go
+++ b/cicadagraded/entry/connection_test.go
@@ -11,6 +11,8 @@
 	"cicadagrade.example/cicadagraded/eventlog"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/router"
+	"cicadagrade.example/tier/timekeeper"
 )
 
 // The load: callers that fled to this data centre during a fault, on connections
@@ -48,3 +50,20 @@
 		t.Error("an old connection is kept")
 	}
 }
+
+// The load: callers some way off who open a connection for each request, with an
+// aim of a few trips. Pattern: a deadline that counts from the client's start,
+// less the network's time on both ways.
+func TestAimsCountFromTheCallersStart(t *testing.T) {
+	const trip, aim = 6 * tier.Millisecond, 100 * tier.Millisecond
+	route := router.NewRoute("check", "search.example", "/check/", router.WithTimes(tier.Second, aim))
+	k, c := timekeeper.New(), timekeeper.NewConnection(0, trip)
+	left := func(attempt string, want tier.Millis) {
+		q := &request{route: route, arrival: k.Arrived(0, c, route.Name(), tier.Second, true)}
+		if got := q.terms().Aim(); got != want {
+			t.Errorf("%s: %d ms are left until the aim, want %d", attempt, got, want)
+		}
+	}
+	left("on a connection that it opened", aim-2*trip-answerMargin)
+	left("on a connection that it kept", aim-trip-answerMargin)
+}
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -22,6 +22,7 @@
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/sharer"
+	"cicadagrade.example/tier/timekeeper"
 )
 
 // Entry is one VM.
@@ -36,6 +37,7 @@
 	listed   atomic.Bool  // the VM's own registration is in the store
 	isolated atomic.Bool  // neither the store nor any VM answers
 	stopping atomic.Bool
+	tripless atomic.Bool   // the system does not tell round trips; said once
 	stopped  chan struct{} // closed when the VM begins to stop
 	peers    *peers
 	meter    *meter.Meter
@@ -49,8 +51,8 @@
 	core *searcher.Core
 	// relayer holds what has been read of the store, for other VMs.
 	relayer *relayer.Relayer
-	// patience is the most time that callers of a route have begun with.
-	patience map[string]tier.Millis
+	// timekeeper tells how long callers have waited already.
+	timekeeper *timekeeper.Timekeeper
 }
 
 // New returns a VM that is not yet serving.
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "New")
 	}
-	e := &Entry{meter: m, clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), patience: map[string]tier.Millis{}}
+	e := &Entry{meter: m, clock: clock, log: log, courier: courier.New(), peers: newPeers(), stopped: make(chan struct{}), relayer: relayer.New(), timekeeper: timekeeper.New()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(callTimeout))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -246,14 +246,14 @@
 	run.flush = func(f searcher.Flush) error { return stream.Send(reportOf(q, f)) }
 	o, left := run.drive(ctx)
 	e.count(o)
-	if left {
-		return ctx.Err()
-	}
 	if o.Missing() > 0 {
-		e.log.Request("share-ended", "request", q.GetAttempt(), "route", q.GetRoute(),
+		e.log.Request("share-ended", "request", q.GetAttempt(), "route", q.GetRoute(), "recalled", left,
 			"took-ms", int64(e.clock.Now()-now), "aim-ms", q.GetAimMs(), "missing", o.Missing(), "of", len(q.GetShards()),
 			"calls", o.Sent(), "extra", o.Extra(), "misses", missText(o))
 	}
+	if left {
+		return ctx.Err()
+	}
 	return errors.Wrap(stream.Send(&gatherv1.GatherReply{
 		Last: true, MayHaveRun: o.MayHaveRun(), Calls: uint32(o.Sent()), Extra: uint32(o.Extra()),
 	}), "gatherer.Gather")
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -16,12 +16,13 @@
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/timekeeper"
 )
 
 const (
-	// answerMargin is kept from the aim for writing the answer and its way to
-	// the caller.
-	answerMargin = 12 * tier.Millisecond
+	// answerMargin is kept from the aim for merging and writing the answer and
+	// for late timers: twice what a VM of the lowest power takes.
+	answerMargin = 8 * tier.Millisecond
 	// patientTime is taken for a caller who does not say how long it waits.
 	patientTime = 30 * tier.Second
 	// defaultBodyBytes bounds a body if the configuration does not.
@@ -32,23 +33,19 @@
 	// troubleLasts is when a caller is to try again whose shards can't serve all:
 	// the trials that find them back take about as long.
 	troubleLasts = 600 * tier.Millisecond
-	// cameBackShare is the part of a first request's time that one has left at
-	// most that comes back.
-	cameBackShare = 0.95
-	// maxPatience bounds the routes whose callers' time is remembered.
-	maxPatience = 4096
-	// endMargin is the time before the caller's own deadline in which an answer
-	// would not reach it any more.
-	endMargin = 8 * tier.Millisecond
+	// endMargin is the time before the caller's own deadline, less the trip, in
+	// which an answer would not reach it any more.
+	endMargin = 6 * tier.Millisecond
 )
 
 // request is what is known of one request.
 type request struct {
-	route  *router.Route
-	table  *router.Table
-	sender platform.Sender
-	start  tier.Millis
-	body   []byte
+	route   *router.Route
+	table   *router.Table
+	sender  platform.Sender
+	start   tier.Millis
+	arrival timekeeper.Arrival
+	body    []byte
 }
 
 // ServeHTTP takes a caller's request.
@@ -82,7 +79,10 @@
 		e.refuse(w, sender, status, "bad-body", table.Version())
 		return
 	}
-	q := &request{route: route, table: table, sender: sender, start: start, body: body}
+	q := &request{
+		route: route, table: table, sender: sender, start: start, body: body,
+		arrival: e.arrived(r.Context(), route, sender),
+	}
 	message := courier.NewMessage(r.Method, path, r.Host, platform.LeafHeader(r.Header), body)
 	if route.Scattered() {
 		e.scatter(w, r, q, message)
@@ -129,13 +129,14 @@
 	if !limited {
 		left = patientTime
 	}
-	end := q.start + left - endMargin
+	trip := q.arrival.Trip()
+	end := q.start + left - trip - endMargin
 	if t := q.route.Timeout(); t > 0 {
 		end = min(end, q.start+t)
 	}
 	aim := end
 	if a := q.route.Aim(); a > 0 {
-		aim = q.start + a - answerMargin
+		aim = q.start + a - q.arrival.Spent() - trip - answerMargin
 	}
 	options := []searcher.TermsOption{
 		searcher.WithAttempts(q.route.Attempts()), searcher.WithRank(q.route.Rank()),
@@ -155,8 +156,7 @@
 func (e *Entry) scatter(w http.ResponseWriter, r *http.Request, q *request, m *courier.Message) {
 	shards := q.route.Shards()
 	e.mu.Lock()
-	back := e.cameBack(q)
-	hopeless := e.core.Forecaster().Hopeless(q.start, shards, q.route.MinimumParts(), back, rand.Float64())
+	hopeless := e.core.Forecaster().Hopeless(q.start, shards, q.route.MinimumParts(), q.arrival.CameBack(), rand.Float64())
 	e.mu.Unlock()
 	if hopeless {
 		e.meter.Ended(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
@@ -174,7 +174,7 @@
 	}
 	o, left := run.drive(r.Context())
 	if left {
-		e.report(q, o, 0, "caller-left")
+		e.report(q, o, 0, string(o.Cause()))
 		return
 	}
 	if !o.Success() {
@@ -189,21 +189,6 @@
 	e.report(q, o, http.StatusOK, string(o.Cause()))
 }
 
-// cameBack reports whether a caller has waited before: it has less time left
-// than callers of the route begin with.
-func (e *Entry) cameBack(q *request) bool {
-	left, limited := q.sender.TimeLeft()
-	if !limited {
-		return false
-	}
-	most := max(e.patience[q.route.Name()], left)
-	if len(e.patience) > maxPatience {
-		clear(e.patience)
-	}
-	e.patience[q.route.Name()] = most
-	return float64(left) < cameBackShare*float64(most)
-}
-
 // mergeAll merges the replies of leafs and of other VMs into top, and appends
 // their proofs.
 func mergeAll(top *ranker.Ranker, parts []searcher.Part, shares []any, proofs []string) []string {
@@ -225,7 +210,7 @@
 	service := q.route.Target(rand.Float64())
 	o, left := e.newRun(q.sender.Attempt(), q.route.Repeatable(), m, q.terms(), []string{service}, nil).drive(r.Context())
 	if left {
-		e.report(q, o, 0, "caller-left")
+		e.report(q, o, 0, string(o.Cause()))
 		return
 	}
 	var reply *courier.Reply
@@ -278,7 +263,7 @@
 	}
 	e.log.Request("request-ended", "request", q.sender.Attempt(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
-		"aim-ms", int64(q.route.Aim()), "missing", o.Missing(), "of", max(1, len(q.route.Shards())),
+		"aim-ms", int64(q.route.Aim()), "spent-ms", int64(q.arrival.Spent()), "trip-ms", int64(q.arrival.Trip()), "missing", o.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(o.Shares()), "calls", o.Sent(), "extra", o.Extra(),
 		"may-have-run", o.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", missText(o))
 }
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -121,6 +121,9 @@
 	return t
 }
 
+// Aim is when the answer is to go out.
+func (t Terms) Aim() tier.Millis { return t.aim }
+
 // Repeatable lets calls be hedged and retried.
 func Repeatable() TermsOption { return func(t *Terms) { t.repeatable = true } }
 
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -135,6 +135,7 @@
 	PartsLost     Cause = "parts-lost"     // too many parts can't come any more
 	OutOfTime     Cause = "out-of-time"    // the deadline or the route's timeout passed
 	OutcomeUnsure Cause = "outcome-unsure" // sent once, and no reply came
+	Left          Cause = "caller-left"    // the one who asked has gone
 )
 
 // Miss is a service whose part is not in, with what was seen last of it.
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -214,8 +214,7 @@
 	if s.done {
 		return nil
 	}
-	s.done = true
-	return s.cancelAll(now, nil)
+	return s.finish(now, Left, nil)
 }
 
 func (s *Search) observe(now tier.Millis, c *call, r Result) {
--- a/tier/searcher/settle.go
+++ b/tier/searcher/settle.go
@@ -93,7 +93,7 @@
 		}
 	}
 	misses := s.misses(now)
-	if !s.terms.flushes && len(s.parts) > 1 {
+	if !s.terms.flushes && len(s.parts) > 1 && cause != Left {
 		s.judge(now)
 	}
 	actions = s.cancelAll(now, actions)
