Add a fault soak of real processes

Cause: nothing played faults on the real daemons of the platform's path and checked its promises meanwhile; the proofs by command are for `serve`.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: demo failures measure test check build format lint tidy bare race
+.PHONY: demo failures measure soak test check build format lint tidy bare race
 
 build:
 	@mkdir -p $(BIN)
@@ -22,6 +22,13 @@
 measure: build
 	@./demo/measure.sh $(BIN)
 
+# Random faults on real processes, and the promises checked; 40 s a run. RUNS
+# seeds are played from SEED on.
+SEED ?= 1
+RUNS ?= 1
+soak: build
+	$(BIN)/standin soak --program $(BIN)/cicadagraded --seed $(SEED) --runs $(RUNS)
+
 test:
 	go test $(MODULES)
 
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -15,5 +15,6 @@
 		experimentCommand(),
 		reportCommand(),
 		settingsCommand(),
+		soakCommand(),
 	}
 }
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -157,3 +157,10 @@
 }
 
 func after(m tier.Millis) <-chan time.Time { return time.After(m.Duration()) }
+
+// Forget drops the history: watches from an earlier revision end with 410.
+func (s *Server) Forget() {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.history, s.store.floor = nil, s.store.now.revision
+}
