Ask shards beside their leafs, wait for late shares, keep gateways warm

(a) A share for another region went to a VM drawn anew each time, over a connection that had to be opened: 67 ms instead of 20. (b) Its report, as late as the share, was given up 10 ms after the aim; no budget was left to ask again, and the answer failed. (c) The parts were then said to be missing for want of a leaf, when it was the budget. And the price of bytes between zones: whole parts crossed them as a shard went to any strong VM of its region, while its leaf lies in one data centre. Ruled out: a longer wait for all (VMs that had got the share in time report in time); a budget for what was taken back (the rule bounds it). Change: two gateways for each VM and region, probed if unused; the time at which a VM counts as stuck follows from when it said that it had got its share; owners lie in the data centre of a leaf of the shard; what was given up says why.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -35,6 +35,7 @@
 	table    atomic.Pointer[router.Table]
 	seen     atomic.Int64 // when the store last answered, on the clock
 	listed   atomic.Bool  // the VM's own registration is in the store
+	away     atomic.Bool  // the store did not answer the last call
 	isolated atomic.Bool  // neither the store nor any VM answers
 	stopping atomic.Bool
 	tripless atomic.Bool   // the system does not tell round trips; said once
@@ -44,6 +45,7 @@
 	sent     atomic.Int64 // calls to leafs
 	extra    atomic.Int64 // hedges and retries among them
 	missing  atomic.Int64 // parts that were not in when their request ended
+	far      atomic.Int64 // bytes of replies from other regions
 	calls    sync.WaitGroup
 
 	// mu guards what decides: one search steps at a time.
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/api/gather/v1/gatherv1connect"
@@ -80,14 +81,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.settings.Load()
-	regions := func(shard string) []string {
-		var list []string
+	places := func(shard string) []sharer.Place {
+		var list []sharer.Place
 		for _, f := range e.core.Lister().Leafs(shard) {
-			list = append(list, s.Region(f.DataCentre()))
+			list = append(list, sharer.Place{DataCentre: f.DataCentre(), Region: s.Region(f.DataCentre())})
 		}
 		return list
 	}
-	return e.core.Sharer().Divide(route, shards, regions, rand.Float64)
+	return e.core.Sharer().Divide(route, shards, places, rand.Float64)
 }
 
 // delegate sends a share to its VM and tells the search what comes back.
@@ -136,6 +137,9 @@
 			continue
 		}
 		reply := stream.Msg()
+		if a.Member.Region() != r.entry.core.Sharer().Self().Region() {
+			r.entry.far.Add(int64(proto.Size(reply)))
+		}
 		b := searcher.Brought{
 			Reply: reply, Last: reply.GetLast(), MayHaveRun: reply.GetMayHaveRun(),
 			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()),
@@ -182,7 +186,8 @@
 	probeTimeout = 150 * tier.Millisecond
 )
 
-// RunProbes looks for VMs that were passed over and answer again.
+// RunProbes looks for VMs that were passed over and answer again, and keeps
+// connections to other regions open.
 func (e *Entry) RunProbes(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval.Duration())
 	defer ticker.Stop()
@@ -193,7 +198,7 @@
 		case <-ticker.C:
 		}
 		e.mu.Lock()
-		due := e.core.Sharer().Probes(e.clock.Now())
+		due := append(e.core.Sharer().Probes(e.clock.Now()), e.core.Sharer().Unused(e.clock.Now())...)
 		e.mu.Unlock()
 		for _, m := range due {
 			e.calls.Go(func() { e.probe(ctx, m) })
@@ -209,9 +214,11 @@
 		return
 	}
 	e.mu.Lock()
-	e.core.Sharer().Found(e.clock.Now(), m.VM().Name())
+	back := e.core.Sharer().Found(e.clock.Now(), m.VM().Name())
 	e.mu.Unlock()
-	e.log.State("vm-answers-again", "peer", m.VM().Name())
+	if back {
+		e.log.State("vm-answers-again", "peer", m.VM().Name())
+	}
 }
 
 // Ping shows another VM that this one answers.
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"runtime/metrics"
+	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"cicadagrade.example/cicadagraded/meter"
 	"cicadagrade.example/tier/searcher"
@@ -28,16 +30,22 @@
 		{"cicadagrade.entry.view.age", "time since the store answered this VM or the one it follows, in milliseconds", func(e *Entry) int64 { return int64(e.viewAge()) }},
 		{"cicadagrade.entry.view.revision", "revision of the store up to which the VM has read", locked(func(e *Entry) int64 { return e.relayer.Revision() })},
 		{"cicadagrade.entry.leafs", "registrations of leafs, usable or not", locked(func(e *Entry) int64 { return int64(e.core.Lister().Len()) })},
+		{"cicadagrade.entry.leafs.usable", "leafs that calls may go to", locked(func(e *Entry) int64 { return int64(e.core.Lister().Usable()) })},
+		{"cicadagrade.entry.store.away", "1 if the store did not answer this VM's last call", func(e *Entry) int64 { return flag(e.away.Load()) }},
 		{"cicadagrade.entry.vms", "VMs known, with this one", locked(func(e *Entry) int64 { return int64(e.core.Sharer().Len()) })},
 		{"cicadagrade.entry.vms.sound", "other VMs that answer", locked(func(e *Entry) int64 { return int64(len(e.core.Sharer().Sound())) })},
 		{"cicadagrade.entry.parts.waiting", "parts that wait for room at a leaf", locked(func(e *Entry) int64 { return int64(e.core.Waiting()) })},
 		{"cicadagrade.entry.calls", "calls to leafs, also those that other VMs made for this one", func(e *Entry) int64 { return e.sent.Load() }},
 		{"cicadagrade.entry.calls.extra", "hedges and retries among them", func(e *Entry) int64 { return e.extra.Load() }},
+		{"cicadagrade.entry.calls.denied", "hedges and retries that the budget did not grant", locked(func(e *Entry) int64 { return e.core.Budgeter().Denied() })},
+		{"cicadagrade.entry.budget.least", "extra calls left to the service that has the fewest", locked(func(e *Entry) int64 { return int64(e.core.Budgeter().Least()) })},
+		{"cicadagrade.entry.bytes.far", "bytes of replies from other regions, of leafs and of VMs", func(e *Entry) int64 { return e.far.Load() }},
 		{"cicadagrade.entry.parts.missing", "parts that were not in when their request ended", func(e *Entry) int64 { return e.missing.Load() }},
 		{"cicadagrade.entry.connections.opened", "connections opened to leafs", func(e *Entry) int64 { return e.courier.Counts().Dials }},
 		{"cicadagrade.entry.connections.spoiled", "connections dropped for bytes that belong to no request", func(e *Entry) int64 { return e.courier.Counts().Spoiled }},
 		{"cicadagrade.entry.replies.stray", "replies to earlier requests that were skipped", func(e *Entry) int64 { return e.courier.Counts().Strays }},
 		{"cicadagrade.entry.memory", "memory of the process, in bytes", func(*Entry) int64 { return sample("/memory/classes/total:bytes") }},
+		{"cicadagrade.entry.processor.time", "processor time of the process, in milliseconds", func(*Entry) int64 { return processorTime() }},
 		{"cicadagrade.entry.goroutines", "goroutines", func(*Entry) int64 { return sample("/sched/goroutines:goroutines") }},
 	}
 }
@@ -73,6 +81,16 @@
 	return int64(s[0].Value.Uint64())
 }
 
+// processorTime is what the system has charged the process, in milliseconds, or
+// 0 if it does not say.
+func processorTime() int64 {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return (u.Utime.Nano() + u.Stime.Nano()) / int64(time.Millisecond)
+}
+
 // observe registers the gauges.
 func (e *Entry) observe() error {
 	for _, g := range gauges() {
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -10,6 +10,7 @@
 	"cicadagrade.example/cicadagraded/courier"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/sharer"
 )
@@ -126,7 +127,7 @@
 				delete(r.recalls, a.Share)
 				if a.Silent {
 					e.peers.drop(a.Member.VM().Address())
-					e.log.Request("share-taken-back", "request", r.attempt, "peer", a.Member.VM().Name())
+					e.log.Request("share-taken-back", "request", r.attempt, "peer", a.Member.VM().Name(), "had-got-it", a.Got)
 				}
 			}
 		case searcher.Flush:
@@ -154,9 +155,13 @@
 		call.MaxIdle = freshConnection
 	}
 	address := a.Leaf.Address()
+	near := r.entry.place(a.Leaf.DataCentre()) != balancer.OtherRegion
 	r.entry.calls.Go(func() {
 		defer cancel()
 		reply, err := r.entry.courier.Do(ctx, address, call)
+		if err == nil && !near {
+			r.entry.far.Add(int64(len(reply.Body())))
+		}
 		result := classify(reply, err)
 		r.tell(searching, func(s *searcher.Search, now tier.Millis) []searcher.Action {
 			return s.Ended(now, a.Call, result)
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -48,7 +48,6 @@
 // view is what the loop remembers of its sources.
 type view struct {
 	read bool // everything has been read once
-	away bool // the store did not answer the last call
 }
 
 // RunView keeps the view until ctx ends.
@@ -80,8 +79,7 @@
 	if err == nil {
 		return nil
 	}
-	if !v.away && ctx.Err() == nil {
-		v.away = true
+	if ctx.Err() == nil && !e.away.Swap(true) {
 		e.log.Fault("store-lost", "error", err, "view-age-ms", int64(e.viewAge()))
 	}
 	e.mu.Lock()
@@ -143,7 +141,7 @@
 	if err != nil {
 		return errors.Wrap(err, "Entry.poll")
 	}
-	e.regained(v)
+	e.regained()
 	for _, c := range changes {
 		e.apply(c, at)
 	}
@@ -166,8 +164,8 @@
 	if err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
-	lapsed := v.away
-	e.regained(v)
+	lapsed := e.away.Load()
+	e.regained()
 	v.read = true
 	list = append(list, members...)
 	if configuration.Present() {
@@ -346,15 +344,39 @@
 		if c.State() != lister.StateReady {
 			e.courier.Drop(c.Leaf().Address())
 		}
-		e.log.State("leaf-"+c.State(), "leaf", c.Leaf().ID(), "service", c.Leaf().Service(),
-			"address", c.Leaf().Address(), "data-centre", c.Leaf().DataCentre())
+	}
+	e.logLeafs(changes)
+}
+
+// maxLeafLines is how many leafs of one state have a log line each at a time.
+const maxLeafLines = 8
+
+// logLeafs says what has become of leafs. Many at once, as when an index is cut
+// anew, share a line.
+func (e *Entry) logLeafs(changes []lister.Change) {
+	byState := map[string][]lister.Leaf{}
+	for _, c := range changes {
+		byState[c.State()] = append(byState[c.State()], c.Leaf())
+	}
+	for state, leafs := range byState {
+		if len(leafs) > maxLeafLines {
+			var ids strings.Builder
+			for _, f := range leafs {
+				ids.WriteString(f.ID() + "@" + f.Service() + " ")
+			}
+			e.log.State("leafs-"+state, "count", len(leafs), "leafs", strings.TrimSpace(ids.String()))
+			continue
+		}
+		for _, f := range leafs {
+			e.log.State("leaf-"+state, "leaf", f.ID(), "service", f.Service(),
+				"address", f.Address(), "data-centre", f.DataCentre())
+		}
 	}
 }
 
 // regained says that the store has answered.
-func (e *Entry) regained(v *view) {
-	if v.away {
-		v.away = false
+func (e *Entry) regained() {
+	if e.away.Swap(false) {
 		e.log.State("store-regained", "view-age-ms", int64(e.viewAge()))
 	}
 }
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -3,6 +3,8 @@
 // sum stays under the bound of all VMs, whichever of them live.
 package budgeter
 
+import "math"
+
 // Shares of the bound that are spent.
 const (
 	// ratioShare leaves room for requests that this VM counts and the bound
@@ -21,6 +23,7 @@
 	ratio   float64
 	slack   float64
 	members int
+	denied  int64
 	buckets map[string]*bucket
 }
 
@@ -78,11 +81,27 @@
 	u := b.bucket(service)
 	u.tokens = min(u.tokens, b.most(u))
 	if u.tokens < 1 {
+		b.denied++
 		return false
 	}
 	u.tokens--
 	return true
 }
 
+// Denied is how many extra calls were not granted.
+func (b *Budgeter) Denied() int64 { return b.denied }
+
+// Least is how many extra calls the service has left that has the fewest.
+func (b *Budgeter) Least() float64 {
+	if len(b.buckets) == 0 {
+		return 0
+	}
+	least := math.Inf(1)
+	for _, u := range b.buckets {
+		least = min(least, u.tokens)
+	}
+	return least
+}
+
 // Left is how many extra calls a service has left.
 func (b *Budgeter) Left(service string) float64 { return b.bucket(service).tokens }
--- a/tier/searcher/core.go
+++ b/tier/searcher/core.go
@@ -4,6 +4,8 @@
 package searcher
 
 import (
+	"slices"
+
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
@@ -74,7 +76,10 @@
 	for _, f := range leafs {
 		home = home || c.balancer.Near(f)
 	}
-	if !home || !c.sharer.Owns(now, service) {
+	leafIn := func(dataCentre string) bool {
+		return slices.ContainsFunc(leafs, func(f lister.Leaf) bool { return f.DataCentre() == dataCentre })
+	}
+	if !home || !c.sharer.Owns(now, service, leafIn) {
 		return 0
 	}
 	return max(1, len(leafs))
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -82,6 +82,7 @@
 	Share  int
 	Member sharer.Member
 	Silent bool // its VM did not answer in time
+	Got    bool // its VM had said that it got the share
 }
 
 // Flush hands on the parts that came in since the last one, in a search for
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -31,8 +31,9 @@
 	asked   bool
 	share   int // number of the share that has it, or none
 	flushed bool
-	waiting bool // for room at a leaf
-	late    bool // it came after the aim
+	waiting bool   // for room at a leaf
+	late    bool   // it came after the aim
+	why     string // it was given up
 }
 
 // none is the number of no share.
@@ -44,6 +45,8 @@
 	parts    []int
 	sent     tier.Millis
 	acceptBy tier.Millis // when its VM is taken for dead
+	reportBy tier.Millis // when its VM is taken for stuck
+	aim      tier.Millis // the time that its VM was given, from when it got it
 	reported bool
 	ended    bool
 	replies  []any
@@ -157,9 +160,9 @@
 	var actions []Action
 	for k := range s.shares {
 		h := &s.shares[k]
-		stuck := !h.reported && now >= s.terms.aim+reportSlack
+		stuck := !h.reported && now >= h.reportBy
 		if !h.ended && (now >= h.acceptBy || stuck) {
-			actions = s.takeBack(now, k, append(actions, Recall{Share: k, Member: h.member, Silent: true}))
+			actions = s.takeBack(now, k, append(actions, Recall{Share: k, Member: h.member, Silent: true, Got: h.acceptBy == never}))
 		}
 	}
 	for i := range s.parts {
@@ -195,7 +198,7 @@
 			if h := &s.shares[k]; !h.ended {
 				next = min(next, h.acceptBy)
 				if !h.reported {
-					next = min(next, s.terms.aim+reportSlack)
+					next = min(next, h.reportBy)
 				}
 			}
 		}
@@ -242,9 +245,10 @@
 	}
 }
 
-func (s *Search) giveUp(p *part) {
+// giveUp marks a part as lost; why is empty if its last call or share says it.
+func (s *Search) giveUp(p *part, why string) {
 	if !p.lost && !p.in {
-		p.lost = true
+		p.lost, p.why = true, why
 		s.lost++
 	}
 }
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -18,7 +18,7 @@
 	switch {
 	case !found:
 		if p.open == 0 {
-			s.giveUp(p)
+			s.giveUp(p, "no-leaf")
 		}
 		return actions
 	case !s.core.balancer.Room(now, f, s.core.owners(now, p.service) > 0):
@@ -37,7 +37,7 @@
 		case now < s.terms.aim:
 			p.retryAt = now + retryPause
 		default:
-			s.giveUp(p)
+			s.giveUp(p, "no-budget")
 		}
 		return actions
 	}
@@ -120,7 +120,7 @@
 		return actions // another call is out
 	}
 	if !allowed || p.ran >= s.terms.attempts || p.notRun >= s.terms.attempts+maxRefusals {
-		s.giveUp(p)
+		s.giveUp(p, "")
 		return actions
 	}
 	if pause > 0 && !s.hasFresh(now, p) {
--- a/tier/searcher/settle.go
+++ b/tier/searcher/settle.go
@@ -132,8 +132,9 @@
 		if len(list) == maxMisses {
 			break
 		}
-		m := Miss{service: p.service, why: "no-leaf"}
+		m := Miss{service: p.service, why: p.why}
 		switch {
+		case p.why != "":
 		case p.share != none:
 			m.why = "asked-by-" + s.shares[p.share].member.VM().Name()
 		case p.waiting:
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -8,11 +8,9 @@
 	trip := s.core.sharer.RoundTrip(h.member)
 	h.sent = now
 	h.acceptBy = now + tier.Millis(acceptFactor*trip+acceptSlack)
-	return append(actions, Delegate{
-		Share: k, Member: h.member, Parts: h.parts,
-		Aim: max(1, s.terms.aim-now-tier.Millis(trip)-hopMargin),
-		End: s.terms.end - now,
-	})
+	h.reportBy = s.terms.aim + reportSlack
+	h.aim = max(1, s.terms.aim-now-tier.Millis(trip)-hopMargin)
+	return append(actions, Delegate{Share: k, Member: h.member, Parts: h.parts, Aim: h.aim, End: s.terms.end - now})
 }
 
 // Accepted says that a VM has got its share.
@@ -22,7 +20,9 @@
 		return nil
 	}
 	h.acceptBy = never
-	s.core.sharer.Answered(h.member.VM().Name(), now-h.sent)
+	// Its VM counts from when it got the share, which may have been late.
+	h.reportBy = max(h.reportBy, now+h.aim+reportSlack)
+	s.core.sharer.Answered(now, h.member.VM().Name(), now-h.sent)
 	return nil
 }
 
@@ -50,7 +50,7 @@
 		s.core.sharer.Gathered(s.terms.class, h.member.Region(), now-h.sent)
 		for _, i := range h.parts {
 			if p := &s.parts[i]; p.share == k && !p.in {
-				s.giveUp(p)
+				s.giveUp(p, "")
 			}
 		}
 	}
--- a/tier/sharer/division.go
+++ b/tier/sharer/division.go
@@ -25,33 +25,39 @@
 // Parts are the places of the shards in the request.
 func (s Share) Parts() []int { return s.parts }
 
+// Place is where a leaf lies.
+type Place struct {
+	DataCentre, Region string
+}
+
 // Divide gives each shard of a request to a VM. A shard with a leaf in this
 // VM's region goes to the VM that owns it there. The others go to one VM in each
-// further region, which divides them again. regionsOf lists the regions in which
-// a shard has leafs; draw returns numbers uniform in [0, 1).
-func (s *Sharer) Divide(class string, shards []string, regionsOf func(string) []string, draw func() float64) []Share {
+// further region, which divides them again. placesOf lists where a shard has
+// leafs; draw returns numbers uniform in [0, 1).
+func (s *Sharer) Divide(class string, shards []string, placesOf func(string) []Place, draw func() float64) []Share {
 	d := division{at: map[string]int{}, self: s.self.vm.Name()}
 	var away []int
 	able := s.able(s.self.region)
 	for i, shard := range shards {
+		places := placesOf(shard)
 		switch {
-		case !slices.Contains(regionsOf(shard), s.self.region):
+		case !hasRegion(places, s.self.region):
 			away = append(away, i)
 		case len(able) == 0:
 			d.give(s.self, i)
 		default:
-			d.give(pick(shard, s.self.region, able), i)
+			d.give(pick(shard, s.self.region, beside(able, hasDataCentre(places))), i)
 		}
 	}
 	for len(away) > 0 {
-		region, found := s.region(class, shards, away, regionsOf, draw())
+		region, found := s.region(class, shards, away, placesOf, draw())
 		var left []int
 		member := s.self
-		if others := s.able(region); found && len(others) > 0 {
+		if others := s.gateways(region); found && len(others) > 0 {
 			member = others[int(draw()*float64(len(others)))%len(others)]
 		}
 		for _, i := range away {
-			if found && !slices.Contains(regionsOf(shards[i]), region) {
+			if found && !hasRegion(placesOf(shards[i]), region) {
 				left = append(left, i)
 				continue
 			}
@@ -62,6 +68,31 @@
 	return d.list
 }
 
+func hasRegion(places []Place, region string) bool {
+	return slices.ContainsFunc(places, func(p Place) bool { return p.Region == region })
+}
+
+func hasDataCentre(places []Place) func(string) bool {
+	return func(dataCentre string) bool {
+		return slices.ContainsFunc(places, func(p Place) bool { return p.DataCentre == dataCentre })
+	}
+}
+
+// beside leaves those VMs of a region that lie in a leaf's own data centre, if
+// there are any: whole parts stay within it, and only merged records leave.
+func beside(able []Member, leafIn func(dataCentre string) bool) []Member {
+	var list []Member
+	for _, m := range able {
+		if leafIn(m.vm.DataCentre()) {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return able
+	}
+	return list
+}
+
 // division is a list of shares that grows.
 type division struct {
 	self string
@@ -83,13 +114,13 @@
 // region chooses where shards without a leaf at home are asked: where most of
 // them have one, the usually faster region more often. It finds none if no
 // shard has a leaf.
-func (s *Sharer) region(class string, shards []string, away []int, regionsOf func(string) []string, draw float64) (string, bool) {
+func (s *Sharer) region(class string, shards []string, away []int, placesOf func(string) []Place, draw float64) (string, bool) {
 	count := map[string]int{}
 	most := 0
 	for _, i := range away {
-		for _, r := range regionsOf(shards[i]) {
-			count[r]++
-			most = max(most, count[r])
+		for _, p := range placesOf(shards[i]) {
+			count[p.Region]++
+			most = max(most, count[p.Region])
 		}
 	}
 	var names []string
--- a/tier/sharer/sharer.go
+++ b/tier/sharer/sharer.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"cicadagrade.example/tier"
@@ -34,6 +35,12 @@
 	// nearlyMost is the part of the most shards that a region needs to have
 	// leafs of to be chosen.
 	nearlyMost = 0.8
+	// gatewayCount is how many VMs of another region one VM gives shares to: one
+	// can be lost.
+	gatewayCount = 2
+	// warmFor is how long a connection to a gateway is left unused: a fraction of
+	// the time for which idle connections are kept.
+	warmFor = 15 * tier.Second
 	// gatherWeight is the weight of one request in a region's usual time.
 	gatherWeight = 0.1
 )
@@ -73,6 +80,7 @@
 	backoff tier.Millis
 	cleared tier.Millis // when it was last found sound after a suspicion
 	trip    float64
+	contact tier.Millis // when it last answered or was probed, or 0
 }
 
 type regionKey struct{ class, region string }
@@ -180,20 +188,40 @@
 	return due
 }
 
-// Found ends the suspicion of a VM that answered a probe in time.
-func (s *Sharer) Found(now tier.Millis, name string) {
-	if m, ok := s.members[name]; ok && m.suspect {
-		m.suspect, m.cleared = false, now
-		s.picked = nil
+// Unused lists the gateways to other regions that have not been used for long,
+// each once. A share that had to open a connection there would come a trip late.
+func (s *Sharer) Unused(now tier.Millis) []Member {
+	var due []Member
+	for _, region := range s.otherRegions() {
+		for _, g := range s.gateways(region) {
+			if m := s.members[g.vm.Name()]; m.contact == 0 || now-m.contact >= warmFor {
+				m.contact = now
+				due = append(due, g)
+			}
+		}
 	}
+	return due
+}
+
+// Found ends the suspicion of a VM that answered a probe in time, and reports
+// whether there was one.
+func (s *Sharer) Found(now tier.Millis, name string) bool {
+	m, ok := s.members[name]
+	if !ok || !m.suspect {
+		return false
+	}
+	m.suspect, m.cleared = false, now
+	s.picked = nil
+	return true
 }
 
 // Answered takes the time to a VM and back.
-func (s *Sharer) Answered(name string, trip tier.Millis) {
+func (s *Sharer) Answered(now tier.Millis, name string, trip tier.Millis) {
 	m, ok := s.members[name]
 	if !ok {
 		return
 	}
+	m.contact = now
 	if m.trip == 0 {
 		m.trip = float64(trip) + 1
 		return
@@ -264,15 +292,15 @@
 }
 
 // Owns reports whether this VM is the one that usually asks a shard in its
-// region.
-func (s *Sharer) Owns(now tier.Millis, shard string) bool {
+// region; leafIn tells the data centres of its leafs.
+func (s *Sharer) Owns(now tier.Millis, shard string, leafIn func(dataCentre string) bool) bool {
 	if s.picked == nil || now-s.pickAt >= pickedFor {
 		s.picked, s.pickAt = map[string]string{}, now
 	}
 	name, ok := s.picked[shard]
 	if !ok {
 		if able := s.able(s.self.region); len(able) > 0 {
-			name = pick(shard, s.self.region, able).vm.Name()
+			name = pick(shard, s.self.region, beside(able, leafIn)).vm.Name()
 		}
 		s.picked[shard] = name
 	}
@@ -300,6 +328,30 @@
 	return strong
 }
 
+// gateways are the VMs of another region that this one gives shares to: always
+// the same few, so that the connections are there, and not the same ones for all
+// VMs.
+func (s *Sharer) gateways(region string) []Member {
+	list := s.able(region)
+	if len(list) <= gatewayCount {
+		return list
+	}
+	score := func(m Member) uint64 { return picker.Score("gateway", s.self.vm.Name(), m.vm.Name()) }
+	sort.Slice(list, func(i, j int) bool { return score(list[i]) > score(list[j]) })
+	return list[:gatewayCount]
+}
+
+// otherRegions lists the regions of other VMs but the own.
+func (s *Sharer) otherRegions() []string {
+	var list []string
+	for _, m := range s.members {
+		if r := m.member.region; r != s.self.region && !slices.Contains(list, r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // pick is weighted rendezvous hashing: every VM with the same members picks
 // the same one, and a member that leaves moves only its own shards.
 func pick(shard, region string, able []Member) Member {
--- a/tier/sharer/sharer_test.go
+++ b/tier/sharer/sharer_test.go
@@ -40,11 +40,11 @@
 	return list
 }
 
-func regionsOf(shard string) []string {
-	all := []string{"r1", "r2", "r3"}
+func placesOf(shard string) []Place {
+	all := []Place{{"r1-1", "r1"}, {"r2-1", "r2"}, {"r3-1", "r3"}}
 	var i int
 	_, _ = fmt.Sscanf(shard, "shard-%d", &i)
-	return []string{all[i%3], all[(i+1)%3]}
+	return []Place{all[i%3], all[(i+1)%3]}
 }
 
 func TestEveryShardIsAskedOnce(t *testing.T) {
@@ -52,7 +52,7 @@
 	list := shards(30)
 	for name, s := range fleet(2, 5) {
 		seen := map[int]bool{}
-		for _, share := range s.Divide("class", list, regionsOf, draw.Float64) {
+		for _, share := range s.Divide("class", list, placesOf, draw.Float64) {
 			if share.Self() != (share.Member().VM().Name() == name) {
 				t.Errorf("%s: a share says self %v", name, share.Self())
 			}
@@ -81,7 +81,7 @@
 		if s.Self().Region() != "r1" {
 			continue
 		}
-		for _, share := range s.Divide("class", list, regionsOf, draw.Float64) {
+		for _, share := range s.Divide("class", list, placesOf, draw.Float64) {
 			m := share.Member()
 			if m.Cores() < 0.5 {
 				t.Errorf("%s is given a share", m.VM().Name())
@@ -107,7 +107,7 @@
 	}
 	owned := 0
 	for _, s := range views {
-		if s.Self().Region() == "r1" && s.Owns(0, list[0]) {
+		if s.Self().Region() == "r1" && s.Owns(0, list[0], hasDataCentre(placesOf(list[0]))) {
 			owned++
 		}
 	}
@@ -120,7 +120,7 @@
 	draw := rand.New(rand.NewPCG(1, 1))
 	s := fleet(3, 0)["r1-strong-0"]
 	given := func() bool {
-		for _, share := range s.Divide("class", shards(30), regionsOf, draw.Float64) {
+		for _, share := range s.Divide("class", shards(30), placesOf, draw.Float64) {
 			if share.Member().VM().Name() == "r1-strong-1" {
 				return true
 			}
@@ -145,7 +145,7 @@
 	for name := range s.members {
 		s.Failed(9000, name)
 	}
-	for _, share := range s.Divide("class", shards(30), regionsOf, draw.Float64) {
+	for _, share := range s.Divide("class", shards(30), placesOf, draw.Float64) {
 		if !share.Self() {
 			t.Errorf("%s is given a share though only this VM answers", share.Member().VM().Name())
 		}
@@ -181,3 +181,77 @@
 		t.Errorf("%d VMs known that did not register again", s.Len())
 	}
 }
+
+// The load: many weak VMs, each with a request a second, while leafs of some
+// shards leave in a whole region. Pattern: a few fixed gateways for each VM, with
+// connections that are kept warm, spread over all that are able.
+func TestSharesGoOverFewWarmConnections(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 1))
+	used := map[string]int{}
+	for name, s := range fleet(8, 12) {
+		warm := map[string]bool{}
+		for _, m := range s.Unused(1) {
+			warm[m.VM().Name()] = true
+		}
+		if len(warm) != 2*gatewayCount {
+			t.Errorf("%s warms %d connections", name, len(warm))
+		}
+		if again := s.Unused(2); len(again) > 0 {
+			t.Errorf("%s warms %d connections at once again", name, len(again))
+		}
+		for range 20 {
+			for _, share := range s.Divide("class", shards(30), placesOf, draw.Float64) {
+				if m := share.Member(); m.Region() != s.Self().Region() {
+					used[m.VM().Name()]++
+					if !warm[m.VM().Name()] {
+						t.Errorf("%s gives %s a share over a cold connection", name, m.VM().Name())
+					}
+				}
+			}
+		}
+		if again := s.Unused(warmFor + 1); len(again) != 2*gatewayCount {
+			t.Errorf("%s warms %d connections after a while", name, len(again))
+		}
+	}
+	if len(used) != 3*8 {
+		t.Errorf("%d of 24 strong VMs are gateways", len(used))
+	}
+}
+
+// The load: whole parts of a hundred shards for each request. Pattern: work goes to
+// the data; a shard is asked in its leaf's own data centre, by all VMs alike, and
+// elsewhere in the region only if nobody is left there.
+func TestShardsAreAskedBesideTheirLeafs(t *testing.T) {
+	var all []Member
+	for i := range 8 {
+		dataCentre := fmt.Sprintf("r1-%d", i%2)
+		all = append(all, NewMember(tier.NewVM(fmt.Sprint("vm-", i), dataCentre, ""), "r1", 0.8))
+	}
+	places := func(string) []Place { return []Place{{"r1-1", "r1"}, {"r2-0", "r2"}} }
+	for _, self := range all {
+		s := New(self)
+		s.SetMembers(0, all, false)
+		check := func(want string) {
+			for _, share := range s.Divide("class", shards(100), places, func() float64 { return 0 }) {
+				m := share.Member().VM()
+				if m.DataCentre() != want {
+					t.Errorf("%s gives %s in %s a share", self.VM().Name(), m.Name(), m.DataCentre())
+				}
+				for _, i := range share.Parts() {
+					if share.Self() != s.Owns(0, shards(100)[i], hasDataCentre(places(""))) {
+						t.Errorf("%s: its own share and what it owns differ", self.VM().Name())
+					}
+				}
+			}
+		}
+		check("r1-1")
+		for _, m := range all {
+			if m.VM().DataCentre() == "r1-1" && m.VM().Name() != self.VM().Name() {
+				s.Failed(1, m.VM().Name())
+			}
+		}
+		if self.VM().DataCentre() == "r1-0" {
+			check("r1-0")
+		}
+	}
+}
