Pin versions over a resharding in a test; forget budgets of unused services

Cause: no test showed that a request under way keeps its version's shards while the index is cut anew; buckets of extra calls were kept for services that no route names any more; a service's health path and limit on connections were decoded and used by nothing. Buckets go a minute after their service went: at once would add up to more than the bound in a storm of configurations, which the test shows. router.Service goes. Ruled out: using the limit on connections as a bound (calls at a leaf are bounded by its slots, which takes fewer connections).

--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -64,6 +64,10 @@
 //	idle PATH                       a connection is kept silent: after a GET,
 //	                                after half of a header, and before any byte
 //	seen ID                         requests that the leaf has run
+//	hold ID                         the leaf keeps what it runs
+//	begin METHOD PATH               a caller asks, while the session goes on once
+//	                                the leaf that holds has got its part
+//	release                         the leaf goes on; what the caller gets
 type session struct {
 	t     *testing.T
 	out   strings.Builder
@@ -71,8 +75,15 @@
 	entry *Entry
 	front net.Listener
 	leafs map[string]*responder.Leaf
+	group sync.WaitGroup
+	holds string      // the leaf that keeps what it runs
+	free  func()      // has it go on
+	begun chan string // what the caller gets
 }
 
+// patience is how long callers wait, in milliseconds: longer than any session.
+const patience = 120_000
+
 func newSession(t *testing.T) *session {
 	t.Helper()
 	s := &session{t: t, leafs: map[string]*responder.Leaf{}}
@@ -98,14 +109,13 @@
 	}
 	callers := NewCallers(s.entry)
 	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { _ = s.entry.RunView(ctx) })
-	group.Go(func() { _ = callers.Serve(s.front) })
+	s.group.Go(func() { _ = s.entry.RunView(ctx) })
+	s.group.Go(func() { _ = callers.Serve(s.front) })
 	t.Cleanup(func() {
 		cancel()
 		_ = s.front.Close()
 		callers.Close()
-		group.Wait()
+		s.group.Wait()
 		s.entry.Close()
 		s.store.Close()
 		store.Close()
@@ -146,6 +156,17 @@
 		s.idle("GET " + words[1] + " HTTP/1.1\r\nHost: search.example\r\n\r\n")
 		s.idle("GET " + words[1] + " HTTP/1.1\r\nHost:")
 		s.idle("")
+	case "hold":
+		s.holds, s.free = words[1], s.leafs[words[1]].Hold()
+	case "begin":
+		s.begun = make(chan string, 1)
+		s.group.Go(func() { s.begun <- s.get(words[1], words[2], nil) })
+		for len(s.leafs[s.holds].Seen()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	case "release":
+		s.free()
+		s.out.WriteString(<-s.begun)
 	case "seen":
 		fmt.Fprintf(&s.out, "  %s\n", strings.Join(s.leafs[words[1]].Seen(), ", "))
 	default:
@@ -190,6 +211,12 @@
 }
 
 func (s *session) ask(method, path string, headers []string) {
+	s.out.WriteString(s.get(method, path, headers))
+}
+
+// get asks, and tells what comes.
+func (s *session) get(method, path string, headers []string) string {
+	var out strings.Builder
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader("order 7")
@@ -199,7 +226,7 @@
 		s.t.Fatal(err)
 	}
 	q.Host = "search.example"
-	responder.Address(q.Header, "a1", 4000)
+	responder.Address(q.Header, "a1", patience)
 	for _, h := range headers {
 		k, v, _ := strings.Cut(h, "=")
 		if k == "expect" {
@@ -217,7 +244,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	fmt.Fprintf(&s.out, "  %d", p.StatusCode)
+	fmt.Fprintf(&out, "  %d", p.StatusCode)
 	var names []string
 	for k := range p.Header {
 		switch k {
@@ -236,16 +263,16 @@
 	}
 	sort.Strings(names)
 	for _, n := range names {
-		s.out.WriteString("; " + n)
+		out.WriteString("; " + n)
 	}
 	var letters []byte
 	for i := 0; i+platform.RecordBytes <= len(got); i += platform.RecordBytes {
 		letters = append(letters, got[i])
 	}
-	fmt.Fprintf(&s.out, "; records %q\n", letters)
+	fmt.Fprintf(&out, "; records %q\n", letters)
+	return out.String()
 }
 
-// raw sends bytes as they are; \r\n stands for the ends of lines.
 // idle sends a text and then nothing, until the VM closes the connection. It
 // notes the bytes that come before that.
 func (s *session) idle(text string) {
@@ -265,6 +292,7 @@
 	fmt.Fprintf(&s.out, "  closed after %q\n", first)
 }
 
+// raw sends bytes as they are; \r\n stands for the ends of lines.
 func (s *session) raw(text string) {
 	c, err := net.Dial("tcp", s.front.Addr().String())
 	if err != nil {
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -289,6 +289,9 @@
 		return
 	}
 	e.table.Store(t)
+	e.mu.Lock()
+	e.core.Budgeter().Forget(e.clock.Now(), t.Uses)
+	e.mu.Unlock()
 	from := int64(0)
 	if old != nil {
 		from = old.Version()
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -37,6 +37,7 @@
 
 	mu   sync.Mutex
 	seen []string
+	held chan struct{} // closed when requests may go on, or nil
 }
 
 // New returns a leaf. Its answer is records, a letter for each, or a status such
@@ -50,6 +51,15 @@
 	return append([]string(nil), l.seen...)
 }
 
+// Hold has it keep requests that it runs, until the function is called.
+func (l *Leaf) Hold() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := make(chan struct{})
+	l.held = held
+	return func() { close(held) }
+}
+
 // Registration is what it writes of itself to the store.
 func (l *Leaf) Registration(service, address, dataCentre string) ([]byte, error) {
 	raw, err := json.Marshal(map[string]any{
@@ -84,7 +94,15 @@
 	}
 	l.mu.Lock()
 	l.seen = append(l.seen, fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, body))
+	held := l.held
 	l.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	if l.answer == Mute {
 		panic(http.ErrAbortHandler)
 	}
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -3,7 +3,11 @@
 // sum stays under the bound of all VMs, whichever of them live.
 package budgeter
 
-import "math"
+import (
+	"math"
+
+	"cicadagrade.example/tier"
+)
 
 // Shares of the bound that are spent.
 const (
@@ -18,6 +22,10 @@
 	othersShare = 0.25
 )
 
+// keepFor is how long the bucket of an unused service is kept: several of the
+// windows in which extra calls are counted.
+const keepFor = tier.Minute
+
 // Budgeter holds a bucket for each service.
 type Budgeter struct {
 	ratio   float64
@@ -29,7 +37,8 @@
 
 type bucket struct {
 	tokens float64
-	owners int // VMs that usually ask the service, if this is one of them
+	owners int         // VMs that usually ask the service, if this is one of them
+	unused tier.Millis // since when no route leads to the service, or 0
 }
 
 // New returns the budgeter of one VM. For each service and window all VMs
@@ -88,6 +97,22 @@
 	return true
 }
 
+// Forget drops the buckets of services that have not been used for long, looked
+// at with each new configuration. One that comes back soon keeps what it has left:
+// a new bucket for each change would add up to more than the bound.
+func (b *Budgeter) Forget(now tier.Millis, used func(service string) bool) {
+	for service, u := range b.buckets {
+		switch {
+		case used(service):
+			u.unused = 0
+		case u.unused == 0:
+			u.unused = max(now, 1)
+		case now-u.unused >= keepFor:
+			delete(b.buckets, service)
+		}
+	}
+}
+
 // Denied is how many extra calls were not granted.
 func (b *Budgeter) Denied() int64 { return b.denied }
 
--- a/tier/budgeter/budgeter_test.go
+++ b/tier/budgeter/budgeter_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"testing"
+
+	"cicadagrade.example/tier"
 )
 
 // The load: every VM wants to repeat every call to one service, while owners
@@ -61,3 +63,22 @@
 		t.Errorf("%d extra calls in a row, expected 10: a pause of 300 ms meets as many", taken)
 	}
 }
+
+// Services come and go with configurations: buckets are bounded, and a service
+// that is named again and again gets no more than it had.
+func TestUnusedBucketsAreForgottenLater(t *testing.T) {
+	b := New(0.2, 54, 10)
+	none := func(string) bool { return false }
+	for b.Take("s") {
+	}
+	for now := tier.Millis(0); now < keepFor; now += tier.Second {
+		b.Forget(now, none)
+		if b.Take("s") {
+			t.Fatalf("after %d ms a service that was away got new extra calls", now)
+		}
+	}
+	b.Forget(keepFor+1, none)
+	if n := len(b.buckets); n > 0 {
+		t.Errorf("%d buckets are kept", n)
+	}
+}
--- a/tier/router/router_test.go
+++ b/tier/router/router_test.go
@@ -12,7 +12,7 @@
 		NewRoute("short", "a.example", "/x/"),
 		NewRoute("long", "a.example", "/x/y/"),
 		NewRoute("other", "b.example", "/x/y/z/"),
-	}, nil, Limits{})
+	}, Limits{})
 	for _, c := range []struct{ host, path, want string }{
 		{"a.example", "/x/1", "short"},
 		{"a.example", "/x/y/z/1", "long"},
--- a/tier/router/table.go
+++ b/tier/router/table.go
@@ -10,28 +10,6 @@
 	"cicadagrade.example/tier"
 )
 
-// Service is what the operator says of the leafs of one service.
-type Service struct {
-	name           string
-	healthPath     string
-	maxConnections int
-}
-
-// NewService returns a service with the path of its health check and the most
-// connections that each of its leafs accepts from all VMs.
-func NewService(name, healthPath string, maxConnections int) Service {
-	return Service{name: name, healthPath: healthPath, maxConnections: maxConnections}
-}
-
-// Name is the service's name.
-func (s Service) Name() string { return s.name }
-
-// HealthPath is the path of the health check.
-func (s Service) HealthPath() string { return s.healthPath }
-
-// MaxConnections is the limit of each leaf over all VMs; 0 is unknown.
-func (s Service) MaxConnections() int { return s.maxConnections }
-
 // Limits bound what a caller may send.
 type Limits struct {
 	headerBytes int
@@ -60,31 +38,34 @@
 
 // Table is one version of the configuration.
 type Table struct {
-	version  int64
-	routes   map[string][]*Route
-	services map[string]Service
-	limits   Limits
-	count    int
+	version int64
+	routes  map[string][]*Route
+	used    map[string]bool // services that routes lead to
+	limits  Limits
+	count   int
 }
 
-// NewTable returns a table of routes and services.
-func NewTable(version int64, routes []*Route, services []Service, limits Limits) *Table {
+// NewTable returns a table of routes.
+func NewTable(version int64, routes []*Route, limits Limits) *Table {
 	t := &Table{
-		version:  version,
-		routes:   map[string][]*Route{},
-		services: make(map[string]Service, len(services)),
-		limits:   limits,
-		count:    len(routes),
+		version: version,
+		routes:  map[string][]*Route{},
+		used:    map[string]bool{},
+		limits:  limits,
+		count:   len(routes),
 	}
 	for _, r := range routes {
 		t.routes[r.host] = append(t.routes[r.host], r)
+		for _, s := range r.shards {
+			t.used[s] = true
+		}
+		for _, target := range r.targets {
+			t.used[target.service] = true
+		}
 	}
 	for _, list := range t.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].prefix) > len(list[j].prefix) })
 	}
-	for _, s := range services {
-		t.services[s.name] = s
-	}
 	return t
 }
 
@@ -97,11 +78,8 @@
 // Routes is the number of routes.
 func (t *Table) Routes() int { return t.count }
 
-// Service finds a service by name.
-func (t *Table) Service(name string) (Service, bool) {
-	s, ok := t.services[name]
-	return s, ok
-}
+// Uses reports whether some route leads to a service.
+func (t *Table) Uses(service string) bool { return t.used[service] }
 
 // Match finds the route with the longest prefix of path among those of host,
 // which may carry a port.
