--- a/standin/soak.go
+++ b/standin/soak.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
@@ -37,6 +41,9 @@
 		Long:  soakHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			// An interrupted run ends its processes too.
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
 			broken := 0
 			for i := range uint64(runs) {
 				options := []soaker.Option{
@@ -46,7 +53,7 @@
 				if untimed {
 					options = append(options, soaker.Untimed())
 				}
-				n, err := soakOnce(c, program, dir, seed+i, options)
+				n, err := soakOnce(ctx, c.OutOrStdout(), program, dir, seed+i, options)
 				if err != nil {
 					return err
 				}
@@ -73,7 +80,7 @@
 }
 
 // soakOnce plays one seed and returns the number of broken promises.
-func soakOnce(c *cobra.Command, program, dir string, seed uint64, options []soaker.Option) (int, error) {
+func soakOnce(ctx context.Context, out io.Writer, program, dir string, seed uint64, options []soaker.Option) (int, error) {
 	temporary := dir == ""
 	if temporary {
 		var err error
@@ -81,17 +88,17 @@
 			return 0, errors.Wrap(err, "soakOnce")
 		}
 	}
-	r, err := soaker.New(program, dir, seed, options...).Run(c.Context())
+	r, err := soaker.New(program, dir, seed, options...).Run(ctx)
 	if err != nil {
 		return 0, errors.Wrapf(err, "soakOnce: seed %d, logs in %s", seed, dir)
 	}
-	fmt.Fprintf(c.OutOrStdout(), "seed=%d faults=%d requests=%d served=%d refused=%d failed=%d broken=%d\n",
+	fmt.Fprintf(out, "seed=%d faults=%d requests=%d served=%d refused=%d failed=%d broken=%d\n",
 		seed, r.Faults, r.Requests, r.Served, r.Refused, r.Failed, len(r.Violations))
 	for _, v := range r.Violations {
-		fmt.Fprintln(c.OutOrStdout(), " ", v)
+		fmt.Fprintln(out, " ", v)
 	}
 	if len(r.Violations) > 0 {
-		fmt.Fprintln(c.OutOrStdout(), "  logs:", dir)
+		fmt.Fprintln(out, "  logs:", dir)
 		return len(r.Violations), nil
 	}
 	if temporary {
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -23,15 +23,15 @@
 	callerPatience = 3000
 	// leaverShare is the part of callers' requests that are given up early.
 	leaverShare = 0.05
-	// readinessPoll is how often the balancer looks at each VM, and misses it
-	// takes to take one out.
+	// readinessPoll is how often the balancer looks at each VM; as many misses in
+	// a row as readinessMisses take one out, as on the platform.
 	readinessPoll   = 500 * tier.Millisecond
 	readinessMisses = 2
 	// dialPatience is how long a caller waits for a connection.
 	dialPatience = tier.Second
-	// useful is how long a connection is used. Callers keep it through a stop,
-	// until the VM closes it.
-	useful = 200
+	// maxRequests is how many requests a connection is used for. Callers keep it
+	// through a stop, until the VM closes it.
+	maxRequests = 200
 )
 
 // balance keeps the list of VMs that answer their readiness check.
@@ -147,7 +147,7 @@
 			q.status, q.header, q.body = reply.StatusCode, reply.Header, body
 		}
 	})
-	return err == nil && !reply.Close && c.count < useful
+	return err == nil && !reply.Close && c.count < maxRequests
 }
 
 // read takes the answer, whole.
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	stdlog "log"
 	"net/http/httptest"
 	"os"
@@ -27,11 +28,7 @@
 )
 
 // quiet drops what servers say of connections that end.
-var quiet = stdlog.New(discard{}, "", 0)
-
-type discard struct{}
-
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
+var quiet = stdlog.New(io.Discard, "", 0)
 
 const (
 	// readyTime is how long the deployment may take to serve at the start.
@@ -98,7 +95,7 @@
 func New(program, dir string, seed uint64, options ...Option) *Soak {
 	s := &Soak{
 		program: program, dir: dir, seed: seed, count: 6, faults: 12, over: 20 * tier.Second,
-		callers: 24, pause: 60, timed: true, log: log.New(discard{}), ledger: newLedger(),
+		callers: 24, pause: 60, timed: true, log: log.New(io.Discard), ledger: newLedger(),
 	}
 	for _, o := range options {
 		o(s)
@@ -114,8 +111,8 @@
 }
 
 // Run plays the plan and returns what was broken.
-func (s *Soak) Run(ctx context.Context) (Result, error) {
-	ctx, end := context.WithCancel(ctx)
+func (s *Soak) Run(outer context.Context) (Result, error) {
+	ctx, end := context.WithCancel(outer)
 	defer end()
 	s.group, ctx = errgroup.WithContext(ctx)
 	err := s.play(ctx)
@@ -126,6 +123,9 @@
 	if other := s.group.Wait(); err == nil {
 		err = other
 	}
+	if outer.Err() != nil {
+		err = errors.New("interrupted")
+	}
 	if err != nil {
 		return Result{}, errors.Wrap(err, "Soak.Run")
 	}
@@ -188,8 +188,8 @@
 	return ctx.Err()
 }
 
-// settled reports whether all VMs know all leafs: each has answered its
-// readiness check for a while.
+// settled gives VMs that are ready the time to hear of all leafs, and reports
+// whether they still are.
 func (s *Soak) settled(ctx context.Context) bool {
 	sleep(ctx, 2*readinessPoll)
 	return len(*s.ready.Load()) == len(s.vms)
