Keep the platform's names out of two benchmarks

Cause: they wrote registrations and a configuration in the platform's format outside platform/ and the stand-ins. Change: the stand-in leaf's registration and a data file.

--- a/cicadagraded/entry/apply_test.go
+++ b/cicadagraded/entry/apply_test.go
@@ -9,12 +9,13 @@
 
 	"cicadagrade.example/cicadagraded/eventlog"
 	"cicadagrade.example/platform"
+	"cicadagrade.example/standin/responder"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/storer"
 )
 
 // BenchmarkApply is the work of one change of a leaf's registration, of a leaf
-// that is new. The load: an index that is cut anew registers hundreds of leafs in
+// that is new or leaves. The load: an index that is cut anew registers hundreds of leafs in
 // a second, on VMs with a fifth of a core.
 func BenchmarkApply(b *testing.B) {
 	raw, err := os.ReadFile("testdata/settings.toml")
@@ -33,9 +34,11 @@
 	i := 0
 	for b.Loop() {
 		i++
-		key := fmt.Sprintf("%si-%d", platform.LeafsPrefix, i%1200)
-		value := fmt.Sprintf(`{"service":"s%d","address":"10.0.%d.%d:80","zone":"depot-a","slots":2,"state":"ready",`+
-			`"coldRemainingMs":0,"sequence":1,"born":%d}`, i%400, i%1200/250, i%250, i)
-		e.apply(storer.NewValue(key, []byte(value), int64(i)), int64(i))
+		leaf := responder.NewWorker(fmt.Sprint("i-", i%1200), fmt.Sprint("s", i%400), 0, nil, nil)
+		value, err := leaf.Registration(fmt.Sprintf("10.0.%d.%d:80", i%1200/250, i%250), "depot-a", i%2 == 0, int64(i))
+		if err != nil {
+			b.Fatal(err)
+		}
+		e.apply(storer.NewValue(platform.LeafsPrefix+leaf.ID(), value, int64(i)), int64(i))
 	}
 }
--- a/cicadagraded/entry/bench_test.go
+++ b/cicadagraded/entry/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -39,10 +38,8 @@
 		b.Fatal(err)
 	}
 	defer e.Close()
-	shards := make([]string, benchShards)
-	for i := range shards {
-		shards[i] = fmt.Sprint("s", i)
-		worker := responder.NewWorker(fmt.Sprint("w", i), shards[i], 0, func(responder.Run) {}, func(responder.Run) {})
+	for i := range benchShards {
+		worker := responder.NewWorker(fmt.Sprint("w", i), fmt.Sprint("s", i), 0, func(responder.Run) {}, func(responder.Run) {})
 		leaf := httptest.NewServer(worker)
 		defer leaf.Close()
 		entry, err := worker.Registration(leaf.Listener.Addr().String(), "depot-a", false, 1)
@@ -51,10 +48,7 @@
 		}
 		e.apply(storer.NewValue(platform.LeafsPrefix+worker.ID(), entry, int64(i+1)), int64(i+1))
 	}
-	table, err := json.Marshal(map[string]any{"version": 1, "routes": []any{map[string]any{
-		"name": "sweep", "host": "search.example", "pathPrefix": "/", "kind": "idempotent", "timeoutMs": patience,
-		"targetLatencyMs": patience, "maxAttempts": 2, "shards": shards, "topK": 50, "minimumShardShare": 0.89,
-	}}})
+	table, err := os.ReadFile("testdata/twenty-shards.json")
 	if err != nil {
 		b.Fatal(err)
 	}
