Bound what a leaf can make a VM read

Cause: a leaf's head had no limit at all, a chunked body was read to its end even after the call had failed (closing the body of net/http drains it), and a body's memory was taken by its announced length. Bytes without end in a head or body, and a large announced length, took memory until the call's deadline.

--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -38,8 +38,14 @@
 	// maxIdlePerAddress bounds the idle connections to one address. Servers accept few
 	// connections from all VMs together.
 	maxIdlePerAddress = 3
-	// maxReplyBytes bounds the body of a reply.
+	// maxReplyBytes bounds the body of a reply, and maxHeadBytes its status line and header.
 	maxReplyBytes = 8 << 20
+	maxHeadBytes  = 64 << 10
+	// smallReplyBytes is the part of a body that does not count towards the limit of
+	// WithBodyMemory.
+	smallReplyBytes = 64 << 10
+	// defaultBodyMemory is the limit without WithBodyMemory, in bytes.
+	defaultBodyMemory = 64 << 20
 	// maxRepliesPerCall bounds the replies that are read for one request, including
 	// interim replies and late replies to earlier requests.
 	maxRepliesPerCall = 4
@@ -114,15 +120,30 @@
 	idle   map[string][]*conn
 	closed bool
 
+	bodyMemory int64
+	bodyBytes  atomic.Int64 // of bodies being read, without smallReplyBytes of each
+
 	dials, requests, staleReplies, outOfSync atomic.Int64
 }
 
+// Option changes a Client.
+type Option func(*Client)
+
+// WithBodyMemory bounds the bytes of all large bodies that are being read at a time. A call
+// that would exceed it fails: servers in trouble may send bytes without end.
+func WithBodyMemory(bytes int64) Option { return func(c *Client) { c.bodyMemory = bytes } }
+
 // New returns a client without connections.
-func New() *Client {
-	return &Client{
-		dialer: net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1},
-		idle:   map[string][]*conn{},
+func New(options ...Option) *Client {
+	c := &Client{
+		dialer:     net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1},
+		idle:       map[string][]*conn{},
+		bodyMemory: defaultBodyMemory,
+	}
+	for _, set := range options {
+		set(c)
 	}
+	return c
 }
 
 // Counts returns the totals.
@@ -136,6 +157,7 @@
 // conn is a connection to a server with its buffered reader.
 type conn struct {
 	net.Conn
+	limiter     *headLimiter
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -199,11 +221,13 @@
 func (c *Client) readReply(cn *conn, call Call) (*Reply, bool, error) {
 	request := &http.Request{Method: call.Method}
 	for range maxRepliesPerCall {
+		cn.limiter.limit(maxHeadBytes)
 		response, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "Client.readReply")
 		}
-		body, err := readBody(call.Method, response)
+		cn.limiter.unlimit()
+		body, err := c.readBody(call.Method, response)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "Client.readReply")
 		}
@@ -248,7 +272,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "Client.acquire")
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: maxIdleTime.Duration()}, nil
+	limiter := &headLimiter{source: raw}
+	return &conn{
+		Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), idleTimeout: maxIdleTime.Duration(),
+	}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to an address, or nil.
--- a/cicadagraded/leafclient/client_test.go
+++ b/cicadagraded/leafclient/client_test.go
@@ -262,3 +262,85 @@
 		cancel()
 	}
 }
+
+// TestEndlessRepliesAreCutOff guards against a leaf in trouble that sends bytes without end,
+// which would fill the VM's memory: the client closes the connection, and the call fails long
+// before its deadline.
+func TestEndlessRepliesAreCutOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, text := range map[string][2]string{
+		"status line":         {"", "HTTP/1.1 200 "},
+		"header line":         {head + "X-Long: ", "long "},
+		"header lines":        {head, "X-Line: one of many\r\n"},
+		"no reply at all":     {"", "\x00\x01\x02\x03"},
+		"interim replies":     {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"body without length": {head + "\r\n", "body "},
+		"chunks":              {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		"chunk size":          {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extension":     {head + "Transfer-Encoding: chunked\r\n\r\n4;x=", "extension"},
+		"trailer":             {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Line: one of many\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const most = 64 << 20 // bytes that the server sends if it is not stopped
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var group sync.WaitGroup
+			sentAll := false
+			group.Go(func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				piece := []byte(strings.Repeat(text[1], 4096))
+				if _, err := c.Write([]byte(text[0])); err != nil {
+					return
+				}
+				for sent := 0; sent < most; sent += len(piece) {
+					if _, err := c.Write(piece); err != nil {
+						return
+					}
+				}
+				sentAll = true
+			})
+			c := New()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, err = c.Do(ctx, l.Addr().String(), Call{Method: http.MethodGet, Request: []byte("GET / HTTP/1.1\r\nHost: leaf\r\n\r\n")})
+			var noReply *NoReplyError
+			if !errors.As(err, &noReply) {
+				t.Errorf("got error %v, expected a NoReplyError", err)
+			}
+			_ = l.Close()
+			group.Wait()
+			if sentAll {
+				t.Errorf("the client took all of %d bytes", most)
+			}
+			if n := c.bodyBytes.Load(); n != 0 {
+				t.Errorf("%d bytes are still counted as being read", n)
+			}
+		})
+	}
+}
+
+// TestLargeBodiesShareALimit guards against many leafs that send large bodies at once.
+func TestLargeBodiesShareALimit(t *testing.T) {
+	large := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 300<<10, strings.Repeat("b", 300<<10))
+	s := startServer(t, large)
+	call := Call{Method: http.MethodGet, Request: []byte("GET / HTTP/1.1\r\nHost: leaf\r\n\r\n")}
+	below, above := New(WithBodyMemory(100<<10)), New(WithBodyMemory(400<<10))
+	defer below.Close()
+	defer above.Close()
+	if _, err := below.Do(t.Context(), s.listener.Addr().String(), call); err == nil {
+		t.Error("a body above the limit was read")
+	}
+	reply, err := above.Do(t.Context(), s.listener.Addr().String(), call)
+	if err != nil || len(reply.Body()) != 300<<10 {
+		t.Errorf("a body below the limit was not read: %v", err)
+	}
+}
--- a/cicadagraded/leafclient/template.go
+++ b/cicadagraded/leafclient/template.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Template is a request that goes to several servers with a few different headers. Its
@@ -71,28 +68,6 @@
 	return append(b, t.body...)
 }
 
-// readBody reads the complete body of a response to a method. A body without a length ends
-// with the connection; a reset makes it incomplete.
-func readBody(method string, response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
-	if method == http.MethodHead {
-		return nil, nil
-	}
-	if response.ContentLength > maxReplyBytes {
-		return nil, errors.Errorf("readBody: the body has %d bytes, more than the limit", response.ContentLength)
-	}
-	if response.ContentLength >= 0 {
-		b := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, b)
-		return b, errors.Wrap(err, "readBody")
-	}
-	b, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err == nil && len(b) > maxReplyBytes {
-		err = errors.New("the body has more bytes than the limit")
-	}
-	return b, errors.Wrap(err, "readBody")
-}
-
 // keepAliveTimeout returns how long an idle connection may be reused: a fraction of the
 // timeout in the server's Keep-Alive header, and at most maxIdleTime.
 func keepAliveTimeout(h http.Header) time.Duration {
