Give a read of the whole store time for each of its pages

One time limit of 900 ms covered the configuration, all pages of leafs and the VMs; the read ended after it each time and began anew, for as long as the store was slow. Change: the three lists are read at the same time, each call has the limit, the whole read 8 s. A small VM waits longer for a neighbour that is reading. Relays copy every 250 ms, so that views are at most 2.5 s old four steps from the store.

--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/platform"
@@ -24,8 +26,14 @@
 	// fetchAllTimeout one that fetches its whole view.
 	fetchTimeout    = 300 * tier.Millisecond
 	fetchAllTimeout = 600 * tier.Millisecond
+	// readAllTimeout bounds a read of the whole store. Each of its calls is bounded by
+	// storeCallTimeout; a slow store takes as many times longer as the lists have pages.
+	readAllTimeout = 8 * tier.Second
 )
 
+// errNoView is the error of a read from a VM that has no view itself.
+var errNoView = errors.New("the VM has no view yet")
+
 // RunRefresh keeps the view up to date until ctx ends.
 func (e *Entry) RunRefresh(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -42,9 +50,12 @@
 		}
 		age, err := e.readFrom(ctx, source)
 		e.mu.Lock()
-		if err != nil {
+		switch {
+		case errors.Is(err, errNoView):
+			e.refresher.NoView(source)
+		case err != nil:
 			e.refresher.Failed(e.clock.Now(), source)
-		} else {
+		default:
 			e.refresher.Succeeded(e.clock.Now(), source, age)
 		}
 		loaded := e.refresher.Loaded()
@@ -84,8 +95,6 @@
 // poll reads the changes since the last read from the store, or the whole view if that is
 // wanted, nothing has been read or the store no longer has the history.
 func (e *Entry) poll(ctx context.Context, whole bool) error {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
-	defer cancel()
 	e.mu.Lock()
 	after := e.relayer.Revision()
 	e.mu.Unlock()
@@ -109,32 +118,43 @@
 	return nil
 }
 
-// readAll reads the configuration, the leafs and the VMs from the store. The three reads
-// are not atomic, so later polls start at the revision of the earliest one.
+// readAll reads the configuration, the leafs and the VMs from the store, at the same time. The
+// three reads are not atomic, so later polls start at the revision of the earliest one.
 func (e *Entry) readAll(ctx context.Context) error {
-	configuration, at, err := e.store.GetWithRevision(ctx, platform.ConfigurationKey)
-	if err != nil {
-		return errors.Wrap(err, "Entry.readAll")
-	}
-	list, listAt, err := e.store.ListWithRevision(ctx, platform.LeafsPrefix)
-	if err != nil {
-		return errors.Wrap(err, "Entry.readAll")
-	}
-	members, _, err := e.store.ListWithRevision(ctx, vmsPrefix)
-	if err != nil {
+	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
+	defer cancel()
+	start := e.clock.Now()
+	var configuration storer.Value
+	var leafs, members []storer.Value
+	var at [3]int64
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		configuration, at[0], err = e.store.GetWithRevision(ctx, platform.ConfigurationKey)
+		return err
+	})
+	g.Go(func() (err error) {
+		leafs, at[1], err = e.store.ListWithRevision(ctx, platform.LeafsPrefix)
+		return err
+	})
+	g.Go(func() (err error) {
+		members, at[2], err = e.store.ListWithRevision(ctx, vmsPrefix)
+		return err
+	})
+	if err := g.Wait(); err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
 	afterOutage := e.storeUnreachable.Load()
 	e.markStoreReachable()
-	list = append(list, members...)
+	list := slices.Concat(leafs, members)
 	if configuration.Present() {
 		list = append(list, configuration)
 	}
-	if at == 0 {
-		at = listAt
+	revision := min(at[1], at[2])
+	if at[0] != 0 {
+		revision = min(revision, at[0])
 	}
-	e.replaceView(list, min(at, listAt), afterOutage)
-	e.advanceView(min(at, listAt), 0)
+	e.replaceView(list, revision, afterOutage)
+	e.advanceView(revision, e.clock.Now()-start)
 	return nil
 }
 
@@ -195,7 +215,7 @@
 	}
 	reply := response.Msg
 	if reply.GetRevision() == 0 {
-		return 0, errors.Errorf("Entry.fetchFrom: %s has no view yet", vm.Name())
+		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
 	age := tier.Millis(reply.GetAgeMs())
 	if reply.GetRevision() >= after {
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -29,6 +29,7 @@
 //	at MS restart SHARE          that share of the VMs is killed and starts again after 500 ms
 //	at MS store-refuses SHARE FOR   the store turns away a share of the VMs
 //	at MS store-silent SHARE FOR    the store does not answer a share of the VMs
+//	at MS store-slow FACTOR FOR  the store's calls take FACTOR times as long
 //	at MS leases-lapse           all registrations end
 //	run MS                       plays until then, and checks that all VMs have a view
 //	reset                        forgets the figures so far
@@ -48,7 +49,7 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = in.Close() }()
-			s := &fleet{t: t, random: rand.New(rand.NewPCG(7, 11)), byName: map[string]*vm{}, registered: map[string]partitioner.Member{}}
+			s := &fleet{t: t, random: rand.New(rand.NewPCG(7, 11)), slowness: 1, byName: map[string]*vm{}, registered: map[string]partitioner.Member{}}
 			lines := bufio.NewScanner(in)
 			for lines.Scan() {
 				if words := strings.Fields(lines.Text()); len(words) > 0 && words[0] != "#" {
@@ -67,6 +68,7 @@
 	remoteCallTime = 43 * tier.Millisecond
 	deadCallTime   = 150 * tier.Millisecond
 	startSpread    = 400
+	leafPages      = 3 // of the list of leafs, read one after the other
 	// settleTime is how long after a start or the end of a fault the age of views is not
 	// checked.
 	settleTime = 2 * tier.Second
@@ -121,6 +123,7 @@
 	oldest     tier.Millis // view
 	calmAt     tier.Millis // end of the last fault
 	faults     int
+	slowness   tier.Millis // of the store
 }
 
 func (s *fleet) after(d tier.Millis, run func()) {
@@ -216,6 +219,9 @@
 				v.storeFault = ""
 			}
 		})
+	case "store-slow":
+		s.slowness = tier.Millis(s.number(words[1]))
+		s.after(tier.Millis(s.number(words[2])), func() { s.slowness, s.calmAt = 1, s.now })
 	case "leases-lapse":
 		clear(s.registered)
 	default:
@@ -283,7 +289,7 @@
 	case Store, StoreVMs:
 		cost := 1.0
 		if st, ok := source.(Store); ok && (st.Whole || v.viewAt == 0) {
-			cost = 4
+			cost = leafPages + 2
 		} else if !ok {
 			cost = 0.1
 		}
@@ -295,7 +301,11 @@
 			return storeCallTime, failed
 		}
 		s.calls += cost - min(cost, 1)
-		return storeCallTime * tier.Millis(max(1, cost)), func() (tier.Millis, bool) {
+		took := storeCallTime * s.slowness
+		if cost > 1 {
+			took *= leafPages
+		}
+		return took, func() (tier.Millis, bool) {
 			members := make([]partitioner.Member, 0, len(s.registered))
 			for _, m := range s.registered {
 				members = append(members, m)
@@ -325,7 +335,10 @@
 			}
 		}
 		if other.joinedAt < 0 {
-			return took, failed
+			return took, func() (tier.Millis, bool) {
+				v.refresher.NoView(source)
+				return 0, false
+			}
 		}
 		at, members := other.viewAt, other.members
 		return took, func() (tier.Millis, bool) {
--- a/tier/refresher/refresher.go
+++ b/tier/refresher/refresher.go
@@ -19,6 +19,10 @@
 	// pollInterval is the pause after a round that brought a fresh view. Long polling
 	// would save nothing: leafs write so often that a waiting call would return at once.
 	pollInterval = 450 * tier.Millisecond
+	// relayPollInterval is the same for relays that copy from another VM, if there are no more
+	// than maxFastRelays: others get their views one step later.
+	relayPollInterval = 250 * tier.Millisecond
+	maxFastRelays     = 48
 	// pauseJitter bounds the random time by which pauses are longer.
 	pauseJitter = 100 * tier.Millisecond
 	// retryInterval is the pause after a round in which nobody answered.
@@ -67,6 +71,9 @@
 	// neighbourPatienceJitter what is added at most.
 	neighbourPatience       = 350 * tier.Millisecond
 	neighbourPatienceJitter = 300 * tier.Millisecond
+	// loadingPatienceFactor multiplies both if a neighbour is reading the store: it will have
+	// a view sooner than this VM could read one, most of all from a slow store.
+	loadingPatienceFactor = 5
 	// bootstrapPatiencePerMissingCore is the wait at the first start of the deployment, when
 	// nobody knows which VMs are large, for each time that a core exceeds the VM's cores.
 	bootstrapPatiencePerMissingCore = 250 * tier.Millisecond
@@ -119,6 +126,8 @@
 	storeBackoff tier.Millis
 	storeFailed  bool // the last read of the store failed
 
+	neighbourLoading bool // a VM has answered that it has no view yet
+
 	// State of the current round.
 	tried        []string // names of VMs and addresses of seeds that were asked
 	peersTried   int
@@ -210,13 +219,19 @@
 	}
 }
 
+// NoView handles the answer of a VM that has no view yet.
+func (r *Refresher) NoView(Source) { r.neighbourLoading = true }
+
 // nextRefresh continues a round of a VM that has a view.
 func (r *Refresher) nextRefresh(now, viewAge tier.Millis) Source {
-	if r.fresh {
-		return Pause{For: pollInterval}
-	}
 	relays := r.partitioner.Relays()
 	rank := slices.IndexFunc(relays, func(m partitioner.Member) bool { return m.VM().Name() == r.name() })
+	switch {
+	case r.fresh && rank > 0 && len(relays) <= maxFastRelays:
+		return Pause{For: relayPollInterval}
+	case r.fresh:
+		return Pause{For: pollInterval}
+	}
 	mayReadStore := !r.storeTried && (now >= r.storeRetryAt || !r.storeFailed)
 	upstreamTried := rank == 0 || rank < len(r.partitioner.StoreWatchers()) && r.peersTried > 0
 	if rank >= 0 && upstreamTried && mayReadStore {
@@ -361,7 +376,11 @@
 		if r.readsDirectly() {
 			return 0
 		}
-		return neighbourPatience + tier.Millis(r.impatience*float64(neighbourPatienceJitter))
+		wait := neighbourPatience + tier.Millis(r.impatience*float64(neighbourPatienceJitter))
+		if r.neighbourLoading {
+			wait *= loadingPatienceFactor
+		}
+		return wait
 	}
 	if !r.bootstrap {
 		return 0
