Pass on every change that was copied, and find views that differ

The store was silent and its leases lapsed: leafs went and came back as they were. A relay that copied both in one step saw no change and did not pass it on; VMs that had read the removal elsewhere lost the leafs. Change: what a relay copies is always notable. Replies carry a digest of the keys; a VM at the same revision with another one takes the whole view.

--- a/cicadagraded/entry/apply_test.go
+++ b/cicadagraded/entry/apply_test.go
@@ -39,6 +39,6 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		e.applyChange(storer.NewValue(platform.LeafsPrefix+leaf.ID(), value, int64(i)), int64(i))
+		e.applyChange(storer.NewValue(platform.LeafsPrefix+leaf.ID(), value, int64(i)), int64(i), false)
 	}
 }
--- a/cicadagraded/entry/bench_test.go
+++ b/cicadagraded/entry/bench_test.go
@@ -46,13 +46,13 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		e.applyChange(storer.NewValue(platform.LeafsPrefix+worker.ID(), entry, int64(i+1)), int64(i+1))
+		e.applyChange(storer.NewValue(platform.LeafsPrefix+worker.ID(), entry, int64(i+1)), int64(i+1), false)
 	}
 	table, err := os.ReadFile("testdata/twenty-shards.json")
 	if err != nil {
 		b.Fatal(err)
 	}
-	e.applyChange(storer.NewValue(platform.ConfigurationKey, table, benchShards+1), benchShards+1)
+	e.applyChange(storer.NewValue(platform.ConfigurationKey, table, benchShards+1), benchShards+1, false)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -64,6 +64,9 @@
 	// VMs that the one has named from which this VM copies.
 	followers  *relayer.Followers
 	fleetHeard int
+	// viewDiffers says that the view lacks a change that the VM has had from which this VM
+	// copies, so that the whole view is needed.
+	viewDiffers bool
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
 }
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -112,7 +112,7 @@
 	}
 	e.markStoreReachable()
 	for _, c := range changes {
-		e.applyChange(c, at)
+		e.applyChange(c, at, false)
 	}
 	e.advanceView(at, 0)
 	return nil
@@ -190,7 +190,11 @@
 // whole view, and returns the view's age.
 func (e *Entry) fetchFrom(ctx context.Context, source refresher.Peer) (tier.Millis, error) {
 	e.mu.Lock()
-	after := e.relayer.Revision()
+	have := e.relayer.Revision()
+	after := have
+	if e.viewDiffers {
+		after = 0
+	}
 	e.mu.Unlock()
 	timeout := fetchTimeout
 	if after == 0 {
@@ -218,20 +222,25 @@
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
 	age := tier.Millis(reply.GetAgeMs())
-	if reply.GetRevision() >= after {
+	if reply.GetRevision() >= have {
 		list := decodeItems(reply.GetItems())
 		if reply.GetWhole() {
 			e.replaceView(list, reply.GetRevision(), true)
 		} else {
 			for _, c := range list {
-				e.applyChange(c, reply.GetRevision())
+				e.applyChange(c, reply.GetRevision(), true)
 			}
 		}
 	}
 	e.advanceView(reply.GetRevision(), age)
 	e.mu.Lock()
 	e.fleetHeard = int(reply.GetFleet())
+	differs := e.relayer.Revision() == reply.GetRevision() && e.relayer.KeyDigest() != reply.GetKeyDigest()
+	e.viewDiffers = differs
 	e.mu.Unlock()
+	if differs {
+		e.log.Warn("view-differs", "peer", vm.Name(), "revision", reply.GetRevision())
+	}
 	return age, nil
 }
 
@@ -249,7 +258,7 @@
 	e := p.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := &gatherv1.FetchReply{Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize())}
+	reply := &gatherv1.FetchReply{Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
 	if c.Msg.GetVmsOnly() {
 		reply.Items = encodeItems(e.relayer.WithPrefix(vmsPrefix))
 		return connect.NewResponse(reply), nil
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -24,25 +24,32 @@
 func (e *Entry) replaceView(list []storer.Value, revision int64, afterOutage bool) {
 	var entries []lister.Entry
 	var members []storer.Value
+	kept := make([]storer.Value, 0, len(list))
 	for _, c := range list {
 		switch {
 		case c.Key() == platform.ConfigurationKey:
 			e.applyConfiguration(c)
 		case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
-			entries = append(entries, e.decodeLeaf(c))
+			entry := e.decodeLeaf(c)
+			entries = append(entries, entry)
+			if !entry.Readable() {
+				continue
+			}
 		case isVMKey(c.Key()):
 			members = append(members, c)
 		}
+		kept = append(kept, c)
 	}
 	e.mu.Lock()
-	e.relayer.Replace(list, revision)
+	e.relayer.Replace(kept, revision)
 	e.scheduler.Lister().Replace(e.clock.Now(), entries)
 	e.mu.Unlock()
 	e.replaceMembers(members, afterOutage)
 }
 
-// applyChange applies one changed key, read at a revision, to the view.
-func (e *Entry) applyChange(c storer.Value, revision int64) {
+// applyChange applies one changed key, read at a revision, to the view. copied says that it
+// was read from another VM.
+func (e *Entry) applyChange(c storer.Value, revision int64, copied bool) {
 	affectsUse := true
 	switch {
 	case c.Key() == platform.ConfigurationKey:
@@ -57,8 +64,12 @@
 		return
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if copied {
+		e.relayer.Copy(c, revision)
+		return
+	}
 	e.relayer.Put(c, revision, affectsUse)
-	e.mu.Unlock()
 }
 
 // applyConfiguration replaces the routing table by that of a configuration, unless it can't
--- a/tier/relayer/relayer.go
+++ b/tier/relayer/relayer.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadagrade.example/tier/storer"
 )
 
@@ -25,6 +27,7 @@
 	history      []change                // by revision
 	historyStart int64                   // all later notable changes are in history
 	revision     int64                   // the store was read up to it
+	keyDigest    uint64                  // exclusive or of the hashes of all keys
 }
 
 // New returns an empty copy.
@@ -35,9 +38,9 @@
 
 // Replace replaces the copy by the whole store as read at a revision.
 func (r *Relayer) Replace(list []storer.Value, revision int64) {
-	r.items = make(map[string]storer.Value, len(list))
+	r.items, r.keyDigest = make(map[string]storer.Value, len(list)), 0
 	for _, v := range list {
-		r.items[v.Key()] = v
+		r.put(v)
 	}
 	// The changes since the previous copy are not known. The list may already have
 	// values newer than its revision; Put gets them again, but not as notable. So
@@ -50,18 +53,37 @@
 
 // Put applies a change that was read together with all changes up to a revision of
 // the store, which never decreases. A notable change, one that other VMs need to learn
-// of, is added to the history. Others are seen only by VMs that get the whole copy.
+// of, is added to the history. Others are seen only by VMs that get the whole copy, and do
+// not add keys.
 func (r *Relayer) Put(v storer.Value, revision int64, notable bool) {
-	if v.Present() {
-		r.items[v.Key()] = v
-	} else {
-		delete(r.items, v.Key())
+	if _, known := r.items[v.Key()]; known || notable {
+		r.put(v)
 	}
 	if notable {
 		r.appendHistory(v.Key(), revision)
 	}
 }
 
+func (r *Relayer) put(v storer.Value) {
+	_, known := r.items[v.Key()]
+	if known != v.Present() {
+		r.keyDigest ^= xxhash.Sum64String(v.Key())
+	}
+	if v.Present() {
+		r.items[v.Key()] = v
+		return
+	}
+	delete(r.items, v.Key())
+}
+
+// KeyDigest is a digest of the keys in the copy. Copies of the same revision have the same.
+func (r *Relayer) KeyDigest() uint64 { return r.keyDigest }
+
+// Copy applies a change that another VM's relayer has returned. It is always notable: that
+// relayer may have merged several changes of a key, such as a removal and a return, into one
+// that seems to change nothing here, but VMs that have read the first one need the last.
+func (r *Relayer) Copy(v storer.Value, revision int64) { r.Put(v, revision, true) }
+
 // WithPrefix returns the values of the keys with a prefix, by key.
 func (r *Relayer) WithPrefix(prefix string) []storer.Value {
 	var list []storer.Value
