--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -26,6 +26,10 @@
 	peerDialTimeout = 150 * tier.Millisecond
 	// peerIdleTime is how long an idle connection to another VM is kept.
 	peerIdleTime = 60 * time.Second
+	// maxPeerMessageBytes bounds a message from another VM. The largest is a whole view.
+	maxPeerMessageBytes = 32 << 20
+	// maxPeerHeaderBytes bounds the header of a reply from another VM.
+	maxPeerHeaderBytes = 64 << 10
 )
 
 // delegationTerms are the properties of a request that another VM needs to search some of
@@ -63,7 +67,9 @@
 			IdleConnTimeout:    peerIdleTime,
 			DisableCompression: true,
 			Protocols:          &protocols,
-		}}, "http://"+address)
+
+			MaxResponseHeaderBytes: maxPeerHeaderBytes,
+		}}, "http://"+address, connect.WithReadMaxBytes(maxPeerMessageBytes))
 		p.byAddress[address] = c
 	}
 	return c
@@ -190,7 +196,7 @@
 // PeerHandler returns the handler of calls from other VMs.
 func (e *Entry) PeerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(gatherv1connect.NewGatherServiceHandler(&peerService{entry: e}))
+	m.Handle(gatherv1connect.NewGatherServiceHandler(&peerService{entry: e}, connect.WithReadMaxBytes(maxPeerMessageBytes)))
 	return m
 }
 
