Let busy VMs keep their shares

Change: a share stays where it is if the budget does not allow to repeat most of it. A VM that has accepted a share within the last second is suspected at the second late one, and gets more time for the next. Tests: a script of a share that is accepted late without budget, TestBusyVMsKeepTheirShares.

--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -34,6 +34,13 @@
 	regionGrace = 2 * tier.Second
 	// roundTripWeight is the weight of a new round trip in the moving average.
 	roundTripWeight = 0.2
+	// maxTimeouts is how many shares in a row a VM that has accepted one within
+	// recentAnswer may accept late before it is suspected.
+	maxTimeouts  = 2
+	recentAnswer = 1 * tier.Second
+	// maxRoundTripMs bounds a round trip that is assumed after a share was not accepted in
+	// time.
+	maxRoundTripMs = 100.0
 	// regionWeightExponent controls how strongly regions of lower latency are
 	// preferred.
 	regionWeightExponent = 3.0
@@ -89,6 +96,8 @@
 	recoveredAt  tier.Millis // when a probe last succeeded
 	roundTripMs  float64     // moving average, or 0 before the first measurement
 	lastContact  tier.Millis // when it last answered or its connection was refreshed, or 0
+	answeredAt   tier.Millis // when it last accepted a share, or 0
+	timeouts     int         // shares that it has not accepted in time since then
 }
 
 // regionKey identifies a moving average of share latency.
@@ -192,6 +201,23 @@
 	p.ownerCache = nil
 }
 
+// TimedOut handles a VM that has not accepted a share within a time. One that has accepted
+// another share shortly before may just be busy: if it were suspected, others would get its
+// load, and the next one would be late. It is suspected if it misses maxTimeouts in a row.
+// It reports whether the VM is suspected now.
+func (p *Partitioner) TimedOut(now tier.Millis, name string, waited tier.Millis) bool {
+	m, ok := p.members[name]
+	if !ok {
+		return true
+	}
+	m.timeouts++
+	m.roundTripMs = min(max(m.roundTripMs, float64(waited)), maxRoundTripMs)
+	if m.timeouts >= maxTimeouts || m.answeredAt == 0 || now-m.answeredAt >= recentAnswer {
+		p.Failed(now, name)
+	}
+	return m.suspected
+}
+
 // Probes lists the VMs to probe now. Each is listed again after its backoff unless
 // Recovered is called.
 func (p *Partitioner) Probes(now tier.Millis) []Member {
@@ -239,7 +265,7 @@
 	if !ok {
 		return
 	}
-	m.lastContact = now
+	m.lastContact, m.answeredAt, m.timeouts = now, now, 0
 	if m.roundTripMs == 0 {
 		m.roundTripMs = float64(roundTrip) + 1
 		return
--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -154,6 +154,31 @@
 	}
 }
 
+// TestBusyVMsKeepTheirShares guards against a fleet of small VMs that is slow as a whole: each
+// VM that accepts a share late is suspected, its shards move to others that have no
+// connections to the leafs, and these are late next (a metastable overload).
+func TestBusyVMsKeepTheirShares(t *testing.T) {
+	p := newFleet(3, 0)["r1-strong-0"]
+	suspected := func(name string) bool { return p.members[name].suspected }
+	p.RecordRoundTrip(1000, "r1-strong-1", 3)
+	before := p.RoundTrip(p.members["r1-strong-1"].member)
+	p.TimedOut(1100, "r1-strong-1", 31)
+	if suspected("r1-strong-1") {
+		t.Error("a VM that has just accepted a share is suspected after one late one")
+	}
+	if after := p.RoundTrip(p.members["r1-strong-1"].member); after <= before {
+		t.Errorf("the next share has no more time: %.1f ms, before %.1f ms", after, before)
+	}
+	p.TimedOut(1150, "r1-strong-1", 31)
+	if !suspected("r1-strong-1") {
+		t.Error("a VM that accepts no share any more is not suspected")
+	}
+	p.TimedOut(1200, "r1-strong-2", 31)
+	if !suspected("r1-strong-2") {
+		t.Error("a VM that has not answered lately is not suspected")
+	}
+}
+
 func TestOnlyAFewLargeVMsWatchTheStore(t *testing.T) {
 	views := newFleet(4, 21)
 	watching := 0
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -161,11 +161,7 @@
 	}
 	var actions []Action
 	for k := range s.shares {
-		sh := &s.shares[k]
-		reportMissed := !sh.reported && now >= sh.reportDeadline
-		if !sh.ended && (now >= sh.acceptDeadline || reportMissed) {
-			actions = s.reclaim(now, k, true, append(actions, Recall{Share: k, Member: sh.member, TimedOut: true, Accepted: sh.acceptDeadline == never}))
-		}
+		actions = s.tickShare(now, k, actions)
 	}
 	for i := range s.parts {
 		p := &s.parts[i]
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -84,17 +84,59 @@
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, true, nil)))
 }
 
+// tickShare takes back a share that its VM has not accepted or reported on in time.
+func (s *Search) tickShare(now tier.Millis, shareIndex int, actions []Action) []Action {
+	sh := &s.shares[shareIndex]
+	notAccepted := now >= sh.acceptDeadline
+	notReported := !sh.reported && now >= sh.reportDeadline
+	if sh.ended || !notAccepted && !notReported {
+		return actions
+	}
+	if notAccepted && !notReported && !s.canRepeat(sh) {
+		sh.acceptDeadline = now + retryDelay
+		return actions
+	}
+	actions = append(actions, Recall{Share: shareIndex, Member: sh.member, TimedOut: true, Accepted: sh.acceptDeadline == never})
+	if notReported {
+		return s.reclaim(now, shareIndex, true, actions)
+	}
+	suspected := s.scheduler.partitioner.TimedOut(now, sh.member.VM().Name(), now-sh.sentAt)
+	return s.takeBack(now, shareIndex, true, suspected, actions)
+}
+
+// canRepeat reports whether the budget allows to repeat the calls of most of a share's missing
+// parts. If not, the VM that has the share is the best chance to get them.
+func (s *Search) canRepeat(sh *share) bool {
+	missing, allowed := 0, 0
+	for _, i := range sh.parts {
+		p := &s.parts[i]
+		if p.arrived || p.lost {
+			continue
+		}
+		missing++
+		if s.scheduler.budgeter.Tokens(p.service) >= 1 {
+			allowed++
+		}
+	}
+	return 2*allowed >= missing
+}
+
 // minRedelegatedParts is the least number of parts that are worth another VM's time.
 const minRedelegatedParts = 4
 
-// reclaim takes back the missing parts of a share. Other VMs get them, or this VM queries
-// them if they are few or were taken back before. If the VM may have made calls, these
-// calls count as extra ones.
+// reclaim takes back a share from a VM that has failed.
 func (s *Search) reclaim(now tier.Millis, shareIndex int, mayHaveCalled bool, actions []Action) []Action {
+	s.scheduler.partitioner.Failed(now, s.shares[shareIndex].member.VM().Name())
+	return s.takeBack(now, shareIndex, mayHaveCalled, true, actions)
+}
+
+// takeBack takes back the missing parts of a share. If others may have them, they go to other
+// VMs, unless they are few or were taken back before. This VM queries the rest itself. If the
+// VM may have made calls, these calls count as extra ones.
+func (s *Search) takeBack(now tier.Millis, shareIndex int, mayHaveCalled, handOn bool, actions []Action) []Action {
 	sh := &s.shares[shareIndex]
 	sh.ended = true
 	s.mayHaveRun = s.mayHaveRun || mayHaveCalled
-	s.scheduler.partitioner.Failed(now, sh.member.VM().Name())
 	repeated := sh.repeated || mayHaveCalled
 	var left []int
 	for _, i := range sh.parts {
@@ -103,7 +145,7 @@
 			left = append(left, i)
 		}
 	}
-	if sh.second || len(left) < minRedelegatedParts || now >= s.terms.target {
+	if !handOn || sh.second || len(left) < minRedelegatedParts || now >= s.terms.target {
 		for _, i := range left {
 			actions = s.send(now, i, actions)
 		}
