Begin the answer earlier on small VMs and narrow links

Change: the margin is at least 8 ms and 1.5 ms of a core, and the time that the signatures take on the VM's link is added. TestResponseMarginFollowsTheVM.

--- a/cicadagraded/entry/connection_test.go
+++ b/cicadagraded/entry/connection_test.go
@@ -54,15 +54,33 @@
 // count from the caller's start, which includes opening the connection, and allow for the
 // network both ways.
 func TestTargetLatencyCountsFromTheCallersStart(t *testing.T) {
-	const roundTrip, target = 6 * tier.Millisecond, 100 * tier.Millisecond
+	const roundTrip, target, margin = 6 * tier.Millisecond, 100 * tier.Millisecond, 8 * tier.Millisecond
 	route := router.NewRoute("check", "search.example", "/check/", router.WithTimeouts(tier.Second, target))
 	estimator, conn := delayestimator.New(), delayestimator.NewConnection(0, roundTrip)
 	check := func(name string, want tier.Millis) {
-		q := &request{route: route, arrival: estimator.RequestArrived(0, conn, route.Name(), tier.Second, true)}
+		q := &request{route: route, margin: margin, arrival: estimator.RequestArrived(0, conn, route.Name(), tier.Second, true)}
 		if got := q.terms().Target(); got != want {
 			t.Errorf("%s: %d ms left until the target, want %d", name, got, want)
 		}
 	}
-	check("on a new connection", target-2*roundTrip-responseMargin)
-	check("on a reused connection", target-roundTrip-responseMargin)
+	check("on a new connection", target-2*roundTrip-margin)
+	check("on a reused connection", target-roundTrip-margin)
+}
+
+// A small VM behind a narrow link has to begin with a large response earlier than others.
+func TestResponseMarginFollowsTheVM(t *testing.T) {
+	for _, c := range []struct {
+		cores, linkMbps float64
+		shards          int
+		margin          tier.Millis
+	}{
+		{cores: 0.8, linkMbps: 1000, shards: 0, margin: 8},
+		{cores: 0.8, linkMbps: 0, shards: 270, margin: 8},
+		{cores: 0.12, linkMbps: 1000, shards: 0, margin: 13},
+		{cores: 0.12, linkMbps: 29, shards: 270, margin: 16},
+	} {
+		if got := responseMargin(c.cores, c.linkMbps, c.shards); got != c.margin {
+			t.Errorf("%+v: %d ms", c, got)
+		}
+	}
 }
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -20,9 +21,13 @@
 )
 
 const (
-	// responseMargin is subtracted from the target time to allow for merging and writing
-	// the response and for late timers. It is twice what the slowest VM needs.
-	responseMargin = 8 * tier.Millisecond
+	// minResponseMargin is subtracted from the target time to allow for merging and writing
+	// the response and for late timers, responseWork what merging and writing takes of a
+	// whole core.
+	minResponseMargin = 8 * tier.Millisecond
+	responseWork      = 1.5 // milliseconds
+	// signatureBytes is about what each shard adds to the header of a response.
+	signatureBytes = 40
 	// defaultCallerTimeout applies to callers that do not say how long they wait.
 	defaultCallerTimeout = 30 * tier.Second
 	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
@@ -50,8 +55,23 @@
 	start   tier.Millis
 	arrival delayestimator.Arrival
 	body    []byte
+	margin  tier.Millis // for merging and writing the response
 }
 
+// responseMargin is the time that a VM needs for merging and writing the response of a number
+// of shards: small VMs take longer for the one, and the links of some for the other.
+func responseMargin(cores, linkMbps float64, shards int) tier.Millis {
+	margin := max(float64(minResponseMargin), responseWork/max(cores, minCores))
+	if linkMbps > 0 {
+		const bitsPerByte, bitsPerMegabit, millisPerSecond = 8, 1e6, 1e3
+		margin += float64(shards) * signatureBytes * bitsPerByte / (linkMbps * bitsPerMegabit) * millisPerSecond
+	}
+	return tier.Millis(math.Ceil(margin))
+}
+
+// minCores bounds the cores that are assumed for a VM.
+const minCores = 0.05
+
 // ServeHTTP serves a caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := e.clock.Now()
@@ -86,6 +106,7 @@
 	q := &request{
 		route: route, table: table, attempt: attempt, start: start, body: body,
 		arrival: e.recordArrival(r.Context(), start, route, attempt),
+		margin:  responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
 	}
 	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
 	if route.IsScatterGather() {
@@ -144,7 +165,7 @@
 	}
 	target := end
 	if latency := q.route.LatencyTarget(); latency > 0 {
-		target = q.start + latency - q.arrival.Elapsed() - roundTrip - responseMargin
+		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
 	}
 	options := []searcher.TermsOption{
 		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()),
