--- a/cicadagraded/leafclient/client_test.go
+++ b/cicadagraded/leafclient/client_test.go
@@ -344,3 +344,36 @@
 		t.Errorf("a body below the limit was not read: %v", err)
 	}
 }
+
+// TestDrippedReplyEndsWithItsDeadline guards against a leaf that sends a byte now and then,
+// so that no pause is long: the call ends with its deadline, and the connection is closed.
+func TestDrippedReplyEndsWithItsDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for err == nil { // until the client closes the connection
+			time.Sleep(5 * time.Millisecond)
+			_, err = c.Write([]byte("H"))
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = New().Do(ctx, l.Addr().String(), Call{Method: http.MethodGet, Request: []byte("GET / HTTP/1.1\r\nHost: leaf\r\n\r\n")})
+	var noReply *NoReplyError
+	if !errors.As(err, &noReply) || noReply.ConnectionRejected() {
+		t.Errorf("got error %v, expected a NoReplyError of the deadline", err)
+	}
+	_ = l.Close()
+	group.Wait()
+}
