--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -52,11 +52,11 @@
 		e.mu.Lock()
 		switch {
 		case errors.Is(err, errNoView):
-			e.refresher.NoView(source)
+			e.refresher.NoView()
 		case err != nil:
 			e.refresher.Failed(e.clock.Now(), source)
 		default:
-			e.refresher.Succeeded(e.clock.Now(), source, age)
+			e.refresher.Succeeded(source, age)
 		}
 		loaded := e.refresher.Loaded()
 		e.mu.Unlock()
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -89,26 +89,6 @@
 	registered  bool
 }
 
-type event struct {
-	at       tier.Millis
-	sequence int
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type fleet struct {
 	t          *testing.T
 	random     *rand.Rand
@@ -268,7 +248,7 @@
 		}
 		age, ok := result()
 		if ok {
-			v.refresher.Succeeded(s.now, source, age)
+			v.refresher.Succeeded(source, age)
 		} else {
 			v.refresher.Failed(s.now, source)
 		}
@@ -336,7 +316,7 @@
 		}
 		if other.joinedAt < 0 {
 			return took, func() (tier.Millis, bool) {
-				v.refresher.NoView(source)
+				v.refresher.NoView()
 				return 0, false
 			}
 		}
--- a/tier/refresher/refresher.go
+++ b/tier/refresher/refresher.go
@@ -120,7 +120,7 @@
 	loaded      bool
 	startedAt   tier.Millis // time of the first Next
 	started     bool
-	impatience  float64 // a random factor of waits, from 0 to 1
+	waitFactor  float64 // drawn once, from 0 to 1: which part of the jitter of a wait is added
 
 	storeRetryAt tier.Millis
 	storeBackoff tier.Millis
@@ -155,7 +155,7 @@
 	for _, set := range options {
 		set(r)
 	}
-	r.impatience = r.random()
+	r.waitFactor = r.random()
 	return r
 }
 
@@ -195,7 +195,7 @@
 
 // Succeeded handles the end of a read. age is the age of the view that a Peer sent, and 0
 // for other sources.
-func (r *Refresher) Succeeded(_ tier.Millis, from Source, age tier.Millis) {
+func (r *Refresher) Succeeded(from Source, age tier.Millis) {
 	switch from.(type) {
 	case Store:
 		r.loaded, r.fresh, r.storeFailed, r.storeBackoff = true, true, false, 0
@@ -220,12 +220,12 @@
 }
 
 // NoView handles the answer of a VM that has no view yet.
-func (r *Refresher) NoView(Source) { r.neighbourLoading = true }
+func (r *Refresher) NoView() { r.neighbourLoading = true }
 
 // nextRefresh continues a round of a VM that has a view.
 func (r *Refresher) nextRefresh(now, viewAge tier.Millis) Source {
 	relays := r.partitioner.Relays()
-	rank := slices.IndexFunc(relays, func(m partitioner.Member) bool { return m.VM().Name() == r.name() })
+	rank := r.place(relays)
 	switch {
 	case r.fresh && rank > 0 && len(relays) <= maxFastRelays:
 		return Pause{For: relayPollInterval}
@@ -233,8 +233,10 @@
 		return Pause{For: pollInterval}
 	}
 	mayReadStore := !r.storeTried && (now >= r.storeRetryAt || !r.storeFailed)
-	upstreamTried := rank == 0 || rank < len(r.partitioner.StoreWatchers()) && r.peersTried > 0
-	if rank >= 0 && upstreamTried && mayReadStore {
+	// A watcher reads the store once those before it have not brought a fresh view; the first
+	// one has nobody before it.
+	isWatcher := rank >= 0 && rank < len(r.partitioner.StoreWatchers())
+	if isWatcher && (rank == 0 || r.peersTried > 0) && mayReadStore {
 		return Store{}
 	}
 	if m, ok := r.pickRelay(relays, rank); ok {
@@ -250,7 +252,11 @@
 	return pause
 }
 
-func (r *Refresher) name() string { return r.partitioner.Self().VM().Name() }
+// place returns the index of this VM in a list, or -1.
+func (r *Refresher) place(list []partitioner.Member) int {
+	name := r.partitioner.Self().VM().Name()
+	return slices.IndexFunc(list, func(m partitioner.Member) bool { return m.VM().Name() == name })
+}
 
 // freshAge is the age up to which the view of another VM is fresh for this one. The VMs that
 // watch the store need it as fresh as they could read it themselves.
@@ -258,8 +264,7 @@
 	if !r.partitioner.IsLarge() {
 		return followerFreshViewAge
 	}
-	watchers := r.partitioner.StoreWatchers()
-	if rank := slices.IndexFunc(watchers, func(m partitioner.Member) bool { return m.VM().Name() == r.name() }); rank >= 0 && r.loaded {
+	if rank := r.place(r.partitioner.StoreWatchers()); rank >= 0 && r.loaded {
 		return r.storeAge(rank)
 	}
 	return freshViewAge
@@ -272,9 +277,9 @@
 	case rank >= 0:
 		return takeoverAge + tier.Millis(rank)*takeoverStep
 	case r.peerAnswered:
-		return outageAge + tier.Millis(r.impatience*float64(outageAgeJitter))
+		return outageAge + tier.Millis(r.waitFactor*float64(outageAgeJitter))
 	}
-	return cutOffAge + tier.Millis(r.impatience*float64(cutOffAgeJitter))
+	return cutOffAge + tier.Millis(r.waitFactor*float64(cutOffAgeJitter))
 }
 
 // pickRelay picks at random the next VM to copy from. A watcher asks those before it, any
@@ -331,61 +336,3 @@
 	}
 	return list[int(r.random()*float64(len(list)))%len(list)], true
 }
-
-// nextJoin continues a round of a VM that has no view yet.
-func (r *Refresher) nextJoin(now tier.Millis) Source {
-	if !r.readsDirectly() && r.peersTried < maxPeersPerRound {
-		if m, ok := r.pick(r.nearest(r.partitioner.LargeMembers(), true)); ok {
-			return Peer{Member: m}
-		}
-	}
-	storeAnswers := !r.storeFailed || now >= r.storeRetryAt
-	if !r.vmsListed && storeAnswers && r.partitioner.MemberCount() == 1 {
-		return StoreVMs{}
-	}
-	if r.storeFailed {
-		for _, address := range r.seeds {
-			if !slices.Contains(r.tried, address) {
-				return Seed{Address: address}
-			}
-		}
-	}
-	if !r.storeTried && storeAnswers && now-r.startedAt >= r.patience() {
-		return Store{Whole: true}
-	}
-	if r.readsDirectly() && r.peersTried < maxPeersPerRound {
-		if m, ok := r.pick(r.nearest(r.partitioner.LargeMembers(), true)); ok {
-			return Peer{Member: m}
-		}
-	}
-	return Pause{For: joinInterval, Stale: true}
-}
-
-// readsDirectly reports whether this VM, which knows others, is one of those that read the
-// store when all VMs start.
-func (r *Refresher) readsDirectly() bool {
-	relays := r.partitioner.Relays()
-	relays = relays[:min(maxDirectReaders, len(relays))]
-	return r.partitioner.MemberCount() > 1 &&
-		slices.ContainsFunc(relays, func(m partitioner.Member) bool { return m.VM().Name() == r.name() })
-}
-
-// patience is how long after its start this VM reads the whole view from the store.
-func (r *Refresher) patience() tier.Millis {
-	if r.partitioner.MemberCount() > 1 {
-		if r.readsDirectly() {
-			return 0
-		}
-		wait := neighbourPatience + tier.Millis(r.impatience*float64(neighbourPatienceJitter))
-		if r.neighbourLoading {
-			wait *= loadingPatienceFactor
-		}
-		return wait
-	}
-	if !r.bootstrap {
-		return 0
-	}
-	missing := max(0, 1/max(r.partitioner.Self().Cores(), 0.01)-1)
-	wait := min(tier.Millis(missing*float64(bootstrapPatiencePerMissingCore)), maxBootstrapPatience)
-	return wait + tier.Millis(r.impatience*float64(wait))
-}
