--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -34,6 +34,8 @@
 		{"cicadagrade.entry.store.away", "1 if this VM's last read of the store failed", func(e *Entry) int64 { return boolToInt(e.storeUnreachable.Load()) }},
 		{"cicadagrade.entry.vms", "known VMs, including this one", withLock(func(e *Entry) int64 { return int64(e.scheduler.Partitioner().MemberCount()) })},
 		{"cicadagrade.entry.vms.sound", "other VMs that are not suspected to have failed", withLock(func(e *Entry) int64 { return int64(len(e.scheduler.Partitioner().HealthyPeers())) })},
+		{"cicadagrade.entry.followers", "VMs without a registration that have copied this VM's view within 3 seconds", withLock(func(e *Entry) int64 { return int64(e.followers.Count(e.clock.Now())) })},
+		{"cicadagrade.entry.fleet", "estimated number of VMs of the deployment, by which the retry budget is divided", withLock(func(e *Entry) int64 { return int64(e.fleetSize()) })},
 		{"cicadagrade.entry.parts.waiting", "parts that wait for a free slot of a leaf", withLock(func(e *Entry) int64 { return int64(e.scheduler.QueueLength()) })},
 		{"cicadagrade.entry.calls", "calls to leafs, including those that other VMs made for this one", func(e *Entry) int64 { return e.leafCalls.Load() }},
 		{"cicadagrade.entry.calls.extra", "hedges and retries among the calls to leafs", func(e *Entry) int64 { return e.extraCalls.Load() }},
