Let fleet scripts name only figures that exist

Cause: an expectation of a misspelt figure compared 0 with its bound and could not fail. Change: such a name ends the test. No bound is changed; all scripts name figures that exist.

--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -162,7 +162,10 @@
 	case "reset":
 		s.slowest, s.oldest, s.calls = 0, 0, 0
 	case "expect":
-		got := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "store-calls": s.calls}[words[1]]
+		got, ok := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "store-calls": s.calls}[words[1]]
+		if !ok {
+			s.t.Fatalf("unknown figure %q", words[1])
+		}
 		if got > number(2) {
 			s.t.Errorf("%s is %.1f, expected at most %s", words[1], got, words[2])
 		}
