Log the request limits of leafs and the calls to them

Cause: the logs can't tell the hypotheses of the limit incident apart: no line says that a leaf has named a Server-Limit, or how many calls a VM sends there. No decision reads it yet.

--- /dev/null
+++ b/cicadagraded/entry/limits.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cicadagrade.example/cicadagraded/leafclient"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/throttler"
+)
+
+// limitUseInterval is the interval of the log lines on calls to leafs that limit their
+// requests.
+const limitUseInterval = tier.Second
+
+// rateNotice returns what a reply says of the rate of requests that a leaf takes, or nil if
+// there is no reply of that leaf.
+func (e *Entry) rateNotice(leaf lister.Leaf, reply *leafclient.Reply, err error) throttler.Notice {
+	if err != nil {
+		return nil
+	}
+	response := platform.ParseLeafReply(reply.Status(), reply.Header())
+	if response.WrongServer() {
+		return nil
+	}
+	notice, err := response.RateNotice()
+	if err != nil {
+		e.log.RateLimitedInfo("leaf-limit-unreadable", "leaf", leaf.ID(), "error", err)
+		return nil
+	}
+	return notice
+}
+
+// hearRateNotice records a notice and logs a change. The caller holds the lock.
+func (e *Entry) hearRateNotice(now, sentAt tier.Millis, leaf lister.Leaf, n throttler.Notice) {
+	change, changed := e.scheduler.Balancer().Heard(now, sentAt, leaf, n)
+	if !changed {
+		return
+	}
+	if perSecond, limited := change.PerSecond(); limited {
+		e.log.RateLimitedInfo("leaf-limit", "leaf", leaf.ID(), "service", leaf.Service(), "per-second", perSecond)
+		return
+	}
+	e.log.RateLimitedInfo("leaf-limit-ended", "leaf", leaf.ID(), "service", leaf.Service())
+}
+
+// RunLimitLog logs how many calls this VM sends to leafs that limit their requests, until
+// ctx ends.
+func (e *Entry) RunLimitLog(ctx context.Context) error {
+	ticker := time.NewTicker(limitUseInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		uses := e.scheduler.Balancer().TakeLimitUse(e.clock.Now())
+		e.mu.Unlock()
+		for _, u := range uses {
+			e.log.RateLimitedInfo("leaf-limit-use", "leaf", u.Leaf().ID(), "service", u.Leaf().Service(),
+				"per-second", u.PerSecond(), "calls", u.Calls(), "during-ms", int64(u.During()))
+		}
+	}
+}
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -158,6 +158,7 @@
 	}
 	address := a.Leaf.Address()
 	sameRegion := r.entry.proximity(a.Leaf.DataCentre()) != balancer.OtherRegion
+	sentAt := r.entry.clock.Now()
 	r.entry.background.Go(func() {
 		defer cancel()
 		reply, err := r.entry.leafClient.Do(ctx, address, call)
@@ -165,7 +166,11 @@
 			r.entry.crossRegionBytes.Add(int64(len(reply.Body())))
 		}
 		result := classifyResult(reply, err)
+		notice := r.entry.rateNotice(a.Leaf, reply, err)
 		r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
+			if notice != nil {
+				r.entry.hearRateNotice(now, sentAt, a.Leaf, notice)
+			}
 			return s.CallEnded(now, a.Call, result)
 		})
 	})
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/throttler"
 )
 
 // Parameters of the moving averages and of their costs. A cost is latency in
@@ -125,6 +126,8 @@
 	misdirectedUntil tier.Millis // skipped because another server answered at its address
 	refusalRate      float64     // moving average
 	refusalRateAt    tier.Millis // when refusalRate was updated
+	leaf             lister.Leaf
+	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
 }
 
 // Balancer holds what one VM has observed of leafs. It is not safe for concurrent
@@ -144,7 +147,7 @@
 func (b *Balancer) stateOf(leaf lister.Leaf) *leafState {
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
-		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo}
+		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, leaf: leaf}
 		b.leafs[leaf.ID()] = s
 	}
 	return s
@@ -238,6 +241,9 @@
 		s.silentSince = now
 	}
 	s.inFlight++
+	if s.throttle != nil {
+		s.throttle.Sent()
+	}
 }
 
 // Answered records a complete reply and its latency.
--- /dev/null
+++ b/tier/balancer/limits.go
@@ -0,0 +1,85 @@
+package balancer
+
+import (
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/throttler"
+)
+
+// LimitChange is a leaf's new limit of requests.
+type LimitChange struct {
+	leaf      lister.Leaf
+	perSecond float64
+	limited   bool
+}
+
+// Leaf is the leaf.
+func (c LimitChange) Leaf() lister.Leaf { return c.leaf }
+
+// PerSecond is the limit for all VMs together, in requests a second. The second result is
+// false if the leaf no longer has one.
+func (c LimitChange) PerSecond() (float64, bool) { return c.perSecond, c.limited }
+
+// Heard handles what a leaf's reply says of its limit. sentAt is when the call was sent. It
+// reports whether the limit has changed.
+func (b *Balancer) Heard(now, sentAt tier.Millis, leaf lister.Leaf, n throttler.Notice) (LimitChange, bool) {
+	s := b.stateOf(leaf)
+	if s.throttle == nil {
+		limit, named := n.(throttler.RateLimit)
+		if !named {
+			return LimitChange{}, false
+		}
+		s.throttle = throttler.New(now, limit)
+		return LimitChange{leaf: leaf, perSecond: limit.PerSecond, limited: true}, true
+	}
+	before := s.throttle.PerSecond()
+	if !s.throttle.Heard(now, sentAt, n) {
+		s.throttle = nil
+		return LimitChange{leaf: leaf}, true
+	}
+	return LimitChange{leaf: leaf, perSecond: s.throttle.PerSecond(), limited: true}, s.throttle.PerSecond() != before
+}
+
+// LimitUse is the number of calls that this VM has sent to a leaf with a limit.
+type LimitUse struct {
+	leaf      lister.Leaf
+	perSecond float64
+	calls     int
+	during    tier.Millis
+}
+
+// Leaf is the leaf.
+func (u LimitUse) Leaf() lister.Leaf { return u.leaf }
+
+// PerSecond is its limit for all VMs together, in requests a second.
+func (u LimitUse) PerSecond() float64 { return u.perSecond }
+
+// Calls are the calls of this VM since the last TakeLimitUse.
+func (u LimitUse) Calls() int { return u.calls }
+
+// During is the time since then.
+func (u LimitUse) During() tier.Millis { return u.during }
+
+// TakeLimitUse lists the leafs with a limit, and this VM's calls since the last time.
+func (b *Balancer) TakeLimitUse(now tier.Millis) []LimitUse {
+	var list []LimitUse
+	for _, s := range b.leafs {
+		if s.throttle == nil {
+			continue
+		}
+		calls, during := s.throttle.TakeCalls(now)
+		list = append(list, LimitUse{leaf: s.leaf, perSecond: s.throttle.PerSecond(), calls: calls, during: during})
+	}
+	return list
+}
+
+// LimitedCount is the number of leafs with a limit.
+func (b *Balancer) LimitedCount() int {
+	count := 0
+	for _, s := range b.leafs {
+		if s.throttle != nil {
+			count++
+		}
+	}
+	return count
+}
