Keep all VMs together within the request limits of leafs

Cause: a leaf was chosen by latency, failures and free slots alone, and its limit holds for all VMs together, of which each knows only its own calls. Evidence: leaf-limit-use lines; the owner sent 40 calls a second, hedging VMs 8 more, to a leaf that takes 20. Change: each VM has a share of the limit, reckoned from the list of VMs without asking anyone: most of it the shard's owner in the leaf's region (half as much for a VM that stands in for it), or all VMs of the region where each calls the leafs itself. It spaces its calls by permits that expire, so that idle VMs do not save them up. A leaf without a permit has no capacity, so first calls, hedges, retries and queued parts all keep to it, and sound leafs take the rest. What could not be sent before its deadline is refused at once, with the time when it could be as Retry-After. Why it works: the shares of a fleet sum to at most 1.4 while VMs disagree on an owner, 0.8 to 1.25 otherwise; with permits of 250 ms that is below 6 limits in 4 s. Result: TestLimitedLeafsGetNoMoreThanTheyAskFor failed in all six scripts, and passes; its simulated VMs now name fleet size and shards to the scheduler, as the entry does; checks and bounds are as they were.

--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -275,7 +275,7 @@
 	switch {
 	case !outcome.MayHaveRun():
 		status = http.StatusServiceUnavailable
-		platform.WriteRetryAfter(w.Header(), refusalRetryAfter+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
+		platform.WriteRetryAfter(w.Header(), max(refusalRetryAfter, outcome.RetryAfter())+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
 	case outcome.Cause() == searcher.OutOfTime:
 		status = http.StatusGatewayTimeout
 	}
--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -69,6 +69,8 @@
 //	                                in the middle of a header, and without sending
 //	                                anything, and print what came before the VM
 //	                                closed them
+//	limit ID [TEXT]                 make the leaf name a limit in its replies, or none
+//	limits                          print the limits of leafs that the VM knows
 //	seen ID                         print the requests that the leaf has executed
 //	hold ID                         make the leaf delay its replies until release
 //	begin METHOD PATH               send a request in the background, and wait until
@@ -175,6 +177,10 @@
 	case "release":
 		s.releaseHeld()
 		s.out.WriteString(<-s.pending)
+	case "limit":
+		s.leafs[words[1]].NameLimit(strings.Join(words[2:], " "))
+	case "limits":
+		s.printLimits()
 	case "seen":
 		fmt.Fprintf(&s.out, "  %s\n", strings.Join(s.leafs[words[1]].Executed(), ", "))
 	default:
@@ -182,6 +188,16 @@
 	}
 }
 
+func (s *session) printLimits() {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	uses := s.entry.scheduler.Balancer().TakeLimitUse(s.entry.clock.Now())
+	for _, u := range uses {
+		fmt.Fprintf(&s.out, "  %s takes %g a second\n", u.Leaf().ID(), u.PerSecond())
+	}
+	fmt.Fprintf(&s.out, "  %d in all\n", len(uses))
+}
+
 func (s *session) put(key string, raw []byte) {
 	if _, err := s.store.Put(context.Background(), key, raw, 0); err != nil {
 		s.t.Fatal(err)
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -87,6 +87,7 @@
 	e.table.Store(t)
 	e.mu.Lock()
 	e.scheduler.Budgeter().ForgetUnused(e.clock.Now(), t.Uses)
+	e.scheduler.SetShards(t.IsShard)
 	e.mu.Unlock()
 	previous := int64(0)
 	if old != nil {
@@ -133,6 +134,7 @@
 		e.scheduler.Lister().StoreUnavailable()
 	}
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
+	e.scheduler.SetFleetSize(e.fleetSize())
 	e.scheduler.Lister().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
 	changes := e.scheduler.Lister().TakeChanges()
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -23,6 +23,7 @@
 	headerNotExecuted    = "Not-Executed"
 	headerSignature      = "Response-Signature"
 	headerPartSignatures = "Part-Signatures"
+	headerServerLimit    = "Server-Limit"
 )
 
 // recordBytes is the size of a record in bytes.
@@ -40,6 +41,7 @@
 
 	mu       sync.Mutex
 	executed []string
+	limit    string        // of requests a second, as named in replies; empty for none
 	released chan struct{} // closed when held requests may continue; nil if none are held
 }
 
@@ -65,6 +67,14 @@
 	return func() { close(released) }
 }
 
+// NameLimit makes the leaf name a limit of requests a second in its replies, or none if text
+// is empty. It does not hold callers to it.
+func (l *FixedLeaf) NameLimit(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = text
+}
+
 // Registration returns the entry with which the leaf registers in the store.
 func (l *FixedLeaf) Registration(service, address, dataCentre string) ([]byte, error) {
 	raw, err := json.Marshal(map[string]any{
@@ -91,6 +101,11 @@
 	}
 	h := w.Header()
 	h.Set(headerAttempt, r.Header.Get(headerAttempt))
+	l.mu.Lock()
+	if l.limit != "" {
+		h.Set(headerServerLimit, l.limit)
+	}
+	l.mu.Unlock()
 	text, notExecuted := strings.CutSuffix(l.answer, "!")
 	status, notStatus := strconv.Atoi(text)
 	if notExecuted {
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
@@ -78,7 +79,8 @@
 	resetWindow = 600 * tier.Millisecond
 )
 
-// HasCapacity reports whether a leaf may get another call. owner says that this VM
+// HasCapacity reports whether a leaf may get another call, by its slots and by the limit of
+// requests that it has named. owner says that this VM
 // owns the leaf's service, that is, usually queries it.
 func (b *Balancer) HasCapacity(now tier.Millis, leaf lister.Leaf, owner bool) bool {
 	s, ok := b.leafs[leaf.ID()]
@@ -92,7 +94,7 @@
 	if now-s.resetAt < resetWindow {
 		limit = limitAfterReset
 	}
-	return s.inFlight < limit
+	return s.inFlight < limit && b.permitWait(now, s) == 0
 }
 
 // Distance is how far away a data centre is.
@@ -136,12 +138,27 @@
 	distance      func(dataCentre string) Distance
 	leafs         map[string]*leafState
 	baseLatencies map[latencyKey]float64
+	rateShare     RateShare
+	random        func() float64
 }
 
+// Option changes a Balancer.
+type Option func(*Balancer)
+
+// WithRandom replaces the source of random numbers, uniform in [0, 1).
+func WithRandom(random func() float64) Option { return func(b *Balancer) { b.random = random } }
+
 // New returns a balancer. distance classifies data centres by their distance from
 // this VM.
-func New(distance func(dataCentre string) Distance) *Balancer {
-	return &Balancer{distance: distance, leafs: map[string]*leafState{}, baseLatencies: map[latencyKey]float64{}}
+func New(distance func(dataCentre string) Distance, options ...Option) *Balancer {
+	b := &Balancer{
+		distance: distance, leafs: map[string]*leafState{}, baseLatencies: map[latencyKey]float64{},
+		rateShare: func(tier.Millis, lister.Leaf) float64 { return 1 }, random: rand.Float64,
+	}
+	for _, set := range options {
+		set(b)
+	}
+	return b
 }
 
 func (b *Balancer) stateOf(leaf lister.Leaf) *leafState {
@@ -213,7 +230,7 @@
 	if now < s.coldUntil {
 		cost += base * coldLatencyFactor
 	}
-	return cost
+	return cost + float64(b.permitWait(now, s))
 }
 
 // Pick returns the leaf of the list with the least expected cost, among those that
@@ -242,7 +259,7 @@
 	}
 	s.inFlight++
 	if s.throttle != nil {
-		s.throttle.Sent()
+		s.throttle.Sent(now, b.rateShare(now, s.leaf))
 	}
 }
 
--- a/tier/balancer/limits.go
+++ b/tier/balancer/limits.go
@@ -6,6 +6,31 @@
 	"cicadagrade.example/tier/throttler"
 )
 
+// RateShare returns this VM's share, above 0, of the requests that a leaf with a limit takes
+// from all VMs.
+type RateShare func(now tier.Millis, leaf lister.Leaf) float64
+
+// DivideRates sets the shares. Without it, this VM uses the limits alone.
+func (b *Balancer) DivideRates(share RateShare) { b.rateShare = share }
+
+// permitWait is the time until the limit of a leaf, if it has one, allows a call.
+func (b *Balancer) permitWait(now tier.Millis, s *leafState) tier.Millis {
+	if s.throttle == nil {
+		return 0
+	}
+	return s.throttle.Wait(now, b.rateShare(now, s.leaf))
+}
+
+// RateOf is the rate of calls, a second, that the limit of a leaf allows this VM. The second
+// result is false if the leaf has no limit.
+func (b *Balancer) RateOf(now tier.Millis, leaf lister.Leaf) (float64, bool) {
+	s, ok := b.leafs[leaf.ID()]
+	if !ok || s.startTime != leaf.StartTime() || s.throttle == nil {
+		return 0, false
+	}
+	return s.throttle.PerSecond() * b.rateShare(now, leaf), true
+}
+
 // LimitChange is a leaf's new limit of requests.
 type LimitChange struct {
 	leaf      lister.Leaf
@@ -29,7 +54,7 @@
 		if !named {
 			return LimitChange{}, false
 		}
-		s.throttle = throttler.New(now, limit)
+		s.throttle = throttler.New(now, limit, b.rateShare(now, leaf), b.random())
 		return LimitChange{leaf: leaf, perSecond: limit.PerSecond, limited: true}, true
 	}
 	before := s.throttle.PerSecond()
--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -109,6 +109,7 @@
 	members         map[string]*memberState
 	regionLatencyMs map[regionKey]float64
 	ownerCache      map[string]string // owners of shards in this VM's region
+	ownerRanks      map[string]int    // this VM's ranks as owner, cached as long
 	ownerCacheAt    tier.Millis
 	// withoutLargeSince is when this small VM first found no large one in its region, or 0.
 	withoutLargeSince tier.Millis
@@ -131,6 +132,17 @@
 // MemberCount is the number of known VMs, the own one included.
 func (p *Partitioner) MemberCount() int { return len(p.members) }
 
+// MembersIn is the number of known VMs of a region, the own one included.
+func (p *Partitioner) MembersIn(region string) int {
+	count := 0
+	for _, m := range p.members {
+		if m.member.region == region {
+			count++
+		}
+	}
+	return count
+}
+
 // SetMembers replaces the members by the list in the store. If afterOutage is set,
 // VMs missing from the list are kept for missingMemberTTL.
 func (p *Partitioner) SetMembers(now tier.Millis, list []Member, afterOutage bool) {
@@ -297,9 +309,7 @@
 // Owns reports whether this VM owns a shard in its region, that is, usually queries
 // it. leafIn reports whether the shard has a leaf in a data centre.
 func (p *Partitioner) Owns(now tier.Millis, shard string, leafIn func(dataCentre string) bool) bool {
-	if p.ownerCache == nil || now-p.ownerCacheAt >= ownerCacheTTL {
-		p.ownerCache, p.ownerCacheAt = map[string]string{}, now
-	}
+	p.expireOwnerCache(now)
 	name, ok := p.ownerCache[shard]
 	if !ok {
 		if eligible := p.eligible(p.self.region); len(eligible) > 0 {
@@ -310,12 +320,39 @@
 	return name == p.self.vm.Name()
 }
 
+func (p *Partitioner) expireOwnerCache(now tier.Millis) {
+	if p.ownerCache == nil || now-p.ownerCacheAt >= ownerCacheTTL {
+		p.ownerCache, p.ownerRanks, p.ownerCacheAt = map[string]string{}, map[string]int{}, now
+	}
+}
+
+// OwnerRank is the number of VMs of this region that would own a shard rather than this
+// one, suspected ones included. Unlike ownership, it is the same on all VMs that have read the
+// same list, so that no two VMs of a region have the same rank.
+func (p *Partitioner) OwnerRank(now tier.Millis, shard string, leafIn func(dataCentre string) bool) int {
+	p.expireOwnerCache(now)
+	rank, ok := p.ownerRanks[shard]
+	if !ok {
+		own := ownerScore(shard, p.self.region, p.self)
+		for _, m := range preferLeafDataCentres(p.large(p.self.region, true), leafIn) {
+			if m.vm.Name() != p.self.vm.Name() && ownerScore(shard, p.self.region, m) >= own {
+				rank++
+			}
+		}
+		p.ownerRanks[shard] = rank
+	}
+	return rank
+}
+
 // eligible lists the large VMs of a region that are not suspected, by name.
-func (p *Partitioner) eligible(region string) []Member {
+func (p *Partitioner) eligible(region string) []Member { return p.large(region, false) }
+
+// large lists the large VMs of a region, by name.
+func (p *Partitioner) large(region string, suspected bool) []Member {
 	maxCores := 0.0
 	var list []Member
 	for _, m := range p.members {
-		if m.member.region != region || m.suspected {
+		if m.member.region != region || m.suspected && !suspected {
 			continue
 		}
 		list = append(list, m.member)
@@ -360,10 +397,15 @@
 func pickOwner(shard, region string, eligible []Member) Member {
 	best, bestScore := eligible[0], math.Inf(-1)
 	for _, m := range eligible {
-		hash := (float64(picker.Score(shard, region, m.vm.Name())>>11) + 0.5) / (1 << 53)
-		if score := -m.cores / math.Log(hash); score > bestScore {
+		if score := ownerScore(shard, region, m); score > bestScore {
 			best, bestScore = m, score
 		}
 	}
 	return best
 }
+
+// ownerScore is a VM's weighted rendezvous hash for a shard.
+func ownerScore(shard, region string, m Member) float64 {
+	hash := (float64(picker.Score(shard, region, m.vm.Name())>>11) + 0.5) / (1 << 53)
+	return -m.cores / math.Log(hash)
+}
--- a/tier/router/table.go
+++ b/tier/router/table.go
@@ -40,6 +40,7 @@
 	version      int64
 	routesByHost map[string][]*Route
 	usedServices map[string]bool // services that some route sends requests to
+	shards       map[string]bool // those that are shards of some route
 	limits       Limits
 	routeCount   int
 }
@@ -50,13 +51,14 @@
 		version:      version,
 		routesByHost: map[string][]*Route{},
 		usedServices: map[string]bool{},
+		shards:       map[string]bool{},
 		limits:       limits,
 		routeCount:   len(routes),
 	}
 	for _, r := range routes {
 		t.routesByHost[r.host] = append(t.routesByHost[r.host], r)
 		for _, s := range r.shards {
-			t.usedServices[s] = true
+			t.usedServices[s], t.shards[s] = true, true
 		}
 		for _, target := range r.targets {
 			t.usedServices[target.service] = true
@@ -80,6 +82,9 @@
 // Uses reports whether some route sends requests to a service.
 func (t *Table) Uses(service string) bool { return t.usedServices[service] }
 
+// IsShard reports whether a service is a shard of some route.
+func (t *Table) IsShard(service string) bool { return t.shards[service] }
+
 // Match returns the route of a host, which may be followed by a port, whose prefix is the
 // longest one that path begins with.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -133,6 +133,7 @@
 	PastTarget     Cause = "past-aim"       // answered after the target, once the minimum of parts had arrived
 	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
 	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
+	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
 	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
 	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
 	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
@@ -172,6 +173,7 @@
 	callsSent  int
 	extraCalls int
 	uncalled   []int
+	retryAfter tier.Millis
 }
 
 // Cause says why the search ended.
@@ -204,6 +206,10 @@
 // knew no usable leaf.
 func (o Outcome) Uncalled() []int { return o.uncalled }
 
+// RetryAfter is how much later the same request would be sent in time, if the limits of
+// leafs have ended the search, or 0.
+func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
+
 // CallsSent is the number of calls made, by all VMs.
 func (o Outcome) CallsSent() int { return o.callsSent }
 
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -77,6 +77,8 @@
 	switch {
 	case s.terms.forwardFailures && s.parts[0].failureReply != nil:
 		return LeafFailure
+	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
+		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun:
 		return NoLeaf
 	case !s.mayHaveRun:
@@ -103,7 +105,8 @@
 	s.pending = nil
 	o := Outcome{
 		cause: cause, mayHaveRun: s.mayHaveRun, missing: len(s.parts) - s.arrived, misses: misses,
-		callsSent: len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
+		retryAfter: s.retryAfter,
+		callsSent:  len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
 	}
 	for k := range s.shares {
 		o.shares = append(o.shares, s.shares[k].replies...)
--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -197,7 +197,7 @@
 		return balancer.OtherRegion
 	}
 	v.lister = lister.New()
-	v.scheduler = NewScheduler(v.lister, balancer.New(distance), budgeter.New(0.2, 50, 10), partitioner.New(v.member()), WithRandom(f.random.Float64))
+	v.scheduler = NewScheduler(v.lister, balancer.New(distance, balancer.WithRandom(f.random.Float64)), budgeter.New(0.2, 50, 10), partitioner.New(v.member()), WithRandom(f.random.Float64))
 	f.vms = append(f.vms, v)
 }
 
@@ -222,6 +222,8 @@
 
 func (f *fleet) run(until tier.Millis) {
 	for _, v := range f.vms {
+		v.scheduler.SetFleetSize(len(f.vms))
+		v.scheduler.SetShards(func(service string) bool { return f.shards[service] })
 		for _, other := range f.vms {
 			v.scheduler.partitioner.Put(other.member())
 		}
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -70,7 +70,9 @@
 	regionOf    func(dataCentre string) string
 	random      func() float64
 	queue       queue
-	woken       []*Search // searches with actions for Resume
+	fleetSize   int                       // VMs, registered or not, as far as known
+	isShard     func(service string) bool // whether a service is a shard of a route
+	woken       []*Search                 // searches with actions for Resume
 }
 
 // SchedulerOption changes a Scheduler.
@@ -92,10 +94,12 @@
 	sc := &Scheduler{
 		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(),
 		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{},
+		isShard: func(string) bool { return false },
 	}
 	for _, set := range options {
 		set(sc)
 	}
+	b.DivideRates(sc.rateShare)
 	return sc
 }
 
@@ -121,15 +125,20 @@
 	for _, leaf := range leafs {
 		leafInRegion = leafInRegion || sc.balancer.InRegion(leaf)
 	}
-	leafIn := func(dataCentre string) bool {
-		return slices.ContainsFunc(leafs, func(leaf lister.Leaf) bool { return leaf.DataCentre() == dataCentre })
-	}
-	if !leafInRegion || !sc.partitioner.Owns(now, service, leafIn) {
+	if !leafInRegion || !sc.partitioner.Owns(now, service, sc.leafIn(service)) {
 		return 0
 	}
 	return max(1, len(leafs))
 }
 
+// leafIn returns a function that reports whether a service has a leaf in a data centre.
+func (sc *Scheduler) leafIn(service string) func(dataCentre string) bool {
+	leafs := sc.lister.Leafs(service)
+	return func(dataCentre string) bool {
+		return slices.ContainsFunc(leafs, func(leaf lister.Leaf) bool { return leaf.DataCentre() == dataCentre })
+	}
+}
+
 // Lister holds the registered leafs.
 func (sc *Scheduler) Lister() *lister.Lister { return sc.lister }
 
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -16,6 +16,7 @@
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/throttler"
 )
 
 // TestScriptTranscripts plays each script of testdata and compares the transcript
@@ -48,6 +49,7 @@
 //
 //	budget RATIO SLACK              sets the retry budget
 //	leaf ID SERVICE DC [SLOTS]      registers a leaf; DC a or b is in the home region
+//	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
 //	    [share PEER=PART,..] SERVICE ...
@@ -96,8 +98,9 @@
 		}
 		return "home"
 	}
-	s.scheduler = NewScheduler(s.lister, balancer.New(distance), budgeter.New(0.2, 20, 1), partitioner.New(self),
-		WithRegions(regionOf), WithRandom(func() float64 { return 0.5 }))
+	random := func() float64 { return 0.5 }
+	s.scheduler = NewScheduler(s.lister, balancer.New(distance, balancer.WithRandom(random)), budgeter.New(0.2, 20, 1), partitioner.New(self),
+		WithRegions(regionOf), WithRandom(random))
 	return s
 }
 
@@ -118,6 +121,12 @@
 		}
 		leaf := lister.NewLeaf(words[1], words[2], words[1]+":1", lister.InDataCentre(words[3]), lister.WithSlots(slots))
 		s.lister.Put(s.now, lister.NewEntry("servers/"+words[1], leaf, int64(s.sequence)))
+	case "limit":
+		for _, leaf := range s.lister.Leafs("s") {
+			if leaf.ID() == words[1] {
+				s.scheduler.balancer.Heard(s.now, s.now, leaf, throttler.RateLimit{PerSecond: s.float(words[2])})
+			}
+		}
 	case "peer":
 		dataCentre, cores := "x", 1.0
 		if len(words) > 3 {
@@ -277,6 +286,9 @@
 		return fmt.Sprintf("flush %v", action.Arrived)
 	case Finish:
 		outcome := action.Outcome
+		if outcome.RetryAfter() > 0 {
+			return fmt.Sprintf("finish %s: may have run %v, retry after %d ms", outcome.Cause(), outcome.MayHaveRun(), outcome.RetryAfter())
+		}
 		return fmt.Sprintf("finish %s: missing %d, may have run %v, failure %v, misses %v",
 			outcome.Cause(), outcome.Missing(), outcome.MayHaveRun(), outcome.Failure(), outcome.Misses())
 	}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -72,8 +72,9 @@
 	delegatedExtraCalls int      // hedges and retries among them
 	pending             []Action // produced while another search was stepped
 	userData            any
-	woken               bool // it is in the list of TakeWoken
-	targetFlushed       bool // the Flush at the target time was sent
+	woken               bool        // it is in the list of TakeWoken
+	targetFlushed       bool        // the Flush at the target time was sent
+	retryAfter          tier.Millis // when the caller may come back, if the leafs' limits end the search
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -29,6 +29,11 @@
 			leaf = other
 			break
 		}
+		if wait := s.scheduler.limitWait(now, s, p.service); now+wait > s.terms.deadline && p.inFlight == 0 {
+			s.markLost(p, limitReason)
+			s.retryAfter = max(s.retryAfter, now+wait-s.terms.deadline)
+			return actions
+		}
 		s.scheduler.enqueue(now, s, partIndex)
 		return actions
 	}
@@ -48,6 +53,10 @@
 // noLeafReason is why a part is lost whose service has no usable leaf.
 const noLeafReason = "no-leaf"
 
+// limitReason is why a part is lost that could not be sent before the deadline, because of
+// the limits that all leafs of its service have named.
+const limitReason = "leafs-limited"
+
 // hedge starts a second call while one is in flight.
 func (s *Search) hedge(now tier.Millis, partIndex int, actions []Action) []Action {
 	p := &s.parts[partIndex]
