Log which request leafs have ended under

Cause: the logs can't tell the hypotheses of the crashing request apart: each attempt has another id, and a call that breaks off does not say whether its leaf has ended. Change: a fingerprint of caller, method, host, path and body names a request over its attempts and VMs. If no leaf answers a request and leafs have ended connections of its calls, the VM finds out whether they still accept one, and logs it. Shares report such leafs to the VM that has the request. No decision reads it yet.

--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -3,7 +3,7 @@
 // Source: cicadagrade/gather/v1/gather.proto
 
 // The protocol by which an entry VM delegates some of the shards of a search,
-// a share, to another entry VM. It is spoken as Connect over HTTP/1.1.
+// a share, to another entry VM. It is spoken as Connect over HTTP/2.
 package gatherv1connect
 
 import (
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -151,7 +151,7 @@
 		}
 		report := searcher.ShareReport{
 			Reply: reply, Last: reply.GetLast(), MayHaveRun: reply.GetMayHaveRun(),
-			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()),
+			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()), Ended: reply.GetEnded(),
 		}
 		if report.Parts, err = shareParts(a, reply.GetParts()); err != nil {
 			return err
@@ -307,6 +307,10 @@
 	last := &gatherv1.GatherReply{
 		Last: true, MayHaveRun: outcome.MayHaveRun(), Calls: uint32(outcome.CallsSent()), Extra: uint32(outcome.ExtraCalls()),
 	}
+	for _, leaf := range outcome.Ended() {
+		last.Ended = append(last.Ended, leaf.ID())
+	}
+	last.Ended = append(last.Ended, outcome.EndedElsewhere()...)
 	for _, i := range outcome.Uncalled() {
 		last.Uncalled = append(last.Uncalled, uint32(i))
 	}
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -15,6 +15,7 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/delayestimator"
+	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
@@ -56,6 +57,8 @@
 	arrival delayestimator.Arrival
 	body    []byte
 	margin  tier.Millis // for merging and writing the response
+
+	fingerprint func() quarantiner.Fingerprint
 }
 
 // responseMargin is the time that a VM needs for merging and writing the response of a number
@@ -105,8 +108,9 @@
 	}
 	q := &request{
 		route: route, table: table, attempt: attempt, start: start, body: body,
-		arrival: e.recordArrival(r.Context(), start, route, attempt),
-		margin:  responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
+		arrival:     e.recordArrival(r.Context(), start, route, attempt),
+		fingerprint: newFingerprint(r, path, body),
+		margin:      responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
 	}
 	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
 	if route.IsScatterGather() {
@@ -290,6 +294,7 @@
 	took := e.clock.Now() - q.start
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
+	e.checkEndedLeafs(q, outcome)
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -187,7 +187,7 @@
 		}
 		return searcher.NotRun{Reason: searcher.NoConnection}
 	case errors.As(err, &lost):
-		return searcher.Lost{Cause: err.Error(), NewConnection: lost.ConnectionRejected()}
+		return searcher.Lost{Cause: err.Error(), NewConnection: lost.ConnectionRejected(), Ended: lost.Ended()}
 	}
 	response := platform.ParseLeafReply(reply.Status(), reply.Header())
 	switch {
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -75,6 +75,7 @@
 type NoReplyError struct {
 	address  string
 	rejected bool
+	ended    bool
 	cause    error
 }
 
@@ -82,6 +83,9 @@
 // replying, as servers do that have reached their limit of connections.
 func (e *NoReplyError) ConnectionRejected() bool { return e.rejected }
 
+// Ended reports whether the server has ended the connection, and not this client.
+func (e *NoReplyError) Ended() bool { return e.ended }
+
 // Unwrap returns the cause.
 func (e *NoReplyError) Unwrap() error { return e.cause }
 
@@ -195,7 +199,7 @@
 		if written == 0 {
 			return nil, &NotSentError{address: address, connected: true, cause: err}
 		}
-		return nil, &NoReplyError{address: address, cause: err}
+		return nil, &NoReplyError{address: address, ended: ctx.Err() == nil && isConnectionEnd(err), cause: err}
 	}
 	c.requests.Add(1)
 	r, keep, err := c.readReply(cn, call)
@@ -204,8 +208,9 @@
 	}
 	if err != nil {
 		_ = cn.Close()
+		ended := ctx.Err() == nil && isConnectionEnd(err)
 		rejected := !cn.hasReplied && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF))
-		return nil, &NoReplyError{address: address, rejected: rejected, cause: err}
+		return nil, &NoReplyError{address: address, rejected: rejected, ended: ended, cause: err}
 	}
 	cn.hasReplied = true
 	if keep {
@@ -216,6 +221,23 @@
 	return r, nil
 }
 
+// isConnectionEnd reports whether an error says that the server has closed or reset the
+// connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// Refuses reports whether an address refuses connections, as that of a server that has ended
+// does. Silence, also until ctx ends, is no refusal.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	connection, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = connection.Close()
+	return false
+}
+
 // readReply reads the reply to the request just written. The second result reports whether
 // the connection can be reused.
 func (c *Client) readReply(cn *conn, call Call) (*Reply, bool, error) {
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -208,6 +208,15 @@
 // slice.
 func (l *Lister) Leafs(service string) []Leaf { return l.usableByService[service] }
 
+// Leaf is the leaf registered under a key, usable or not.
+func (l *Lister) Leaf(key string) (Leaf, bool) {
+	r, ok := l.registrations[key]
+	if !ok {
+		return Leaf{}, false
+	}
+	return r.entry.leaf, true
+}
+
 // UsableCount is the number of usable leafs.
 func (l *Lister) UsableCount() int {
 	count := 0
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -25,6 +25,7 @@
 type Lost struct {
 	Cause         string
 	NewConnection bool // it was sent on a new connection, which brought no byte
+	Ended         bool // the leaf has ended the connection
 }
 
 func (Answered) result()    {}
@@ -107,8 +108,9 @@
 	Reply      any
 	Last       bool // no report follows
 	MayHaveRun bool
-	Calls      int // made by that VM, in the last report
-	Extra      int // hedges and retries among them
+	Calls      int      // made by that VM, in the last report
+	Ended      []string // ids of leafs that ended a connection, if no leaf answered, in the last report
+	Extra      int      // hedges and retries among them
 }
 
 // Part is one service's part of the answer.
@@ -174,6 +176,8 @@
 	extraCalls int
 	uncalled   []int
 	retryAfter tier.Millis
+	ended      []lister.Leaf
+	endedIDs   []string
 }
 
 // Cause says why the search ended.
@@ -210,6 +214,13 @@
 // leafs have ended the search, or 0.
 func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
 
+// Ended are the leafs that ended the connection while they had the request, if no leaf has
+// answered it: the request may have ended them.
+func (o Outcome) Ended() []lister.Leaf { return o.ended }
+
+// EndedElsewhere are the ids of such leafs that other VMs have called.
+func (o Outcome) EndedElsewhere() []string { return o.endedIDs }
+
 // CallsSent is the number of calls made, by all VMs.
 func (o Outcome) CallsSent() int { return o.callsSent }
 
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -1,6 +1,11 @@
 package searcher
 
-import "cicadagrade.example/tier"
+import (
+	"slices"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+)
 
 // finishIfDone ends the search once its result no longer depends on outstanding
 // calls, or its time is up.
@@ -111,6 +116,9 @@
 	for k := range s.shares {
 		o.shares = append(o.shares, s.shares[k].replies...)
 	}
+	if s.arrived == 0 && !s.leafReported {
+		o.ended, o.endedIDs = s.endedLeafs(), s.endedElsewhere
+	}
 	if cause == LeafFailure {
 		o.failure = s.parts[0].failureReply
 	}
@@ -127,6 +135,18 @@
 	return append(actions, Finish{Outcome: o})
 }
 
+// endedLeafs lists the leafs that have ended the connection of a call, each once.
+func (s *Search) endedLeafs() []lister.Leaf {
+	var list []lister.Leaf
+	for i := range s.calls {
+		leaf := s.calls[i].leaf
+		if s.calls[i].broken && !slices.ContainsFunc(list, func(other lister.Leaf) bool { return other.ID() == leaf.ID() }) {
+			list = append(list, leaf)
+		}
+	}
+	return list
+}
+
 // maxMisses bounds the misses of an outcome, which are written in one log line.
 const maxMisses = 6
 
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -13,6 +13,7 @@
 	sentAt tier.Millis
 	ended  bool
 	reason string // why it brought no usable reply
+	broken bool   // the leaf has ended the connection
 }
 
 // part is the state of one service in a search.
@@ -70,6 +71,8 @@
 	done                bool
 	delegatedCalls      int      // calls made by other VMs
 	delegatedExtraCalls int      // hedges and retries among them
+	leafReported        bool     // a leaf has reported a failure, which ended its run
+	endedElsewhere      []string // ids of leafs that ended connections of other VMs' calls
 	pending             []Action // produced while another search was stepped
 	userData            any
 	woken               bool        // it is in the list of TakeWoken
@@ -138,9 +141,11 @@
 		s.mayHaveRun = true
 		p.ranCalls++
 		p.failureReply = r.Reply
+		s.leafReported = true
 		actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
 	case Lost:
 		s.mayHaveRun = true
+		c.broken = r.Ended
 		p.ranCalls++
 		actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
 	case NotRun:
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -47,6 +47,7 @@
 		sh.ended = true
 		s.delegatedCalls += report.Calls
 		s.delegatedExtraCalls += report.Extra
+		s.endedElsewhere = append(s.endedElsewhere, report.Ended...)
 		s.scheduler.partitioner.RecordShareLatency(s.terms.class, sh.member.Region(), now-sh.sentAt)
 		// What that VM did not know, this one may.
 		var actions []Action
