Test that a request that ends leafs is no longer sent, known to fail

Cause: no VM knows that leafs ended under the same request. Change: three entry VMs over one store, leafs that end under a request, and the rule's bound of three more sends; beside it two tests that pass: requests on broken connections of living leafs, and requests that are lost with another, are still sent.

--- /dev/null
+++ b/cicadagraded/entry/crashes_test.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"cicadagrade.example/cicadagraded/eventlog"
+	"cicadagrade.example/platform"
+	"cicadagrade.example/standin/responder"
+	"cicadagrade.example/standin/storeserver"
+	"cicadagrade.example/tier"
+)
+
+// maxRetriesAfterThree is how many times a request may still reach a leaf after three have
+// ended under it and all VMs have had the time to hear of it.
+const maxRetriesAfterThree = 3
+
+// crashFleet is a number of entry VMs that read the same store, and leafs that end, with all
+// their connections, when they get a request to /line/crash or /sweep/crash.
+type crashFleet struct {
+	t       *testing.T
+	store   *platform.Store
+	address string
+	entries []*Entry
+	group   sync.WaitGroup // closes the connections of leafs
+	nextID  int
+
+	mu      sync.Mutex
+	crashed []string // ids of leafs that have ended
+}
+
+func newCrashFleet(t *testing.T, vms int) *crashFleet {
+	t.Helper()
+	server := httptest.NewServer(storeserver.New(tier.NewClock()))
+	f := &crashFleet{t: t, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
+	t.Cleanup(func() {
+		f.group.Wait()
+		for _, e := range f.entries {
+			e.Close()
+		}
+		f.store.Close()
+		server.Close()
+	})
+	for range vms {
+		f.addVM()
+	}
+	raw, err := os.ReadFile("testdata/configuration.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.put(platform.ConfigurationKey, raw)
+	return f
+}
+
+// addVM starts an entry VM.
+func (f *crashFleet) addVM() *Entry {
+	raw, err := os.ReadFile("testdata/settings.toml")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text := strings.ReplaceAll(string(raw), "STORE", f.address)
+	settings, err := platform.DecodeSettings([]byte(strings.ReplaceAll(text, "entry-1", fmt.Sprint("entry-", len(f.entries)+1))))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	clock := tier.NewClock()
+	e, err := New(settings, clock, eventlog.New(io.Discard, clock))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.entries = append(f.entries, e)
+	return e
+}
+
+func (f *crashFleet) put(key string, raw []byte) {
+	if _, err := f.store.Put(context.Background(), key, raw, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// addLeafs starts leafs of a service.
+func (f *crashFleet) addLeafs(service string, count int) {
+	for range count {
+		f.nextID++
+		id := fmt.Sprint("i-", f.nextID)
+		leaf := responder.NewFixedLeaf(id, "abc")
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case strings.HasSuffix(r.URL.Path, "/crash"):
+				f.mu.Lock()
+				f.crashed = append(f.crashed, id)
+				f.mu.Unlock()
+				_ = server.Listener.Close()
+				f.group.Go(server.CloseClientConnections)
+				panic(http.ErrAbortHandler)
+			case strings.HasSuffix(r.URL.Path, "/mute"):
+				panic(http.ErrAbortHandler)
+			}
+			leaf.ServeHTTP(w, r)
+		}))
+		f.t.Cleanup(server.Close)
+		raw, err := leaf.Registration(service, server.Listener.Addr().String(), "depot-a")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.put(platform.LeafsPrefix+id, raw)
+	}
+	f.settle()
+}
+
+// settle removes the registrations of leafs that have ended, and lets all VMs do what follows
+// from earlier requests and read the store.
+func (f *crashFleet) settle() {
+	for _, e := range f.entries {
+		e.background.Wait()
+	}
+	f.mu.Lock()
+	crashed := f.crashed
+	f.mu.Unlock()
+	for _, id := range crashed {
+		registration, err := f.store.Get(context.Background(), platform.LeafsPrefix+id)
+		if err == nil && registration.Present() {
+			err = f.store.Delete(context.Background(), platform.LeafsPrefix+id, registration.Revision())
+		}
+		if err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for _, e := range f.entries {
+		if err := e.readStore(context.Background(), false); err != nil {
+			f.t.Fatal(err)
+		}
+		e.finishRefresh(false)
+	}
+}
+
+// ask sends a request to a VM and returns the response.
+func (f *crashFleet) ask(e *Entry, path string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodGet, path, nil)
+	request.Host = "search.example"
+	f.nextID++
+	responder.SetCallerHeaders(request.Header, fmt.Sprint("a", f.nextID), callerTimeoutMs)
+	response := httptest.NewRecorder()
+	e.ServeHTTP(response, request)
+	f.settle()
+	return response
+}
+
+func (f *crashFleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashed)
+}
+
+// TestRequestThatEndsLeafsIsNoLongerSent guards against a request that ends each leaf that runs
+// it, and that VMs send on each time it comes again, at any of them.
+func TestRequestThatEndsLeafsIsNoLongerSent(t *testing.T) {
+	for _, path := range []string{"/line/crash", "/sweep/crash"} {
+		t.Run(path, func(t *testing.T) {
+			f := newCrashFleet(t, 3)
+			for _, service := range []string{"orders", "s1", "s2", "s3"} {
+				f.addLeafs(service, 16)
+			}
+			atThree := -1
+			for k := range 12 {
+				f.ask(f.entries[k%3], path)
+				if atThree < 0 && f.crashCount() >= 3 {
+					atThree = f.crashCount()
+				}
+			}
+			if atThree < 0 {
+				t.Fatalf("%d leafs have ended, three were expected", f.crashCount())
+			}
+			if more := f.crashCount() - atThree; more > maxRetriesAfterThree {
+				t.Errorf("the request was sent %d times more after three leafs had ended", more)
+			}
+			for _, e := range append(f.entries, f.addVM()) {
+				f.settle()
+				response := f.ask(e, path)
+				if response.Code != http.StatusServiceUnavailable || response.Header().Get("Retry-After") == "" {
+					t.Errorf("%s: status %d, Retry-After %q; want 503 with a time", e.settings.Load().Name(), response.Code, response.Header().Get("Retry-After"))
+				}
+				if response := f.ask(e, strings.TrimSuffix(path, "crash")+"1"); response.Code != http.StatusOK {
+					t.Errorf("%s: another request of the caller got %d", e.settings.Load().Name(), response.Code)
+				}
+			}
+		})
+	}
+}
+
+// A leaf that closes a connection and lives on has not ended under the request: the request
+// must still be sent.
+func TestRequestOnBrokenConnectionsIsStillSent(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.addLeafs("orders", 6)
+	for k := range 8 {
+		if response := f.ask(f.entries[k%2], "/line/mute"); response.Code != http.StatusBadGateway {
+			t.Errorf("try %d: status %d, want 502: the leafs have the request and break the connection", k, response.Code)
+		}
+	}
+}
+
+// A leaf that ends takes other requests with it. They are answered by other leafs, and must
+// not be refused for it.
+func TestRequestsLostWithAnotherAreStillSent(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.addLeafs("orders", 24)
+	for k := range 8 {
+		f.ask(f.entries[k%2], fmt.Sprintf("/line/%d/crash", k))
+		if response := f.ask(f.entries[k%2], "/line/1"); response.Code != http.StatusOK {
+			t.Errorf("try %d: status %d", k, response.Code)
+		}
+	}
+}
