Quarantine requests under which three leafs have ended

Cause: an attempt was judged by its id alone, and what a call's end says of its leaf stayed with the VM that sent it. Change: a VM that finds leafs ended under a request no leaf has answered names the leafs in the store, under the request's fingerprint; all VMs read it with their view, also those that start later. Three leafs over all VMs, and the request is refused at once with 503 and the remaining time, for ten minutes; parts that wait, hedges and shares of it are not sent either. An answer of any leaf clears it. A connection that breaks while the leaf goes on accepting is no evidence. Result: TestRequestThatEndsLeafsIsNoLongerSent failed (12 and 42 sends after three leafs) and passes; its VMs now also write their reports while the test waits for them.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -2,18 +2,40 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/storer"
+)
+
+const (
+	// crashesPrefix is the prefix of the store's keys for the requests under which leafs have
+	// ended, each followed by the request's fingerprint and the name of the VM that sent it.
+	crashesPrefix = statePrefix + "-crashes/"
+	// crashReportTTL is the time to live of the leases of these keys, and crashLeaseReuse how
+	// long a lease is used for further keys.
+	crashReportTTL  = 10 * tier.Minute
+	crashLeaseReuse = 5 * tier.Minute
+	// crashRetryInterval is the pause after a report that the store has not taken.
+	crashRetryInterval = 500 * tier.Millisecond
 )
 
+// crashReport is the stored list of the leafs that have ended under a VM's request.
+type crashReport struct {
+	Leafs []string `json:"leafs"`
+}
+
 // endedLeafTimeout bounds the connection by which a VM finds out whether a leaf has ended or
 // only a connection to it. It allows for a round trip between regions.
 const endedLeafTimeout = 150 * tier.Millisecond
@@ -65,6 +87,136 @@
 			ids = append(ids, leaf.ID())
 		}
 	}
+	if len(ids) > 0 {
+		f := q.fingerprint()
+		e.mu.Lock()
+		own, quarantined := e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids)
+		e.crashReports[f] = own
+		e.mu.Unlock()
+		if quarantined {
+			e.log.Info("request-quarantined", "fingerprint", f, "request", q.attempt.ID(), "leafs", strings.Join(ids, " "))
+		}
+		select {
+		case e.crashReported <- struct{}{}:
+		default:
+		}
+	}
 	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprint(),
 		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids))
 }
+
+// quarantined reports whether a request must not be sent to a leaf, and for how much longer.
+func (e *Entry) quarantined(q *request) (tier.Millis, bool) {
+	if !e.knowsCrashes() {
+		return 0, false
+	}
+	f := q.fingerprint()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scheduler.Quarantiner().Refuses(e.clock.Now(), f)
+}
+
+// knowsCrashes reports whether leafs have ended under some request.
+func (e *Entry) knowsCrashes() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.scheduler.Quarantiner().Empty()
+}
+
+// recordLeafAnswer clears a request that a leaf has answered of the suspicion that it ends each
+// leaf.
+func (e *Entry) recordLeafAnswer(q *request, outcome searcher.Outcome) {
+	if !outcome.Success() && outcome.Failure() == nil || !e.knowsCrashes() {
+		return
+	}
+	f := q.fingerprint()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.scheduler.Quarantiner().Answered(f)
+}
+
+// applyCrash applies another VM's report of leafs that have ended under a request. Reports
+// that are removed count on until they are too old: the store may have lost them.
+func (e *Entry) applyCrash(v storer.Value) {
+	fingerprint, vm, ok := strings.Cut(strings.TrimPrefix(v.Key(), crashesPrefix), "/")
+	if !v.Present() || !ok {
+		return
+	}
+	var report crashReport
+	if err := json.Unmarshal(v.Data(), &report); err != nil {
+		e.log.Warn("crash-report-skipped", "key", v.Key(), "error", err)
+		return
+	}
+	e.mu.Lock()
+	quarantined := e.scheduler.Quarantiner().Heard(e.clock.Now(), quarantiner.Fingerprint(fingerprint), report.Leafs)
+	e.mu.Unlock()
+	if quarantined {
+		e.log.Info("request-quarantined", "fingerprint", fingerprint, "told-by", vm, "leafs", strings.Join(report.Leafs, " "))
+	}
+}
+
+// RunCrashReports tells the other VMs, through the store, which leafs have ended under which
+// request, until ctx ends.
+func (e *Entry) RunCrashReports(ctx context.Context) error {
+	for {
+		retry := time.Hour
+		if err := e.writeCrashReports(ctx); err != nil && ctx.Err() == nil {
+			e.log.RateLimitedInfo("crash-not-reported", "error", err)
+			retry = crashRetryInterval.Duration()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.crashReported:
+		case <-time.After(retry):
+		}
+	}
+}
+
+// writeCrashReports writes the pending reports to the store.
+func (e *Entry) writeCrashReports(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		var fingerprint quarantiner.Fingerprint
+		var leafs []string
+		for fingerprint, leafs = range e.crashReports {
+			break
+		}
+		delete(e.crashReports, fingerprint)
+		e.mu.Unlock()
+		if len(leafs) == 0 {
+			return nil
+		}
+		if err := e.writeCrashReport(ctx, fingerprint, leafs); err != nil {
+			e.mu.Lock()
+			if _, newer := e.crashReports[fingerprint]; !newer {
+				e.crashReports[fingerprint] = leafs
+			}
+			e.mu.Unlock()
+			return err
+		}
+	}
+}
+
+// writeCrashReport writes one report under the lease for reports.
+func (e *Entry) writeCrashReport(ctx context.Context, f quarantiner.Fingerprint, leafs []string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
+	defer cancel()
+	raw, err := json.Marshal(crashReport{Leafs: leafs})
+	if err != nil {
+		return errors.Wrap(err, "Entry.writeCrashReport")
+	}
+	if now := e.clock.Now(); e.crashLease == 0 || now-e.crashLeaseAt >= crashLeaseReuse {
+		id, err := e.store.Grant(ctx, crashReportTTL)
+		if err != nil {
+			return errors.Wrap(err, "Entry.writeCrashReport")
+		}
+		e.crashLease, e.crashLeaseAt = id, now
+	}
+	key := crashesPrefix + string(f) + "/" + e.settings.Load().Name()
+	if _, err := e.store.Put(ctx, key, raw, e.crashLease); err != nil {
+		e.crashLease = 0 // it may have ended
+		return errors.Wrap(err, "Entry.writeCrashReport")
+	}
+	return nil
+}
--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -121,6 +121,9 @@
 func (f *crashFleet) settle() {
 	for _, e := range f.entries {
 		e.background.Wait()
+		if err := e.writeCrashReports(context.Background()); err != nil {
+			f.t.Fatal(err)
+		}
 	}
 	f.mu.Lock()
 	crashed := f.crashed
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -20,10 +20,12 @@
 	"cicadagrade.example/tier/delayestimator"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/relayer"
 	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/storer"
 )
 
 // Entry is an entry VM: its view of the platform, its connections to leafs and other
@@ -51,6 +53,9 @@
 	extraCalls       atomic.Int64   // hedges and retries among leafCalls
 	missingParts     atomic.Int64   // shard results not received by the end of their request
 	crossRegionBytes atomic.Int64   // bytes of replies received from other regions
+	crashReported    chan struct{}  // gets a value when crashReports has a new one
+	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
+	crashLeaseAt     tier.Millis    // when it was granted
 	background       sync.WaitGroup // calls to leafs and other VMs in progress
 
 	// mu serialises the steps of all searches and guards the state they share.
@@ -67,6 +72,9 @@
 	// viewDiffers says that the view lacks a change that the VM has had from which this VM
 	// copies, so that the whole view is needed.
 	viewDiffers bool
+	// crashReports are the leafs that have ended under requests of this VM, and that the
+	// store has not been told of.
+	crashReports map[quarantiner.Fingerprint][]string
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
 }
@@ -79,7 +87,8 @@
 	}
 	e := &Entry{
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
-		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1), relayer: relayer.New(),
+		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
+		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint][]string{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
 	}
 	e.settings.Store(s)
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -16,6 +16,7 @@
 	"cicadagrade.example/cicadagraded/leafclient"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/searcher"
 )
@@ -41,6 +42,7 @@
 	rank         int
 	minimumParts func(n int) int // how many of n shards must answer
 	shards       []string
+	fingerprint  func() quarantiner.Fingerprint
 }
 
 // peerClients holds a client for each other VM, by address. Each has one HTTP/2
@@ -110,6 +112,9 @@
 		Minimum: uint32(r.delegation.minimumParts(len(shards))),
 		AimMs:   int64(a.Target), EndMs: int64(a.Deadline), Repeated: a.Repeated,
 	}
+	if r.delegation.fingerprint != nil && r.entry.knowsCrashes() {
+		request.Fingerprint = string(r.delegation.fingerprint())
+	}
 	r.entry.background.Go(func() {
 		defer cancel()
 		if err := r.readShareReplies(ctx, searchCtx, a, request); err != nil && ctx.Err() == nil {
@@ -282,6 +287,11 @@
 	if request.GetRepeated() {
 		options = append(options, searcher.Repeated())
 	}
+	var fingerprint func() quarantiner.Fingerprint
+	if f := quarantiner.Fingerprint(request.GetFingerprint()); f != "" {
+		fingerprint = func() quarantiner.Fingerprint { return f }
+		options = append(options, searcher.WithFingerprint(fingerprint))
+	}
 	terms := searcher.NewTerms(request.GetRoute(), now+tier.Millis(request.GetAimMs()), now+tier.Millis(request.GetEndMs()), options...)
 	var shares []partitioner.Share
 	if request.GetSpread() {
@@ -292,6 +302,7 @@
 	run.delegation = delegationTerms{
 		route: request.GetRoute(), topK: int(request.GetTop()), maxAttempts: int(request.GetAttempts()), rank: int(request.GetRank()),
 		minimumParts: func(n int) int { return n * int(request.GetMinimum()) / max(1, len(request.GetShards())) }, shards: request.GetShards(),
+		fingerprint: fingerprint,
 	}
 	run.flush = func(f searcher.Flush) error { return stream.Send(shareReply(request, f)) }
 	outcome, cancelled := run.execute(ctx)
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -112,6 +112,10 @@
 		fingerprint: newFingerprint(r, path, body),
 		margin:      responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
 	}
+	if left, quarantined := e.quarantined(q); quarantined {
+		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
+		return
+	}
 	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
 	if route.IsScatterGather() {
 		e.serveScatterGather(w, r, q, template)
@@ -172,7 +176,7 @@
 		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
 	}
 	options := []searcher.TermsOption{
-		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()),
+		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()), searcher.WithFingerprint(q.fingerprint),
 	}
 	if q.route.Idempotent() {
 		options = append(options, searcher.Idempotent())
@@ -203,7 +207,7 @@
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, e.divideShards(q.route.Name(), shards))
 	run.delegation = delegationTerms{
 		route: q.route.Name(), topK: q.route.TopK(), maxAttempts: q.route.MaxAttempts(), rank: q.route.Rank(),
-		minimumParts: q.route.MinimumPartsOf, shards: shards,
+		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprint: q.fingerprint,
 	}
 	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
@@ -294,6 +298,7 @@
 	took := e.clock.Now() - q.start
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
+	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, outcome)
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
--- a/cicadagraded/entry/members.go
+++ b/cicadagraded/entry/members.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// statePrefix begins the keys of all that VMs keep in the store for each other, so that
+	// one call lists it.
+	statePrefix = "cicadagrade/vm"
 	// vmsPrefix is the prefix of the store's keys for the VMs' registrations, each
 	// followed by the VM's name.
 	vmsPrefix = "cicadagrade/vms/"
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -39,6 +39,8 @@
 		{"cicadagrade.entry.fleet", "estimated number of VMs of the deployment, by which the retry budget is divided", withLock(func(e *Entry) int64 { return int64(e.fleetSize()) })},
 		{"cicadagrade.entry.parts.waiting", "parts that wait for a free slot of a leaf", withLock(func(e *Entry) int64 { return int64(e.scheduler.QueueLength()) })},
 		{"cicadagrade.entry.calls", "calls to leafs, including those that other VMs made for this one", func(e *Entry) int64 { return e.leafCalls.Load() }},
+		{"cicadagrade.entry.quarantine.requests", "requests, by caller and content, under which leafs have ended", withLock(func(e *Entry) int64 { return int64(e.scheduler.Quarantiner().Len()) })},
+		{"cicadagrade.entry.quarantine.refused", "times that a request under which several leafs have ended was not sent", withLock(func(e *Entry) int64 { return e.scheduler.Quarantiner().Refused() })},
 		{"cicadagrade.entry.calls.extra", "hedges and retries among the calls to leafs", func(e *Entry) int64 { return e.extraCalls.Load() }},
 		{"cicadagrade.entry.calls.denied", "hedges and retries denied by the retry budget", withLock(func(e *Entry) int64 { return e.scheduler.Budgeter().Denied() })},
 		{"cicadagrade.entry.budget.least", "hedges and retries left in the retry budget of the service with the fewest left", withLock(func(e *Entry) int64 { return int64(e.scheduler.Budgeter().FewestTokens()) })},
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -118,14 +118,14 @@
 	return nil
 }
 
-// readAll reads the configuration, the leafs and the VMs from the store, at the same time. The
+// readAll reads the configuration, the leafs and what VMs keep in the store, at the same time. The
 // three reads are not atomic, so later polls start at the revision of the earliest one.
 func (e *Entry) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
 	defer cancel()
 	start := e.clock.Now()
 	var configuration storer.Value
-	var leafs, members []storer.Value
+	var leafs, state []storer.Value
 	var at [3]int64
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
@@ -137,7 +137,7 @@
 		return err
 	})
 	g.Go(func() (err error) {
-		members, at[2], err = e.store.ListWithRevision(ctx, vmsPrefix)
+		state, at[2], err = e.store.ListWithRevision(ctx, statePrefix)
 		return err
 	})
 	if err := g.Wait(); err != nil {
@@ -145,7 +145,7 @@
 	}
 	afterOutage := e.storeUnreachable.Load()
 	e.markStoreReachable()
-	list := slices.Concat(leafs, members)
+	list := slices.Concat(leafs, state)
 	if configuration.Present() {
 		list = append(list, configuration)
 	}
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -37,6 +37,8 @@
 			}
 		case isVMKey(c.Key()):
 			members = append(members, c)
+		case strings.HasPrefix(c.Key(), crashesPrefix):
+			e.applyCrash(c)
 		}
 		kept = append(kept, c)
 	}
@@ -60,6 +62,8 @@
 		affectsUse = e.applyLeaf(c)
 	case isVMKey(c.Key()):
 		e.applyMember(c)
+	case strings.HasPrefix(c.Key(), crashesPrefix):
+		e.applyCrash(c)
 	default:
 		return
 	}
@@ -136,6 +140,7 @@
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
 	e.scheduler.SetFleetSize(e.fleetSize())
 	e.scheduler.Lister().Tick(e.clock.Now())
+	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
 	changes := e.scheduler.Lister().TakeChanges()
 	for _, c := range changes {
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -136,6 +136,7 @@
 	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
 	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
 	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
 	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
 	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
 	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
@@ -210,8 +211,8 @@
 // knew no usable leaf.
 func (o Outcome) Uncalled() []int { return o.uncalled }
 
-// RetryAfter is how much later the same request would be sent in time, if the limits of
-// leafs have ended the search, or 0.
+// RetryAfter is how much later the same request would be sent, if limits of leafs or the
+// quarantine have ended the search, or 0.
 func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
 
 // Ended are the leafs that ended the connection while they had the request, if no leaf has
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -82,6 +82,8 @@
 	switch {
 	case s.terms.forwardFailures && s.parts[0].failureReply != nil:
 		return LeafFailure
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == quarantinedReason:
+		return Quarantined
 	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun:
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -81,6 +81,12 @@
 			}
 		}
 		q := list[best]
+		if q.search.quarantined(now) {
+			sc.dequeue(q.search, q.part)
+			q.search.markLost(&q.search.parts[q.part], quarantinedReason)
+			sc.wake(q.search)
+			continue
+		}
 		leaf, _, found := sc.pickWithCapacity(now, q.search, &q.search.parts[q.part])
 		if !found {
 			return
@@ -93,10 +99,15 @@
 		}
 		p.retryAt = never
 		q.search.pending = q.search.startCall(now, q.part, leaf, p.nextIsExtra, q.search.pending)
-		if !q.search.woken {
-			q.search.woken = true
-			sc.woken = append(sc.woken, q.search)
-		}
+		sc.wake(q.search)
+	}
+}
+
+// wake adds a search to the list of TakeWoken.
+func (sc *Scheduler) wake(s *Search) {
+	if !s.woken {
+		s.woken = true
+		sc.woken = append(sc.woken, s)
 	}
 }
 
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -14,6 +14,7 @@
 	"cicadagrade.example/tier/forecaster"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/quarantiner"
 )
 
 // Parameters of hedges, retries and delegation.
@@ -70,6 +71,7 @@
 	regionOf    func(dataCentre string) string
 	random      func() float64
 	queue       queue
+	quarantiner *quarantiner.Quarantiner
 	fleetSize   int                       // VMs, registered or not, as far as known
 	isShard     func(service string) bool // whether a service is a shard of a route
 	woken       []*Search                 // searches with actions for Resume
@@ -92,7 +94,7 @@
 // NewScheduler returns a scheduler without searches.
 func NewScheduler(l *lister.Lister, b *balancer.Balancer, budget *budgeter.Budgeter, p *partitioner.Partitioner, options ...SchedulerOption) *Scheduler {
 	sc := &Scheduler{
-		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(),
+		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(), quarantiner: quarantiner.New(),
 		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{},
 		isShard: func(string) bool { return false },
 	}
@@ -151,6 +153,9 @@
 // Partitioner divides a request's shards among VMs.
 func (sc *Scheduler) Partitioner() *partitioner.Partitioner { return sc.partitioner }
 
+// Quarantiner knows the requests under which leafs have ended.
+func (sc *Scheduler) Quarantiner() *quarantiner.Quarantiner { return sc.quarantiner }
+
 // Forecaster predicts requests that will not get enough parts.
 func (sc *Scheduler) Forecaster() *forecaster.Forecaster { return sc.forecaster }
 
@@ -164,6 +169,7 @@
 	flushes         bool
 	repeated        bool
 	rank            int
+	fingerprint     func() quarantiner.Fingerprint
 	target          tier.Millis
 	deadline        tier.Millis
 }
@@ -201,6 +207,12 @@
 // answers.
 func ForwardFailures() TermsOption { return func(t *Terms) { t.forwardFailures = true } }
 
+// WithFingerprint sets the function that returns the request's fingerprint. It is called when
+// leafs have ended under some request.
+func WithFingerprint(fingerprint func() quarantiner.Fingerprint) TermsOption {
+	return func(t *Terms) { t.fingerprint = fingerprint }
+}
+
 // Repeated counts the first call of each part as an extra one, because another VM may
 // have made it already.
 func Repeated() TermsOption { return func(t *Terms) { t.repeated = true } }
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -77,7 +77,7 @@
 	userData            any
 	woken               bool        // it is in the list of TakeWoken
 	targetFlushed       bool        // the Flush at the target time was sent
-	retryAfter          tier.Millis // when the caller may come back, if the leafs' limits end the search
+	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -12,6 +12,10 @@
 	if s.terms.deadline-now < minCallTime || p.queued {
 		return actions
 	}
+	if s.quarantined(now) {
+		s.markLost(p, quarantinedReason)
+		return actions
+	}
 	leaf, _, found := s.pickLeaf(now, p, true)
 	if !found && len(p.tried) > 0 {
 		leaf, _, found = s.pickLeaf(now, p, false)
@@ -57,10 +61,27 @@
 // the limits that all leafs of its service have named.
 const limitReason = "leafs-limited"
 
+// quarantinedReason is why a part is lost of a request that has ended several leafs.
+const quarantinedReason = "quarantined"
+
+// quarantined reports whether the request must not be sent to a further leaf, because several
+// have ended under it.
+func (s *Search) quarantined(now tier.Millis) bool {
+	q := s.scheduler.quarantiner
+	if q.Empty() || s.terms.fingerprint == nil {
+		return false
+	}
+	left, refused := q.Refuses(now, s.terms.fingerprint())
+	if refused {
+		s.retryAfter = max(s.retryAfter, left)
+	}
+	return refused
+}
+
 // hedge starts a second call while one is in flight.
 func (s *Search) hedge(now tier.Millis, partIndex int, actions []Action) []Action {
 	p := &s.parts[partIndex]
-	if p.ranCalls+p.inFlight >= s.terms.maxAttempts {
+	if p.ranCalls+p.inFlight >= s.terms.maxAttempts || s.quarantined(now) {
 		return actions
 	}
 	leaf, cost, found := s.scheduler.pickWithCapacity(now, s, p)
