Count a leaf that leaves connections unanswered as ended

A leaf that ends may refuse connections or, with its machine, leave them unanswered; only a refusal counted. Change: a leaf counts as ended unless it accepts a connection within 250 ms.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -38,7 +38,7 @@
 
 // endedLeafTimeout bounds the connection by which a VM finds out whether a leaf has ended or
 // only a connection to it. It allows for a round trip between regions.
-const endedLeafTimeout = 150 * tier.Millisecond
+const endedLeafTimeout = 250 * tier.Millisecond
 
 // newFingerprint returns a function that computes the fingerprint of a caller's request when
 // it is first needed, which is rarely.
@@ -78,7 +78,7 @@
 	ended := make([]bool, len(leafs))
 	var group sync.WaitGroup
 	for i, leaf := range leafs {
-		group.Go(func() { ended[i] = e.leafClient.Refuses(ctx, leaf.Address()) })
+		group.Go(func() { ended[i] = !e.leafClient.Accepts(ctx, leaf.Address()) })
 	}
 	group.Wait()
 	var ids []string
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -227,15 +227,15 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// Refuses reports whether an address refuses connections, as that of a server that has ended
-// does. Silence, also until ctx ends, is no refusal.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
+// Accepts reports whether a server accepts a connection before ctx ends. One that has ended
+// refuses it, or nothing answers at its address.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
 	connection, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return false
 	}
 	_ = connection.Close()
-	return false
+	return true
 }
 
 // readReply reads the reply to the request just written. The second result reports whether
