Report ended leafs at once, not at the end of their request

Cause: a request that lost a leaf may wait seconds for budget or room before its search ends, and only then did its VM tell others of the leaf. Change: the search names the leaf when the call ends, unless a leaf has answered; the report is dropped if one answers while the VM finds out whether the leaf lives.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -52,26 +52,31 @@
 	})
 }
 
-// checkEndedLeafs finds out, in the background, which leafs have ended while they had a
-// request that no leaf has answered.
-func (e *Entry) checkEndedLeafs(q *request, outcome searcher.Outcome) {
-	leafs := outcome.Ended()
-	if ids := outcome.EndedElsewhere(); len(ids) > 0 {
-		e.mu.Lock()
-		for _, id := range ids {
-			if leaf, ok := e.scheduler.Lister().Leaf(platform.LeafsPrefix + id); ok {
-				leafs = append(leafs, leaf)
-			}
+// leafsByID returns the registered ones of some leafs.
+func (e *Entry) leafsByID(ids []string) []lister.Leaf {
+	if len(ids) == 0 {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []lister.Leaf
+	for _, id := range ids {
+		if leaf, ok := e.scheduler.Lister().Leaf(platform.LeafsPrefix + id); ok {
+			list = append(list, leaf)
 		}
-		e.mu.Unlock()
 	}
-	if len(leafs) == 0 {
-		return
+	return list
+}
+
+// checkEndedLeafs finds out, in the background, which leafs have ended while they had a request.
+func (e *Entry) checkEndedLeafs(q *request, leafs []lister.Leaf) {
+	if len(leafs) > 0 {
+		e.background.Go(func() { e.recordEndedLeafs(q, leafs) })
 	}
-	e.background.Go(func() { e.recordEndedLeafs(q, leafs) })
 }
 
-// recordEndedLeafs records those of the leafs of a request that no longer accept connections.
+// recordEndedLeafs records those of the leafs of a request that no longer accept connections,
+// unless another leaf answers it in the meantime.
 func (e *Entry) recordEndedLeafs(q *request, leafs []lister.Leaf) {
 	ctx, cancel := context.WithTimeout(context.Background(), endedLeafTimeout.Duration())
 	defer cancel()
@@ -87,7 +92,7 @@
 			ids = append(ids, leaf.ID())
 		}
 	}
-	if len(ids) > 0 {
+	if len(ids) > 0 && !q.answered.Load() {
 		f := q.fingerprint()
 		e.mu.Lock()
 		own, quarantined := e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids)
@@ -102,7 +107,7 @@
 		}
 	}
 	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprint(),
-		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids))
+		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load())
 }
 
 // quarantined reports whether a request must not be sent to a leaf, and for how much longer.
@@ -126,7 +131,11 @@
 // recordLeafAnswer clears a request that a leaf has answered of the suspicion that it ends each
 // leaf.
 func (e *Entry) recordLeafAnswer(q *request, outcome searcher.Outcome) {
-	if !outcome.Success() && outcome.Failure() == nil || !e.knowsCrashes() {
+	if !outcome.Success() && outcome.Failure() == nil {
+		return
+	}
+	q.answered.Store(true)
+	if !e.knowsCrashes() {
 		return
 	}
 	f := q.fingerprint()
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +16,7 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/delayestimator"
+	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/router"
@@ -59,6 +61,7 @@
 	margin  tier.Millis // for merging and writing the response
 
 	fingerprint func() quarantiner.Fingerprint
+	answered    atomic.Bool // a leaf has answered
 }
 
 // responseMargin is the time that a VM needs for merging and writing the response of a number
@@ -209,6 +212,7 @@
 		route: q.route.Name(), topK: q.route.TopK(), maxAttempts: q.route.MaxAttempts(), rank: q.route.Rank(),
 		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprint: q.fingerprint,
 	}
+	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
 	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
@@ -245,7 +249,9 @@
 // serveSingle passes on the response of one leaf.
 func (e *Entry) serveSingle(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	service := q.route.PickService(rand.Float64())
-	outcome, callerGone := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, q.terms(), []string{service}, nil).execute(r.Context())
+	run := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, q.terms(), []string{service}, nil)
+	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
+	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
 		return
@@ -299,7 +305,7 @@
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
 	e.recordLeafAnswer(q, outcome)
-	e.checkEndedLeafs(q, outcome)
+	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()))
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -11,6 +11,7 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
+	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/searcher"
 )
@@ -32,6 +33,7 @@
 	search      *searcher.Search
 	delegation  delegationTerms
 	flush       func(searcher.Flush) error // sends partial results to the delegating VM
+	leafEnded   func(lister.Leaf)          // handles a leaf that may have ended under the request, or nil
 	events      chan searchEvent
 	wakeup      chan struct{}
 	cancelCall  map[int]context.CancelFunc
@@ -135,6 +137,10 @@
 			if err := r.flush(a); err != nil {
 				e.log.RateLimitedInfo("share-not-reported", "request", r.attemptID, "error", err)
 			}
+		case searcher.LeafEnded:
+			if r.leafEnded != nil {
+				r.leafEnded(a.Leaf)
+			}
 		case searcher.Finish:
 			r.outcome, r.done = a.Outcome, true
 		}
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -65,6 +65,11 @@
 // Cancel cancels a call. Its result is ignored.
 type Cancel struct{ Call int }
 
+// LeafEnded tells that a leaf has ended the connection while it had the request, and that no
+// leaf has answered yet: the request may have ended the leaf. It comes at once, as the search
+// may go on for long.
+type LeafEnded struct{ Leaf lister.Leaf }
+
 // Finish ends the search. It is the last action.
 type Finish struct{ Outcome Outcome }
 
@@ -94,12 +99,13 @@
 	Shares  []any  // replies of the VMs that queried the others
 }
 
-func (Send) action()     {}
-func (Cancel) action()   {}
-func (Finish) action()   {}
-func (Delegate) action() {}
-func (Recall) action()   {}
-func (Flush) action()    {}
+func (Send) action()      {}
+func (LeafEnded) action() {}
+func (Cancel) action()    {}
+func (Finish) action()    {}
+func (Delegate) action()  {}
+func (Recall) action()    {}
+func (Flush) action()     {}
 
 // ShareReport is the report of a VM on its share.
 type ShareReport struct {
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -16,6 +16,7 @@
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/throttler"
 )
 
@@ -57,6 +58,8 @@
 //	                                once: not idempotent; peer: on behalf of another VM
 //	NAME answer CALL | fail CALL    the leaf replies, or reports a failure
 //	NAME lose CALL | reset CALL     the connection breaks; reset: a new one without a byte
+//	NAME end CALL                   the leaf ends the connection
+//	quarantine NAME                 three leafs have ended under the request of a search
 //	NAME shed CALL                  the leaf has no capacity
 //	NAME wrong CALL                 another server answers at the leaf's address
 //	NAME refuse CALL                no connection can be made
@@ -121,6 +124,8 @@
 		}
 		leaf := lister.NewLeaf(words[1], words[2], words[1]+":1", lister.InDataCentre(words[3]), lister.WithSlots(slots))
 		s.lister.Put(s.now, lister.NewEntry("servers/"+words[1], leaf, int64(s.sequence)))
+	case "quarantine":
+		s.scheduler.quarantiner.Heard(s.now, quarantiner.Fingerprint(words[1]), []string{"x", "y", "z"})
 	case "limit":
 		for _, leaf := range s.lister.Leafs("s") {
 			if leaf.ID() == words[1] {
@@ -146,7 +151,7 @@
 
 func (s *script) search(name string, words []string) {
 	var target, deadline tier.Millis
-	options := []TermsOption{Idempotent()}
+	options := []TermsOption{Idempotent(), WithFingerprint(func() quarantiner.Fingerprint { return quarantiner.Fingerprint(name) })}
 	var once bool
 	var shares []partitioner.Share
 	var delegated []partitioner.Share
@@ -204,7 +209,7 @@
 	index := s.number(words[1])
 	results := map[string]Result{
 		"answer": Answered{Reply: "reply"}, "fail": FailedReply{Reply: "failure"}, "lose": Lost{Cause: "cut"},
-		"reset": Lost{Cause: "reset", NewConnection: true}, "shed": NotRun{Reason: Shed},
+		"reset": Lost{Cause: "reset", NewConnection: true}, "end": Lost{Cause: "end", Ended: true}, "shed": NotRun{Reason: Shed},
 		"wrong": NotRun{Reason: WrongServer}, "refuse": NotRun{Reason: NoConnection},
 	}
 	switch words[0] {
@@ -272,6 +277,8 @@
 			kind = "send extra"
 		}
 		return fmt.Sprintf("%s %d: part %d to %s, %d ms", kind, action.Call, action.Part, action.Leaf.ID(), action.TimeLeft)
+	case LeafEnded:
+		return "leaf ended: " + action.Leaf.ID()
 	case Cancel:
 		return fmt.Sprintf("cancel %d", action.Call)
 	case Delegate:
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -146,6 +146,9 @@
 	case Lost:
 		s.mayHaveRun = true
 		c.broken = r.Ended
+		if c.broken && s.arrived == 0 && !s.leafReported {
+			actions = append(actions, LeafEnded{Leaf: c.leaf})
+		}
 		p.ranCalls++
 		actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
 	case NotRun:
