Recognise a crashing request by its content, and clear it by any answer

Change: the fingerprints are those of method, host, path and body, with and without the query; the caller is no part of them. So that requests which many callers send are not refused for a rack that ends, an answer to any of them voids all earlier reports, on all VMs, and a request is refused only if no leaf has answered for 2 s after three have ended. Starts of a leaf under one id count apart.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,24 +31,21 @@
 	crashRetryInterval = 500 * tier.Millisecond
 )
 
-// crashReport is the stored list of the leafs that have ended under a VM's request.
+// crashReport is the stored form of a quarantiner.Report.
 type crashReport struct {
-	Leafs []string `json:"leafs"`
+	Leafs    []string `json:"leafs"`
+	Answered bool     `json:"answered"`
 }
 
 // endedLeafTimeout bounds the connection by which a VM finds out whether a leaf has ended or
 // only a connection to it. It allows for a round trip between regions.
 const endedLeafTimeout = 250 * tier.Millisecond
 
-// newFingerprint returns a function that computes the fingerprint of a caller's request when
-// it is first needed, which is rarely.
-func newFingerprint(r *http.Request, uri string, body []byte) func() quarantiner.Fingerprint {
-	return sync.OnceValue(func() quarantiner.Fingerprint {
-		caller, _, err := net.SplitHostPort(r.RemoteAddr)
-		if err != nil {
-			caller = r.RemoteAddr
-		}
-		return quarantiner.NewFingerprint(caller, r.Method, strings.ToLower(r.Host), uri, body)
+// newFingerprints returns a function that computes the fingerprints of a caller's request when
+// they are first needed, which is rarely.
+func newFingerprints(r *http.Request, uri string, body []byte) func() []quarantiner.Fingerprint {
+	return sync.OnceValue(func() []quarantiner.Fingerprint {
+		return quarantiner.NewFingerprints(r.Method, strings.ToLower(r.Host), uri, body)
 	})
 }
 
@@ -89,24 +86,19 @@
 	var ids []string
 	for i, leaf := range leafs {
 		if ended[i] {
-			ids = append(ids, leaf.ID())
+			// A leaf may start again under its id.
+			ids = append(ids, leaf.ID()+"@"+strconv.FormatInt(leaf.StartTime(), 10))
 		}
 	}
 	if len(ids) > 0 && !q.answered.Load() {
-		f := q.fingerprint()
 		e.mu.Lock()
-		own, quarantined := e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids)
-		e.crashReports[f] = own
-		e.mu.Unlock()
-		if quarantined {
-			e.log.Info("request-quarantined", "fingerprint", f, "request", q.attempt.ID(), "leafs", strings.Join(ids, " "))
-		}
-		select {
-		case e.crashReported <- struct{}{}:
-		default:
+		for _, f := range q.fingerprints() {
+			e.crashReports[f] = e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids)
 		}
+		e.mu.Unlock()
+		e.wakeCrashReports()
 	}
-	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprint(),
+	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprints()[0],
 		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load())
 }
 
@@ -115,10 +107,10 @@
 	if !e.knowsCrashes() {
 		return 0, false
 	}
-	f := q.fingerprint()
+	list := q.fingerprints()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.scheduler.Quarantiner().Refuses(e.clock.Now(), f)
+	return e.scheduler.Quarantiner().Refuses(e.clock.Now(), list)
 }
 
 // knowsCrashes reports whether leafs have ended under some request.
@@ -128,8 +120,8 @@
 	return !e.scheduler.Quarantiner().Empty()
 }
 
-// recordLeafAnswer clears a request that a leaf has answered of the suspicion that it ends each
-// leaf.
+// recordLeafAnswer clears a request that a leaf has answered, and those of the same content, of
+// the suspicion that they end each leaf.
 func (e *Entry) recordLeafAnswer(q *request, outcome searcher.Outcome) {
 	if !outcome.Success() && outcome.Failure() == nil {
 		return
@@ -138,14 +130,30 @@
 	if !e.knowsCrashes() {
 		return
 	}
-	f := q.fingerprint()
+	list := q.fingerprints()
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.scheduler.Quarantiner().Answered(f)
+	told := false
+	for _, f := range list {
+		if report, tell := e.scheduler.Quarantiner().Answered(e.clock.Now(), f); tell {
+			e.crashReports[f], told = report, true
+		}
+	}
+	e.mu.Unlock()
+	if told {
+		e.wakeCrashReports()
+	}
 }
 
-// applyCrash applies another VM's report of leafs that have ended under a request. Reports
-// that are removed count on until they are too old: the store may have lost them.
+// wakeCrashReports makes RunCrashReports write the pending reports.
+func (e *Entry) wakeCrashReports() {
+	select {
+	case e.crashReported <- struct{}{}:
+	default:
+	}
+}
+
+// applyCrash applies a VM's report on requests under which leafs have ended. Reports that are
+// removed count on until they are too old: the store may have lost them.
 func (e *Entry) applyCrash(v storer.Value) {
 	fingerprint, vm, ok := strings.Cut(strings.TrimPrefix(v.Key(), crashesPrefix), "/")
 	if !v.Present() || !ok {
@@ -157,11 +165,9 @@
 		return
 	}
 	e.mu.Lock()
-	quarantined := e.scheduler.Quarantiner().Heard(e.clock.Now(), quarantiner.Fingerprint(fingerprint), report.Leafs)
+	e.scheduler.Quarantiner().Heard(e.clock.Now(), quarantiner.Fingerprint(fingerprint), vm, v.Revision(), quarantiner.Report(report))
 	e.mu.Unlock()
-	if quarantined {
-		e.log.Info("request-quarantined", "fingerprint", fingerprint, "told-by", vm, "leafs", strings.Join(report.Leafs, " "))
-	}
+	e.log.RateLimitedInfo("crash-report", "fingerprint", fingerprint, "peer", vm, "leafs", strings.Join(report.Leafs, " "), "answered", report.Answered)
 }
 
 // RunCrashReports tells the other VMs, through the store, which leafs have ended under which
@@ -187,19 +193,20 @@
 	for {
 		e.mu.Lock()
 		var fingerprint quarantiner.Fingerprint
-		var leafs []string
-		for fingerprint, leafs = range e.crashReports {
+		var report quarantiner.Report
+		for fingerprint, report = range e.crashReports {
 			break
 		}
+		pending := len(e.crashReports) > 0
 		delete(e.crashReports, fingerprint)
 		e.mu.Unlock()
-		if len(leafs) == 0 {
+		if !pending {
 			return nil
 		}
-		if err := e.writeCrashReport(ctx, fingerprint, leafs); err != nil {
+		if err := e.writeCrashReport(ctx, fingerprint, report); err != nil {
 			e.mu.Lock()
 			if _, newer := e.crashReports[fingerprint]; !newer {
-				e.crashReports[fingerprint] = leafs
+				e.crashReports[fingerprint] = report
 			}
 			e.mu.Unlock()
 			return err
@@ -208,10 +215,10 @@
 }
 
 // writeCrashReport writes one report under the lease for reports.
-func (e *Entry) writeCrashReport(ctx context.Context, f quarantiner.Fingerprint, leafs []string) error {
+func (e *Entry) writeCrashReport(ctx context.Context, f quarantiner.Fingerprint, report quarantiner.Report) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
-	raw, err := json.Marshal(crashReport{Leafs: leafs})
+	raw, err := json.Marshal(crashReport(report))
 	if err != nil {
 		return errors.Wrap(err, "Entry.writeCrashReport")
 	}
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -72,9 +72,9 @@
 	// viewDiffers says that the view lacks a change that the VM has had from which this VM
 	// copies, so that the whole view is needed.
 	viewDiffers bool
-	// crashReports are the leafs that have ended under requests of this VM, and that the
-	// store has not been told of.
-	crashReports map[quarantiner.Fingerprint][]string
+	// crashReports are the reports on requests under which leafs have ended that are not yet
+	// in the store.
+	crashReports map[quarantiner.Fingerprint]quarantiner.Report
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
 }
@@ -88,7 +88,7 @@
 	e := &Entry{
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
-		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint][]string{}, relayer: relayer.New(),
+		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
 	}
 	e.settings.Store(s)
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -42,7 +42,7 @@
 	rank         int
 	minimumParts func(n int) int // how many of n shards must answer
 	shards       []string
-	fingerprint  func() quarantiner.Fingerprint
+	fingerprints func() []quarantiner.Fingerprint
 }
 
 // peerClients holds a client for each other VM, by address. Each has one HTTP/2
@@ -112,8 +112,10 @@
 		Minimum: uint32(r.delegation.minimumParts(len(shards))),
 		AimMs:   int64(a.Target), EndMs: int64(a.Deadline), Repeated: a.Repeated,
 	}
-	if r.delegation.fingerprint != nil && r.entry.knowsCrashes() {
-		request.Fingerprint = string(r.delegation.fingerprint())
+	if r.delegation.fingerprints != nil && r.entry.knowsCrashes() {
+		for _, f := range r.delegation.fingerprints() {
+			request.Fingerprints = append(request.Fingerprints, string(f))
+		}
 	}
 	r.entry.background.Go(func() {
 		defer cancel()
@@ -287,11 +289,12 @@
 	if request.GetRepeated() {
 		options = append(options, searcher.Repeated())
 	}
-	var fingerprint func() quarantiner.Fingerprint
-	if f := quarantiner.Fingerprint(request.GetFingerprint()); f != "" {
-		fingerprint = func() quarantiner.Fingerprint { return f }
-		options = append(options, searcher.WithFingerprint(fingerprint))
+	fingerprints := make([]quarantiner.Fingerprint, len(request.GetFingerprints()))
+	for i, f := range request.GetFingerprints() {
+		fingerprints[i] = quarantiner.Fingerprint(f)
 	}
+	fingerprintsOf := func() []quarantiner.Fingerprint { return fingerprints }
+	options = append(options, searcher.WithFingerprints(fingerprintsOf))
 	terms := searcher.NewTerms(request.GetRoute(), now+tier.Millis(request.GetAimMs()), now+tier.Millis(request.GetEndMs()), options...)
 	var shares []partitioner.Share
 	if request.GetSpread() {
@@ -302,7 +305,7 @@
 	run.delegation = delegationTerms{
 		route: request.GetRoute(), topK: int(request.GetTop()), maxAttempts: int(request.GetAttempts()), rank: int(request.GetRank()),
 		minimumParts: func(n int) int { return n * int(request.GetMinimum()) / max(1, len(request.GetShards())) }, shards: request.GetShards(),
-		fingerprint: fingerprint,
+		fingerprints: fingerprintsOf,
 	}
 	run.flush = func(f searcher.Flush) error { return stream.Send(shareReply(request, f)) }
 	outcome, cancelled := run.execute(ctx)
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -60,8 +60,8 @@
 	body    []byte
 	margin  tier.Millis // for merging and writing the response
 
-	fingerprint func() quarantiner.Fingerprint
-	answered    atomic.Bool // a leaf has answered
+	fingerprints func() []quarantiner.Fingerprint
+	answered     atomic.Bool // a leaf has answered
 }
 
 // responseMargin is the time that a VM needs for merging and writing the response of a number
@@ -111,9 +111,9 @@
 	}
 	q := &request{
 		route: route, table: table, attempt: attempt, start: start, body: body,
-		arrival:     e.recordArrival(r.Context(), start, route, attempt),
-		fingerprint: newFingerprint(r, path, body),
-		margin:      responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
+		arrival:      e.recordArrival(r.Context(), start, route, attempt),
+		fingerprints: newFingerprints(r, path, body),
+		margin:       responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
 	}
 	if left, quarantined := e.quarantined(q); quarantined {
 		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
@@ -179,7 +179,7 @@
 		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
 	}
 	options := []searcher.TermsOption{
-		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()), searcher.WithFingerprint(q.fingerprint),
+		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()), searcher.WithFingerprints(q.fingerprints),
 	}
 	if q.route.Idempotent() {
 		options = append(options, searcher.Idempotent())
@@ -210,7 +210,7 @@
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, e.divideShards(q.route.Name(), shards))
 	run.delegation = delegationTerms{
 		route: q.route.Name(), topK: q.route.TopK(), maxAttempts: q.route.MaxAttempts(), rank: q.route.Rank(),
-		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprint: q.fingerprint,
+		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprints: q.fingerprints,
 	}
 	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
 	outcome, callerGone := run.execute(r.Context())
--- a/tier/quarantiner/fingerprint.go
+++ b/tier/quarantiner/fingerprint.go
@@ -7,19 +7,29 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"strings"
 )
 
-// Fingerprint identifies a request whose attempts are the same but for their ids.
+// Fingerprint identifies requests with the same content, whoever sends them.
 type Fingerprint string
 
 // fingerprintBytes is the length of the hash in a fingerprint.
 const fingerprintBytes = 16
 
-// NewFingerprint returns the fingerprint of a caller's request. The caller is part of it, so
-// that a request that many callers send is not refused to all because of some.
-func NewFingerprint(caller, method, host, uri string, body []byte) Fingerprint {
+// NewFingerprints returns the fingerprints of a request: one of its whole content and, if the
+// URI has a query, one without it. What ends a leaf may lie in the path or body alone, with
+// a query that differs each time, or in the query of a path that serves others well.
+func NewFingerprints(method, host, uri string, body []byte) []Fingerprint {
+	list := []Fingerprint{newFingerprint(method, host, uri, body)}
+	if path, _, found := strings.Cut(uri, "?"); found {
+		list = append(list, newFingerprint(method, host, path, body))
+	}
+	return list
+}
+
+func newFingerprint(method, host, uri string, body []byte) Fingerprint {
 	h := sha256.New()
-	for _, word := range []string{caller, method, host, uri} {
+	for _, word := range []string{method, host, uri} {
 		writeWord(h, []byte(word))
 	}
 	writeWord(h, body)
--- a/tier/quarantiner/quarantiner.go
+++ b/tier/quarantiner/quarantiner.go
@@ -10,23 +10,71 @@
 	// minEndedLeafs is the number of leafs that must have ended under a request before it is
 	// refused. Fewer may have ended for other reasons while they had it.
 	minEndedLeafs = 3
+	// confirmDelay is how long no leaf may answer the request after that. Requests with the
+	// content of many others lose several leafs at a time when these end for other
+	// reasons, but others of them are answered, and the VMs hear of it within this time.
+	confirmDelay = 2 * tier.Second
 	// evidenceTTL is how long it counts that a leaf has ended.
 	evidenceTTL = 10 * tier.Minute
-	// maxRequests bounds the requests that are remembered, and maxLeafs the leafs of each.
-	maxRequests = 1024
-	maxLeafs    = 64
+	// maxRecords bounds the fingerprints that are remembered, and maxLeafs the leafs that a VM
+	// names for each.
+	maxRecords = 2048
+	maxLeafs   = 64
 )
 
-// record is what is known of one request.
+// Report is what a VM tells the others of the requests of a fingerprint.
+type Report struct {
+	Leafs    []string // leafs that have ended under them since a leaf last answered one
+	Answered bool     // a leaf has answered one
+}
+
+// heardReport is a Report of another VM.
+type heardReport struct {
+	leafs    []string
+	revision int64
+}
+
+// record is what is known of the requests of one fingerprint.
 type record struct {
-	ended   map[string]bool // leafs that have ended, as far as this VM knows
-	own     []string        // those that this VM has seen itself
-	changed tier.Millis     // when a leaf was added
+	own         []string               // leafs that ended under requests of this VM
+	reported    bool                   // other VMs have been told of own
+	heard       map[string]heardReport // by VM
+	clearedAt   int64                  // revision of the last report of an answer
+	changedAt   tier.Millis            // when a leaf was last added
+	suspectedAt tier.Millis            // when minEndedLeafs was reached, or never
+}
+
+const never = tier.Millis(1) << 60
+
+// ended counts the leafs that have ended since an answer.
+func (r *record) ended() int {
+	leafs := map[string]bool{}
+	for _, leaf := range r.own {
+		leafs[leaf] = true
+	}
+	for _, report := range r.heard {
+		if report.revision > r.clearedAt {
+			for _, leaf := range report.leafs {
+				leafs[leaf] = true
+			}
+		}
+	}
+	return len(leafs)
+}
+
+// update notes at now whether enough leafs have ended.
+func (r *record) update(now tier.Millis) {
+	switch {
+	case r.ended() < minEndedLeafs:
+		r.suspectedAt = never
+	case r.suspectedAt == never:
+		r.suspectedAt = now
+	}
 }
 
 // Quarantiner is one VM's knowledge of the requests under which leafs have ended. VMs tell each
-// other of these leafs, since an attempt of the same request may come to any of them. It is
-// not safe for concurrent use.
+// other of these leafs, since the same request may come to any of them. It is not safe for
+// concurrent use.
 type Quarantiner struct {
 	records map[Fingerprint]*record
 	refused int64
@@ -35,71 +83,103 @@
 // New returns a quarantiner that knows of no request.
 func New() *Quarantiner { return &Quarantiner{records: map[Fingerprint]*record{}} }
 
-// Empty reports whether no request is known, so that none needs a fingerprint.
+// Empty reports whether nothing is known of any request, so that none needs a fingerprint.
 func (q *Quarantiner) Empty() bool { return len(q.records) == 0 }
 
-// Len is the number of requests under which a leaf has ended.
+// Len is the number of fingerprints of requests under which a leaf has ended.
 func (q *Quarantiner) Len() int { return len(q.records) }
 
 // Refused is the number of times that Refuses has refused a request.
 func (q *Quarantiner) Refused() int64 { return q.refused }
 
-// Ended records leafs that ended under a request sent by this VM. It returns all such leafs, for
-// the other VMs, and whether the request is refused from now on, and was not before.
-func (q *Quarantiner) Ended(now tier.Millis, f Fingerprint, leafs []string) (own []string, quarantined bool) {
-	quarantined = q.Heard(now, f, leafs)
-	r := q.records[f]
+// Ended records leafs that ended under a request sent by this VM. It returns the report for the
+// other VMs.
+func (q *Quarantiner) Ended(now tier.Millis, f Fingerprint, leafs []string) Report {
+	r := q.recordOf(now, f)
 	for _, leaf := range leafs {
 		if !slices.Contains(r.own, leaf) && len(r.own) < maxLeafs {
 			r.own = append(r.own, leaf)
 		}
 	}
-	return slices.Clone(r.own), quarantined
+	r.changedAt, r.reported = now, true
+	r.update(now)
+	return Report{Leafs: slices.Clone(r.own)}
 }
 
-// Heard records the leafs that another VM has named. It reports whether the request is refused
-// from now on, and was not before.
-func (q *Quarantiner) Heard(now tier.Millis, f Fingerprint, leafs []string) bool {
+// Answered records that a leaf has answered a request sent by this VM: requests of this
+// fingerprint do not end each leaf that runs them. If other VMs may believe otherwise, it
+// returns the report for them.
+func (q *Quarantiner) Answered(now tier.Millis, f Fingerprint) (Report, bool) {
 	r, ok := q.records[f]
-	if !ok || now-r.changed >= evidenceTTL {
-		if !ok && len(q.records) >= maxRequests {
-			q.dropOldest()
-		}
-		r = &record{ended: map[string]bool{}, changed: now}
-		q.records[f] = r
+	if !ok {
+		return Report{}, false
 	}
-	before := len(r.ended)
-	for _, leaf := range leafs {
-		if !r.ended[leaf] && len(r.ended) < maxLeafs {
-			r.ended[leaf], r.changed = true, now
-		}
+	tell := r.reported || r.suspectedAt != never
+	for _, report := range r.heard {
+		r.clearedAt = max(r.clearedAt, report.revision)
 	}
-	return before < minEndedLeafs && len(r.ended) >= minEndedLeafs
+	r.own, r.reported = nil, false
+	r.update(now)
+	return Report{Answered: true}, tell
 }
 
-// Answered records that a leaf has answered a request: it does not end each leaf that runs it.
-func (q *Quarantiner) Answered(f Fingerprint) { delete(q.records, f) }
-
-// Refuses reports whether a request must not be sent, and for how much longer.
-func (q *Quarantiner) Refuses(now tier.Millis, f Fingerprint) (tier.Millis, bool) {
+// Heard records the report of another VM, as of a revision of the store. Of one VM, later
+// reports replace earlier ones; an answer voids the earlier reports of all.
+func (q *Quarantiner) Heard(now tier.Millis, f Fingerprint, vm string, revision int64, report Report) {
 	r, ok := q.records[f]
-	if !ok || len(r.ended) < minEndedLeafs || now-r.changed >= evidenceTTL {
-		return 0, false
+	if !ok && report.Answered {
+		return
+	}
+	if !ok {
+		r = q.recordOf(now, f)
+	}
+	if revision <= r.heard[vm].revision {
+		return
+	}
+	if report.Answered {
+		r.clearedAt = max(r.clearedAt, revision)
+		r.own, r.reported = nil, false
+	}
+	r.heard[vm] = heardReport{leafs: report.Leafs[:min(len(report.Leafs), maxLeafs)], revision: revision}
+	r.changedAt = now
+	r.update(now)
+}
+
+// Refuses reports whether a request with these fingerprints must not be sent, and for how much
+// longer.
+func (q *Quarantiner) Refuses(now tier.Millis, fingerprints []Fingerprint) (tier.Millis, bool) {
+	for _, f := range fingerprints {
+		r, ok := q.records[f]
+		if ok && now >= r.suspectedAt+confirmDelay && now < r.changedAt+evidenceTTL {
+			q.refused++
+			return r.changedAt + evidenceTTL - now, true
+		}
 	}
-	q.refused++
-	return evidenceTTL - (now - r.changed), true
+	return 0, false
 }
 
 // Tick drops requests whose evidence is too old.
 func (q *Quarantiner) Tick(now tier.Millis) {
 	for f, r := range q.records {
-		if now-r.changed >= evidenceTTL {
+		if now >= r.changedAt+evidenceTTL {
 			delete(q.records, f)
 		}
 	}
 }
 
-// dropOldest makes room for another request. One that is not refused goes first.
+func (q *Quarantiner) recordOf(now tier.Millis, f Fingerprint) *record {
+	if r, ok := q.records[f]; ok && now < r.changedAt+evidenceTTL {
+		return r
+	}
+	if len(q.records) >= maxRecords {
+		q.dropOldest()
+	}
+	r := &record{heard: map[string]heardReport{}, changedAt: now, suspectedAt: never}
+	q.records[f] = r
+	return r
+}
+
+// dropOldest makes room for another record. One that is not suspected goes first.
 func (q *Quarantiner) dropOldest() {
 	var oldest Fingerprint
 	var found *record
@@ -113,9 +193,8 @@
 
 // precedes reports whether a record is dropped before another.
 func precedes(r, other *record) bool {
-	refused, otherRefused := len(r.ended) >= minEndedLeafs, len(other.ended) >= minEndedLeafs
-	if refused != otherRefused {
-		return otherRefused
+	if suspected := r.suspectedAt != never; suspected != (other.suspectedAt != never) {
+		return !suspected
 	}
-	return r.changed < other.changed
+	return r.changedAt < other.changedAt
 }
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -169,7 +169,7 @@
 	flushes         bool
 	repeated        bool
 	rank            int
-	fingerprint     func() quarantiner.Fingerprint
+	fingerprints    func() []quarantiner.Fingerprint
 	target          tier.Millis
 	deadline        tier.Millis
 }
@@ -207,10 +207,10 @@
 // answers.
 func ForwardFailures() TermsOption { return func(t *Terms) { t.forwardFailures = true } }
 
-// WithFingerprint sets the function that returns the request's fingerprint. It is called when
-// leafs have ended under some request.
-func WithFingerprint(fingerprint func() quarantiner.Fingerprint) TermsOption {
-	return func(t *Terms) { t.fingerprint = fingerprint }
+// WithFingerprints sets the function that returns the request's fingerprints. It is called
+// when leafs have ended under some request.
+func WithFingerprints(fingerprints func() []quarantiner.Fingerprint) TermsOption {
+	return func(t *Terms) { t.fingerprints = fingerprints }
 }
 
 // Repeated counts the first call of each part as an extra one, because another VM may
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -68,10 +68,10 @@
 // have ended under it.
 func (s *Search) quarantined(now tier.Millis) bool {
 	q := s.scheduler.quarantiner
-	if q.Empty() || s.terms.fingerprint == nil {
+	if q.Empty() || s.terms.fingerprints == nil {
 		return false
 	}
-	left, refused := q.Refuses(now, s.terms.fingerprint())
+	left, refused := q.Refuses(now, s.terms.fingerprints())
 	if refused {
 		s.retryAfter = max(s.retryAfter, left)
 	}
