Fingerprint the host as routes see it

Cause: Host may name a port, which routes ignore; the same request then had another fingerprint. Change: both take the name from router.HostName. Result: tests pass.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -15,6 +15,7 @@
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/quarantiner"
+	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/storer"
 )
@@ -45,7 +46,7 @@
 // they are first needed, which is rarely.
 func newFingerprints(r *http.Request, uri string, body []byte) func() []quarantiner.Fingerprint {
 	return sync.OnceValue(func() []quarantiner.Fingerprint {
-		return quarantiner.NewFingerprints(r.Method, strings.ToLower(r.Host), uri, body)
+		return quarantiner.NewFingerprints(r.Method, router.HostName(r.Host), uri, body)
 	})
 }
 
--- a/tier/router/table.go
+++ b/tier/router/table.go
@@ -85,13 +85,18 @@
 // IsShard reports whether a service is a shard of some route.
 func (t *Table) IsShard(service string) bool { return t.shards[service] }
 
-// Match returns the route of a host, which may be followed by a port, whose prefix is the
-// longest one that path begins with.
-func (t *Table) Match(host, path string) (*Route, bool) {
+// HostName is the name in a request's Host header, in lower case and without the port.
+func HostName(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
-	for _, r := range t.routesByHost[strings.ToLower(host)] {
+	return strings.ToLower(host)
+}
+
+// Match returns the route of a host, which may be followed by a port, whose prefix is the
+// longest one that path begins with.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.routesByHost[HostName(host)] {
 		if strings.HasPrefix(path, r.prefix) {
 			return r, true
 		}
