Shorten the confirmation of a quarantine; one line a second on limited leafs

Cause: in a large fleet a report takes up to 2.5 s to reach all VMs; with 2 s of confirmation and 0.25 s to find a leaf ended, little was left of the 5 s of the users' rule. And a VM that calls many limited leafs wrote a line a second for each of them, from the allowance for lines on requests. Change: a request is refused 1 s after three leafs have ended under it, if none has answered; one line names the eight limited leafs with most calls.

--- a/cicadagraded/entry/limits.go
+++ b/cicadagraded/entry/limits.go
@@ -1,12 +1,17 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"cicadagrade.example/cicadagraded/leafclient"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/throttler"
 )
@@ -58,11 +63,25 @@
 		case <-ticker.C:
 		}
 		e.mu.Lock()
-		uses := e.scheduler.Balancer().TakeLimitUse(e.clock.Now())
+		uses := e.scheduler.Balancer().TakeLimitUse()
 		e.mu.Unlock()
-		for _, u := range uses {
-			e.log.RateLimitedInfo("leaf-limit-use", "leaf", u.Leaf().ID(), "service", u.Leaf().Service(),
-				"per-second", u.PerSecond(), "calls", u.Calls(), "during-ms", int64(u.During()))
+		if calls := describeLimitUse(uses); calls != "" {
+			e.log.RateLimitedInfo("leaf-limit-use", "calls", calls)
 		}
 	}
 }
+
+// maxLimitUses is how many leafs one line on calls to limited leafs names.
+const maxLimitUses = 8
+
+// describeLimitUse lists the limited leafs that got most calls, as LEAF:CALLS/LIMIT.
+func describeLimitUse(uses []balancer.LimitUse) string {
+	slices.SortFunc(uses, func(a, b balancer.LimitUse) int { return cmp.Compare(b.Calls(), a.Calls()) })
+	var texts []string
+	for _, u := range uses[:min(len(uses), maxLimitUses)] {
+		if u.Calls() > 0 {
+			texts = append(texts, fmt.Sprintf("%s:%d/%g", u.Leaf().ID(), u.Calls(), u.PerSecond()))
+		}
+	}
+	return strings.Join(texts, " ")
+}
--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -191,7 +191,7 @@
 func (s *session) printLimits() {
 	s.entry.mu.Lock()
 	defer s.entry.mu.Unlock()
-	uses := s.entry.scheduler.Balancer().TakeLimitUse(s.entry.clock.Now())
+	uses := s.entry.scheduler.Balancer().TakeLimitUse()
 	for _, u := range uses {
 		fmt.Fprintf(&s.out, "  %s takes %g a second\n", u.Leaf().ID(), u.PerSecond())
 	}
--- a/tier/balancer/limits.go
+++ b/tier/balancer/limits.go
@@ -70,7 +70,6 @@
 	leaf      lister.Leaf
 	perSecond float64
 	calls     int
-	during    tier.Millis
 }
 
 // Leaf is the leaf.
@@ -82,18 +81,14 @@
 // Calls are the calls of this VM since the last TakeLimitUse.
 func (u LimitUse) Calls() int { return u.calls }
 
-// During is the time since then.
-func (u LimitUse) During() tier.Millis { return u.during }
-
 // TakeLimitUse lists the leafs with a limit, and this VM's calls since the last time.
-func (b *Balancer) TakeLimitUse(now tier.Millis) []LimitUse {
+func (b *Balancer) TakeLimitUse() []LimitUse {
 	var list []LimitUse
 	for _, s := range b.leafs {
 		if s.throttle == nil {
 			continue
 		}
-		calls, during := s.throttle.TakeCalls(now)
-		list = append(list, LimitUse{leaf: s.leaf, perSecond: s.throttle.PerSecond(), calls: calls, during: during})
+		list = append(list, LimitUse{leaf: s.leaf, perSecond: s.throttle.PerSecond(), calls: s.throttle.TakeCalls()})
 	}
 	return list
 }
--- a/tier/quarantiner/quarantiner.go
+++ b/tier/quarantiner/quarantiner.go
@@ -12,8 +12,8 @@
 	minEndedLeafs = 3
 	// confirmDelay is how long no leaf may answer the request after that. Requests with the
 	// content of many others lose several leafs at a time when these end for other
-	// reasons, but others of them are answered, and the VMs hear of it within this time.
-	confirmDelay = 2 * tier.Second
+	// reasons, but others of them are answered within this time.
+	confirmDelay = 1 * tier.Second
 	// evidenceTTL is how long it counts that a leaf has ended.
 	evidenceTTL = 10 * tier.Minute
 	// maxRecords bounds the fingerprints that are remembered, and maxLeafs the leafs that a VM
--- a/tier/throttler/throttle.go
+++ b/tier/throttler/throttle.go
@@ -17,15 +17,14 @@
 	perSecond  float64
 	heardAt    tier.Millis // when the limit was last heard
 	lastPermit float64     // when the last permit that was used or has expired began, in ms
-	countedAt  tier.Millis // start of the interval that calls belongs to
-	calls      int
+	calls      int         // since the last TakeCalls
 }
 
 // New returns the throttle of a leaf that has just named a limit for all VMs together. share
 // is this VM's share of it, and phase, in [0, 1), says when its first permit begins, as a part
 // of the interval between two: VMs that hear of a limit together should not call together.
 func New(now tier.Millis, limit RateLimit, share, phase float64) *Throttle {
-	t := &Throttle{perSecond: limit.PerSecond, heardAt: now, countedAt: now}
+	t := &Throttle{perSecond: limit.PerSecond, heardAt: now}
 	t.lastPermit = float64(now) - phase*t.interval(share)
 	return t
 }
@@ -72,9 +71,9 @@
 	t.calls++
 }
 
-// TakeCalls returns the number of calls and the time since the last TakeCalls.
-func (t *Throttle) TakeCalls(now tier.Millis) (calls int, during tier.Millis) {
-	calls, during = t.calls, now-t.countedAt
-	t.calls, t.countedAt = 0, now
-	return calls, during
+// TakeCalls returns the number of calls since the last TakeCalls.
+func (t *Throttle) TakeCalls() int {
+	calls := t.calls
+	t.calls = 0
+	return calls
 }
