Bound the reports of ended leafs to the store

Cause: found by reading: when a zone's leafs end, each request that has lost one and is answered by another a moment later was reported, and cleared again: two to four writes each, on all VMs, of a store that takes 400 writes a second. Change: a leaf is reported only if no other has answered its request 250 ms later; a VM writes at most 20 reports a second, and keeps 256 waiting.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -28,6 +28,10 @@
 	// long a lease is used for further keys.
 	crashReportTTL  = 10 * tier.Minute
 	crashLeaseReuse = 5 * tier.Minute
+	// crashReportInterval is the pause after a report, and maxCrashReports how many may wait:
+	// when many leafs end, many requests lose one, and the store takes few writes a second.
+	crashReportInterval = 50 * tier.Millisecond
+	maxCrashReports     = 256
 	// crashRetryInterval is the pause after a report that the store has not taken.
 	crashRetryInterval = 500 * tier.Millisecond
 )
@@ -39,7 +43,8 @@
 }
 
 // endedLeafTimeout bounds the connection by which a VM finds out whether a leaf has ended or
-// only a connection to it. It allows for a round trip between regions.
+// only a connection to it. It allows for a round trip between regions. It is also the time
+// within which another leaf may answer the request, which then is not to blame.
 const endedLeafTimeout = 250 * tier.Millisecond
 
 // newFingerprints returns a function that computes the fingerprints of a caller's request when
@@ -84,6 +89,7 @@
 		group.Go(func() { ended[i] = !e.leafClient.Accepts(ctx, leaf.Address()) })
 	}
 	group.Wait()
+	<-ctx.Done() // the time that another leaf has to answer
 	var ids []string
 	for i, leaf := range leafs {
 		if ended[i] {
@@ -92,9 +98,10 @@
 		}
 	}
 	if len(ids) > 0 && !q.answered.Load() {
+		list := q.fingerprints()
 		e.mu.Lock()
-		for _, f := range q.fingerprints() {
-			e.crashReports[f] = e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids)
+		for _, f := range list {
+			e.addCrashReport(f, e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids))
 		}
 		e.mu.Unlock()
 		e.wakeCrashReports()
@@ -136,7 +143,8 @@
 	told := false
 	for _, f := range list {
 		if report, tell := e.scheduler.Quarantiner().Answered(e.clock.Now(), f); tell {
-			e.crashReports[f], told = report, true
+			e.addCrashReport(f, report)
+			told = true
 		}
 	}
 	e.mu.Unlock()
@@ -145,6 +153,15 @@
 	}
 }
 
+// addCrashReport adds a pending report, in place of an earlier one. The caller holds the lock.
+func (e *Entry) addCrashReport(f quarantiner.Fingerprint, report quarantiner.Report) {
+	if _, known := e.crashReports[f]; !known && len(e.crashReports) >= maxCrashReports {
+		e.log.RateLimitedInfo("crash-report-dropped", "fingerprint", f)
+		return
+	}
+	e.crashReports[f] = report
+}
+
 // wakeCrashReports makes RunCrashReports write the pending reports.
 func (e *Entry) wakeCrashReports() {
 	select {
@@ -207,11 +224,12 @@
 		if err := e.writeCrashReport(ctx, fingerprint, report); err != nil {
 			e.mu.Lock()
 			if _, newer := e.crashReports[fingerprint]; !newer {
-				e.crashReports[fingerprint] = report
+				e.addCrashReport(fingerprint, report)
 			}
 			e.mu.Unlock()
 			return err
 		}
+		sleep(ctx, crashReportInterval)
 	}
 }
 
@@ -237,3 +255,11 @@
 	}
 	return nil
 }
+
+// sleep waits for a while or until ctx ends.
+func sleep(ctx context.Context, pause tier.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause.Duration()):
+	}
+}
