Test crashing requests that come from several addresses and with other queries

Change: each VM sees another address of the caller, and a third case has a query that differs each time. Checks and bound are as they were.

--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -153,6 +155,8 @@
 func (f *crashFleet) ask(e *Entry, path string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodGet, path, nil)
 	request.Host = "search.example"
+	// A caller reaches each VM from an address near it.
+	request.RemoteAddr = fmt.Sprintf("192.0.2.%d:4711", 1+slices.Index(f.entries, e))
 	f.nextID++
 	responder.SetCallerHeaders(request.Header, fmt.Sprint("a", f.nextID), callerTimeoutMs)
 	response := httptest.NewRecorder()
@@ -170,7 +174,7 @@
 // TestRequestThatEndsLeafsIsNoLongerSent guards against a request that ends each leaf that runs
 // it, and that VMs send on each time it comes again, at any of them.
 func TestRequestThatEndsLeafsIsNoLongerSent(t *testing.T) {
-	for _, path := range []string{"/line/crash", "/sweep/crash"} {
+	for _, path := range []string{"/line/crash", "/sweep/crash", "/line/query/crash?n="} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			f := newCrashFleet(t, 3)
@@ -178,8 +182,16 @@
 				f.addLeafs(service, 16)
 			}
 			atThree := -1
+			// A query that ends in n= differs each time.
+			uri := func() string {
+				if strings.HasSuffix(path, "n=") {
+					f.nextID++
+					return path + strconv.Itoa(f.nextID)
+				}
+				return path
+			}
 			for k := range 12 {
-				f.ask(f.entries[k%3], path)
+				f.ask(f.entries[k%3], uri())
 				if atThree < 0 && f.crashCount() >= 3 {
 					time.Sleep(retriesCountAfter.Duration())
 					atThree = f.crashCount()
@@ -196,11 +208,11 @@
 			time.Sleep(retriesCountAfter.Duration())
 			for _, e := range append(f.entries[:3:3], started) {
 				f.settle()
-				response := f.ask(e, path)
+				response := f.ask(e, uri())
 				if response.Code != http.StatusServiceUnavailable || response.Header().Get("Retry-After") == "" {
 					t.Errorf("%s: status %d, Retry-After %q; want 503 with a time", e.settings.Load().Name(), response.Code, response.Header().Get("Retry-After"))
 				}
-				if response := f.ask(e, strings.TrimSuffix(path, "crash")+"1"); response.Code != http.StatusOK {
+				if response := f.ask(e, path[:strings.Index(path, "crash")]+"1"); response.Code != http.StatusOK {
 					t.Errorf("%s: another request of the caller got %d", e.settings.Load().Name(), response.Code)
 				}
 			}
