Say plainly how the shares of a limit add up; order of fields

Cause: read as a newcomer, the comment on stand-ins did not say what it meant. Change: comments, the order of two fields, and a field's name.

--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -115,8 +115,8 @@
 	Last       bool // no report follows
 	MayHaveRun bool
 	Calls      int      // made by that VM, in the last report
-	Ended      []string // ids of leafs that ended a connection, if no leaf answered, in the last report
 	Extra      int      // hedges and retries among them
+	Ended      []string // ids of leafs that ended a connection, if no leaf answered, in the last report
 }
 
 // Part is one service's part of the answer.
@@ -184,7 +184,8 @@
 	uncalled   []int
 	retryAfter tier.Millis
 	ended      []lister.Leaf
-	endedIDs   []string
+
+	endedElsewhere []string
 }
 
 // Cause says why the search ended.
@@ -226,7 +227,7 @@
 func (o Outcome) Ended() []lister.Leaf { return o.ended }
 
 // EndedElsewhere are the ids of such leafs that other VMs have called.
-func (o Outcome) EndedElsewhere() []string { return o.endedIDs }
+func (o Outcome) EndedElsewhere() []string { return o.endedElsewhere }
 
 // CallsSent is the number of calls made, by all VMs.
 func (o Outcome) CallsSent() int { return o.callsSent }
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -119,7 +119,7 @@
 		o.shares = append(o.shares, s.shares[k].replies...)
 	}
 	if s.arrived == 0 && !s.leafReported {
-		o.ended, o.endedIDs = s.endedLeafs(), s.endedElsewhere
+		o.ended, o.endedElsewhere = s.endedLeafs(), s.endedElsewhere
 	}
 	if cause == LeafFailure {
 		o.failure = s.parts[0].failureReply
--- a/tier/searcher/rates.go
+++ b/tier/searcher/rates.go
@@ -7,13 +7,13 @@
 	"cicadagrade.example/tier/lister"
 )
 
-// Shares of the requests that a leaf with a limit takes from all VMs. The VMs do not ask
-// each other: each reckons its own share from the list of VMs, so that all shares together
-// stay within what the leaf can bear also while the VMs' lists differ.
+// Shares of the requests that a leaf with a limit takes from all VMs. Each VM derives its own
+// share from the list of VMs, without asking others. The shares add up to 1.25 at most, or
+// 1.4 while VMs differ on who owns a shard.
 const (
-	// ownerRateShare is the share of the VM that owns a shard in the leaf's region. One that
-	// stands in for it while others have not noticed, or are back, has half of it for each VM
-	// that comes before it, so that several owners together have less than twice the share.
+	// ownerRateShare is the share of the VM that owns a shard in the leaf's region. A VM that
+	// stands in for it has half as much, the next one a quarter, and so on: while VMs differ
+	// on who the owner is, all that believe it of themselves have less than twice the share.
 	ownerRateShare = 0.6
 	// shardRateShare is divided among all VMs, which call a shard's leaf when its owners do
 	// not answer, and to hedge.
