--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 
@@ -157,14 +156,14 @@
 	}
 	switch words[0] {
 	case "vms":
-		for range f.number(words[2]) {
+		for range parseInt(f.t, words[2]) {
 			f.addVM(words[1])
 		}
 	case "leaf":
 		leaf := lister.NewLeaf(words[1], words[2], words[1]+":1", lister.InDataCentre(words[3]), lister.WithSlots(4))
 		added := &fleetLeaf{leaf: leaf}
 		if len(words) > 4 {
-			added.perSecond, added.from, added.until = f.float(words[5]), tier.Millis(f.number(words[6])), tier.Millis(f.number(words[7]))
+			added.perSecond, added.from, added.until = parseFloat(f.t, words[5]), tier.Millis(parseInt(f.t, words[6])), tier.Millis(parseInt(f.t, words[7]))
 		}
 		f.leafs = append(f.leafs, added)
 	case "shards":
@@ -172,17 +171,17 @@
 			f.shards[service] = true
 		}
 	case "traffic":
-		f.traffic = append(f.traffic, &fleetTraffic{perSecond: f.float(words[1]), service: words[2], region: words[3]})
+		f.traffic = append(f.traffic, &fleetTraffic{perSecond: parseFloat(f.t, words[1]), service: words[2], region: words[3]})
 	case "suspect":
-		f.at(tier.Millis(f.number(words[1])), func() { f.suspectOwner(words[2]) })
+		f.at(tier.Millis(parseInt(f.t, words[1])), func() { f.suspectOwner(words[2]) })
 	case "run":
-		f.run(tier.Millis(f.number(words[1])))
+		f.run(tier.Millis(parseInt(f.t, words[1])))
 	case "within-limits":
 		f.checkLimits()
 	case "served":
-		f.checkServed(words[1], f.float(words[2]))
+		f.checkServed(words[1], parseFloat(f.t, words[2]))
 	case "used":
-		f.checkUsed(words[1], f.float(words[2]))
+		f.checkUsed(words[1], parseFloat(f.t, words[2]))
 	default:
 		f.t.Fatalf("unknown command %q", words[0])
 	}
@@ -388,19 +387,3 @@
 		}
 	}
 }
-
-func (f *fleet) number(word string) int {
-	value, err := strconv.Atoi(word)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return value
-}
-
-func (f *fleet) float(word string) float64 {
-	value, err := strconv.ParseFloat(word, 64)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return value
-}
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -302,13 +302,7 @@
 	return "unknown action"
 }
 
-func (s *script) number(word string) int {
-	value, err := strconv.Atoi(word)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return value
-}
+func (s *script) number(word string) int { return parseInt(s.t, word) }
 
 func (s *script) numbers(list string) []int {
 	var values []int
@@ -320,10 +314,24 @@
 	return values
 }
 
-func (s *script) float(word string) float64 {
+func (s *script) float(word string) float64 { return parseFloat(s.t, word) }
+
+// parseInt parses a number of a script.
+func parseInt(t *testing.T, word string) int {
+	t.Helper()
+	value, err := strconv.Atoi(word)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// parseFloat parses a decimal number of a script.
+func parseFloat(t *testing.T, word string) float64 {
+	t.Helper()
 	value, err := strconv.ParseFloat(word, 64)
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return value
 }
