--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -42,10 +41,7 @@
 		e.mu.Unlock()
 		if pause, ok := source.(refresher.Pause); ok {
 			e.finishRefresh(pause.Stale)
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause.For.Duration()):
-			}
+			sleep(ctx, pause.For)
 			continue
 		}
 		age, err := e.readFrom(ctx, source)
