Let scripts of limits name only leafs and services that exist

Cause: an expectation of a misspelt leaf or service compared 0 with 0 and could not fail. Change: such a name, and a script without a request to a limited leaf, end the test. No bound is changed.

--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -212,6 +212,9 @@
 			owners = append(owners, v.name)
 		}
 	}
+	if len(owners) == 0 {
+		f.t.Fatalf("no VM owns %q", service)
+	}
 	for _, v := range f.vms {
 		for _, name := range owners {
 			v.scheduler.partitioner.Failed(f.now, name)
@@ -344,10 +347,12 @@
 }
 
 func (f *fleet) checkLimits() {
+	checked := 0
 	for _, leaf := range f.leafs {
 		if leaf.perSecond == 0 {
 			continue
 		}
+		checked += len(leaf.arrivals)
 		allowed := limitFactor*leaf.perSecond*float64(limitWindow/tier.Second) + limitSlack
 		most, first := 0, 0
 		for k, at := range leaf.arrivals {
@@ -362,6 +367,9 @@
 			f.t.Errorf("leaf %s, which takes %g a second, gets %d requests in %d ms; allowed %g", leaf.leaf.ID(), leaf.perSecond, most, limitWindow, allowed)
 		}
 	}
+	if checked == 0 {
+		f.t.Fatal("no request came to a leaf that had named a limit")
+	}
 }
 
 func (f *fleet) checkServed(service string, share float64) {
@@ -371,6 +379,9 @@
 			asked, served = asked+traffic.asked, served+traffic.served
 		}
 	}
+	if asked == 0 {
+		f.t.Fatalf("no request to %q", service)
+	}
 	if float64(served) < share*float64(asked) {
 		f.t.Errorf("%d of %d requests to %s are served, less than %g", served, asked, service, share)
 	}
@@ -385,5 +396,7 @@
 		if float64(leaf.total) < share*asksFor {
 			f.t.Errorf("leaf %s gets %d requests of %g that it takes, less than %g", id, leaf.total, asksFor, share)
 		}
+		return
 	}
+	f.t.Fatalf("no leaf %q", id)
 }
