Log when a VM loses its links to the leafs

The lines could not tell a VM that has lost its links from leafs that have ended. A VM whose calls bring no reply now opens connections to four leafs, among them the two that replied last; if none accepts, it logs leaf-links-lost, and leaf-links-restored later. No decision uses it yet.

--- /dev/null
+++ b/cicadagraded/entry/links.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+)
+
+const (
+	// surveyCheckInterval is the interval of the checks whether a survey of the leafs is due.
+	surveyCheckInterval = 50 * tier.Millisecond
+	// surveyTimeout bounds the opening of the connections of a survey. It allows for several
+	// round trips between regions.
+	surveyTimeout = 250 * tier.Millisecond
+)
+
+// RunLinkSurveys finds out, when calls to leafs get no replies, whether this VM has lost its
+// links to them, and when they are back, until ctx ends.
+func (e *Entry) RunLinkSurveys(ctx context.Context) error {
+	ticker := time.NewTicker(surveyCheckInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.surveyLinks(ctx)
+		}
+	}
+}
+
+// surveyLinks opens connections to some leafs, if that is due.
+func (e *Entry) surveyLinks(ctx context.Context) {
+	e.mu.Lock()
+	sample := e.scheduler.Balancer().Survey(e.clock.Now(), e.scheduler.Lister().Usable)
+	e.mu.Unlock()
+	if sample == nil {
+		return
+	}
+	accepted := e.countAccepting(ctx, sample)
+	if ctx.Err() != nil {
+		return
+	}
+	e.mu.Lock()
+	change, changed := e.scheduler.Balancer().Surveyed(e.clock.Now(), accepted, len(sample))
+	e.mu.Unlock()
+	switch {
+	case !changed:
+		e.log.RateLimitedInfo("leaf-links-surveyed", "accepted", accepted, "of", len(sample))
+	case change.Lost():
+		e.log.Warn("leaf-links-lost", "surveyed", len(sample), "silent-ms", int64(change.After()))
+	default:
+		e.log.Info("leaf-links-restored", "accepted", accepted, "of", len(sample), "lost-ms", int64(change.After()))
+	}
+}
+
+// countAccepting counts those of some leafs that accept a connection within surveyTimeout.
+func (e *Entry) countAccepting(ctx context.Context, leafs []lister.Leaf) int {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout.Duration())
+	defer cancel()
+	var accepted atomic.Int64
+	var group sync.WaitGroup
+	for _, leaf := range leafs {
+		group.Go(func() {
+			if e.leafClient.Accepts(ctx, leaf.Address()) {
+				accepted.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return int(accepted.Load())
+}
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -128,6 +128,7 @@
 	misdirectedUntil tier.Millis // skipped because another server answered at its address
 	refusalRate      float64     // moving average
 	refusalRateAt    tier.Millis // when refusalRate was updated
+	repliedAt        tier.Millis // when it last replied
 	leaf             lister.Leaf
 	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
 }
@@ -140,6 +141,7 @@
 	baseLatencies map[latencyKey]float64
 	rateShare     RateShare
 	random        func() float64
+	links         links
 }
 
 // Option changes a Balancer.
@@ -153,7 +155,7 @@
 func New(distance func(dataCentre string) Distance, options ...Option) *Balancer {
 	b := &Balancer{
 		distance: distance, leafs: map[string]*leafState{}, baseLatencies: map[latencyKey]float64{},
-		rateShare: func(tier.Millis, lister.Leaf) float64 { return 1 }, random: rand.Float64,
+		rateShare: func(tier.Millis, lister.Leaf) float64 { return 1 }, random: rand.Float64, links: newLinks(),
 	}
 	for _, set := range options {
 		set(b)
@@ -164,7 +166,7 @@
 func (b *Balancer) stateOf(leaf lister.Leaf) *leafState {
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
-		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, leaf: leaf}
+		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, repliedAt: longAgo, leaf: leaf}
 		b.leafs[leaf.ID()] = s
 	}
 	return s
@@ -258,6 +260,7 @@
 		s.silentSince = now
 	}
 	s.inFlight++
+	b.links.called(now, leaf.ID())
 	if s.throttle != nil {
 		s.throttle.Sent(now, b.rateShare(now, s.leaf))
 	}
@@ -265,7 +268,7 @@
 
 // Answered records a complete reply and its latency.
 func (b *Balancer) Answered(now tier.Millis, class string, leaf lister.Leaf, latency tier.Millis) {
-	s := b.endCall(now, leaf)
+	s := b.endRepliedCall(now, leaf)
 	key := latencyKey{class, leaf.DataCentre()}
 	base, ok := b.baseLatencies[key]
 	if !ok {
@@ -278,28 +281,44 @@
 	s.refusalRate, s.refusalRateAt = decayed(s.refusalRate, now-s.refusalRateAt, refusalHalfLifeMs)*(1-failureWeight), now
 }
 
-// Failed records a call that failed or brought no usable reply.
+// Failed records a reply with which the leaf reports a failure.
 func (b *Balancer) Failed(now tier.Millis, leaf lister.Leaf) {
-	s := b.endCall(now, leaf)
+	b.raiseFailureRate(now, b.endRepliedCall(now, leaf))
+}
+
+// Broken records a call that was sent and brought no usable reply.
+func (b *Balancer) Broken(now tier.Millis, leaf lister.Leaf) {
+	b.raiseFailureRate(now, b.endBrokenCall(now, leaf))
+}
+
+func (b *Balancer) raiseFailureRate(now tier.Millis, s *leafState) {
 	rate := decayed(s.failureRate, now-s.failureRateAt, failureHalfLifeMs)
 	s.failureRate, s.failureRateAt = rate+failureWeight*(1-rate), now
 }
 
 // Unreachable records a call for which no connection could be made.
 func (b *Balancer) Unreachable(now tier.Millis, leaf lister.Leaf) {
-	s := b.endCall(now, leaf)
+	s := b.endBrokenCall(now, leaf)
 	s.failureRate, s.failureRateAt = 1, now
 }
 
 // ConnectionReset records a call whose new connection the leaf reset.
 func (b *Balancer) ConnectionReset(now tier.Millis, leaf lister.Leaf) {
-	s := b.endCall(now, leaf)
+	s := b.endBrokenCall(now, leaf)
 	s.resetAt, s.refusedAt = now, now
 }
 
 // Refused records a call that the leaf did not run, usually for lack of capacity.
 func (b *Balancer) Refused(now tier.Millis, leaf lister.Leaf) {
-	s := b.endCall(now, leaf)
+	b.raiseRefusalRate(now, b.endRepliedCall(now, leaf))
+}
+
+// Dead records a call whose connection was found closed before the request was written.
+func (b *Balancer) Dead(now tier.Millis, leaf lister.Leaf) {
+	b.raiseRefusalRate(now, b.endBrokenCall(now, leaf))
+}
+
+func (b *Balancer) raiseRefusalRate(now tier.Millis, s *leafState) {
 	s.refusedAt = now
 	rate := decayed(s.refusalRate, now-s.refusalRateAt, refusalHalfLifeMs)
 	s.refusalRate, s.refusalRateAt = rate+failureWeight*(1-rate), now
@@ -308,7 +327,7 @@
 // Misdirected records a call that another server answered at the leaf's address. The
 // leaf is skipped until it registers again, or for misdirectedFor.
 func (b *Balancer) Misdirected(now tier.Millis, leaf lister.Leaf) {
-	b.endCall(now, leaf).misdirectedUntil = now + misdirectedFor
+	b.endRepliedCall(now, leaf).misdirectedUntil = now + misdirectedFor
 }
 
 // Cancelled records a call that was cancelled after some time without a reply.
@@ -326,6 +345,20 @@
 	}
 }
 
+// endRepliedCall ends a call with a reply.
+func (b *Balancer) endRepliedCall(now tier.Millis, leaf lister.Leaf) *leafState {
+	s := b.endCall(now, leaf)
+	s.repliedAt = now
+	b.links.replied(leaf.ID())
+	return s
+}
+
+// endBrokenCall ends a call without a reply.
+func (b *Balancer) endBrokenCall(now tier.Millis, leaf lister.Leaf) *leafState {
+	b.links.brokenOff(now, leaf.ID())
+	return b.endCall(now, leaf)
+}
+
 // endCall ends a call with a reply or failure.
 func (b *Balancer) endCall(now tier.Millis, leaf lister.Leaf) *leafState {
 	s := b.stateOf(leaf)
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -208,6 +208,15 @@
 // slice.
 func (l *Lister) Leafs(service string) []Leaf { return l.usableByService[service] }
 
+// Usable lists the usable leafs of all services, in no order.
+func (l *Lister) Usable() []Leaf {
+	list := make([]Leaf, 0, len(l.registrations))
+	for _, leafs := range l.usableByService {
+		list = append(list, leafs...)
+	}
+	return list
+}
+
 // Leaf is the leaf registered under a key, usable or not.
 func (l *Lister) Leaf(key string) (Leaf, bool) {
 	r, ok := l.registrations[key]
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -240,13 +240,15 @@
 			b.ConnectionReset(now, c.leaf)
 			return
 		}
-		b.Failed(now, c.leaf)
+		b.Broken(now, c.leaf)
 	case NotRun:
 		switch r.Reason {
 		case WrongServer:
 			b.Misdirected(now, c.leaf)
 		case NoConnection:
 			b.Unreachable(now, c.leaf)
+		case DeadConnection:
+			b.Dead(now, c.leaf)
 		default:
 			b.Refused(now, c.leaf)
 		}
