--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -35,6 +35,7 @@
 	store   *platform.Store
 	address string
 	entries []*Entry
+	servers []*httptest.Server // of the leafs
 	group   sync.WaitGroup // closes the connections of leafs
 	nextID  int
 
@@ -65,13 +66,17 @@
 	return f
 }
 
-// addVM starts an entry VM.
-func (f *crashFleet) addVM() *Entry {
+// addVM starts an entry VM in data centre depot-a.
+func (f *crashFleet) addVM() *Entry { return f.addVMIn("depot-a") }
+
+// addVMIn starts an entry VM in a data centre.
+func (f *crashFleet) addVMIn(dataCentre string) *Entry {
 	raw, err := os.ReadFile("testdata/settings.toml")
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	text := strings.ReplaceAll(string(raw), "STORE", f.address)
+	text = strings.ReplaceAll(text, `zone = "depot-a"`, fmt.Sprintf("zone = %q", dataCentre))
 	settings, err := platform.DecodeSettings([]byte(strings.ReplaceAll(text, "entry-1", fmt.Sprint("entry-", len(f.entries)+1))))
 	if err != nil {
 		f.t.Fatal(err)
@@ -91,8 +96,14 @@
 	}
 }
 
-// addLeafs starts leafs of a service.
+// addLeafs starts leafs of a service in data centre depot-a.
 func (f *crashFleet) addLeafs(service string, count int) {
+	f.addLeafsIn("depot-a", service, count)
+	f.settle()
+}
+
+// addLeafsIn starts leafs of a service in a data centre.
+func (f *crashFleet) addLeafsIn(dataCentre, service string, count int) {
 	for range count {
 		f.nextID++
 		id := fmt.Sprint("i-", f.nextID)
@@ -113,13 +124,13 @@
 			leaf.ServeHTTP(w, r)
 		}))
 		f.t.Cleanup(server.Close)
-		raw, err := leaf.Registration(service, server.Listener.Addr().String(), "depot-a")
+		raw, err := leaf.Registration(service, server.Listener.Addr().String(), dataCentre)
 		if err != nil {
 			f.t.Fatal(err)
 		}
+		f.servers = append(f.servers, server)
 		f.put(platform.LeafsPrefix+id, raw)
 	}
-	f.settle()
 }
 
 // settle removes the registrations of leafs that have ended, and lets all VMs do what follows
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -79,7 +79,7 @@
 // Client is an HTTP client with a pool of connections to many addresses. It is safe for
 // concurrent use.
 type Client struct {
-	dialer net.Dialer
+	dial   Dial
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
@@ -93,6 +93,13 @@
 // Option changes a Client.
 type Option func(*Client)
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithDial replaces the function that opens connections. Without it, they are TCP connections
+// that are opened within dialTimeout.
+func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
+
 // WithBodyMemory bounds the bytes of all large bodies that are being read at a time. A call
 // that would exceed it fails: servers in trouble may send bytes without end.
 func WithBodyMemory(bytes int64) Option { return func(c *Client) { c.bodyMemory = bytes } }
@@ -100,7 +107,7 @@
 // New returns a client without connections.
 func New(options ...Option) *Client {
 	c := &Client{
-		dialer:     net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1},
+		dial:       (&net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: -1}).DialContext,
 		idle:       map[string][]*conn{},
 		bodyMemory: defaultBodyMemory,
 	}
@@ -184,7 +191,7 @@
 // Accepts reports whether a server accepts a connection before ctx ends. One that has ended
 // refuses it, or nothing answers at its address.
 func (c *Client) Accepts(ctx context.Context, address string) bool {
-	connection, err := c.dialer.DialContext(ctx, "tcp", address)
+	connection, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
@@ -244,7 +251,7 @@
 		_ = cn.Close()
 	}
 	c.dials.Add(1)
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "Client.acquire")
 	}
