Query leafs through other VMs while a VM has lost its links to them

Callers of VMs that reached no leaf got 502, 503 and 504, and so did callers of sound VMs that had given shares to them. Cause: a VM took what it could not reach itself for what nobody reaches, and went on taking shares. The logs show it: for 11.7 s the four VMs knew that their links were lost while three others reached every leaf. The class: a local failure that is taken for a remote one.

A VM that has lost its links now excludes itself where shards are divided: each part goes to its owner among the others, and a request of one leaf to such a VM that returns the leaf's whole reply (Relay). Calls that are overdue are cancelled and handed over; what was sent after the last reply of any leaf has reached none and counts as no attempt. What may run at most once is handed over only if no call of it may have run, and never taken back. It declines shares, says so to probes, and stays ready as long as another VM takes its requests; if none does, it refuses at once and leaves rotation. Regions without a VM for shares are no longer picked for them.

TestExcludedVMsGetNoShares found a VM that kept shards though others of its region were healthy.

--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -37,6 +37,8 @@
 const (
 	// GatherServiceGatherProcedure is the fully-qualified name of the GatherService's Gather RPC.
 	GatherServiceGatherProcedure = "/cicadagrade.gather.v1.GatherService/Gather"
+	// GatherServiceRelayProcedure is the fully-qualified name of the GatherService's Relay RPC.
+	GatherServiceRelayProcedure = "/cicadagrade.gather.v1.GatherService/Relay"
 	// GatherServiceFetchProcedure is the fully-qualified name of the GatherService's Fetch RPC.
 	GatherServiceFetchProcedure = "/cicadagrade.gather.v1.GatherService/Fetch"
 	// GatherServicePingProcedure is the fully-qualified name of the GatherService's Ping RPC.
@@ -48,6 +50,9 @@
 	// Gather searches the given shards and merges their replies. The first
 	// reply only acknowledges the request.
 	Gather(context.Context, *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error)
+	// Relay calls a leaf of the one service in the request's shards and returns its
+	// whole reply. The first reply only acknowledges the request.
+	Relay(context.Context, *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error)
 	// Fetch returns the items that the VM has read from the store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
@@ -72,6 +77,12 @@
 			connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 			connect.WithClientOptions(opts...),
 		),
+		relay: connect.NewClient[v1.GatherRequest, v1.GatherReply](
+			httpClient,
+			baseURL+GatherServiceRelayProcedure,
+			connect.WithSchema(gatherServiceMethods.ByName("Relay")),
+			connect.WithClientOptions(opts...),
+		),
 		fetch: connect.NewClient[v1.FetchRequest, v1.FetchReply](
 			httpClient,
 			baseURL+GatherServiceFetchProcedure,
@@ -90,6 +101,7 @@
 // gatherServiceClient implements GatherServiceClient.
 type gatherServiceClient struct {
 	gather *connect.Client[v1.GatherRequest, v1.GatherReply]
+	relay  *connect.Client[v1.GatherRequest, v1.GatherReply]
 	fetch  *connect.Client[v1.FetchRequest, v1.FetchReply]
 	ping   *connect.Client[v1.PingRequest, v1.PingReply]
 }
@@ -99,6 +111,11 @@
 	return c.gather.CallServerStream(ctx, req)
 }
 
+// Relay calls cicadagrade.gather.v1.GatherService.Relay.
+func (c *gatherServiceClient) Relay(ctx context.Context, req *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error) {
+	return c.relay.CallServerStream(ctx, req)
+}
+
 // Fetch calls cicadagrade.gather.v1.GatherService.Fetch.
 func (c *gatherServiceClient) Fetch(ctx context.Context, req *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error) {
 	return c.fetch.CallUnary(ctx, req)
@@ -114,6 +131,9 @@
 	// Gather searches the given shards and merges their replies. The first
 	// reply only acknowledges the request.
 	Gather(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error
+	// Relay calls a leaf of the one service in the request's shards and returns its
+	// whole reply. The first reply only acknowledges the request.
+	Relay(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error
 	// Fetch returns the items that the VM has read from the store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
@@ -134,6 +154,12 @@
 		connect.WithSchema(gatherServiceMethods.ByName("Gather")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatherServiceRelayHandler := connect.NewServerStreamHandler(
+		GatherServiceRelayProcedure,
+		svc.Relay,
+		connect.WithSchema(gatherServiceMethods.ByName("Relay")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gatherServiceFetchHandler := connect.NewUnaryHandler(
 		GatherServiceFetchProcedure,
 		svc.Fetch,
@@ -150,6 +176,8 @@
 		switch r.URL.Path {
 		case GatherServiceGatherProcedure:
 			gatherServiceGatherHandler.ServeHTTP(w, r)
+		case GatherServiceRelayProcedure:
+			gatherServiceRelayHandler.ServeHTTP(w, r)
 		case GatherServiceFetchProcedure:
 			gatherServiceFetchHandler.ServeHTTP(w, r)
 		case GatherServicePingProcedure:
@@ -167,6 +195,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Gather is not implemented"))
 }
 
+func (UnimplementedGatherServiceHandler) Relay(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Relay is not implemented"))
+}
+
 func (UnimplementedGatherServiceHandler) Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Fetch is not implemented"))
 }
--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -36,7 +36,7 @@
 	address string
 	entries []*Entry
 	servers []*httptest.Server // of the leafs
-	group   sync.WaitGroup // closes the connections of leafs
+	group   sync.WaitGroup     // closes the connections of leafs
 	nextID  int
 
 	mu      sync.Mutex
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -41,6 +41,7 @@
 	registered       atomic.Bool  // this VM's registration is in the store
 	storeUnreachable atomic.Bool  // the last read of the store failed
 	isolated         atomic.Bool  // neither the store nor any other VM answers
+	linksLost        atomic.Bool  // this VM reaches no leaf
 	stopping         atomic.Bool
 	rttFaultLogged   atomic.Bool   // a failure to measure round-trip times has been logged
 	loaded           chan struct{} // closed when the VM has a view
@@ -138,7 +139,14 @@
 
 // Ready reports whether the balancer may send callers to this VM.
 func (e *Entry) Ready() bool {
-	return e.takesShares() && !e.isolated.Load()
+	return e.serves() && !e.isolated.Load() && (!e.linksLost.Load() || e.knowsOtherVM())
+}
+
+// knowsOtherVM reports whether there is another VM that may take shares.
+func (e *Entry) knowsOtherVM() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.scheduler.Partitioner().HealthyPeers()) > 0
 }
 
 // BeginShutdown makes the readiness check fail, and closes each caller's connection after its
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -38,11 +38,12 @@
 type delegationTerms struct {
 	route        string
 	topK         int
-	maxAttempts  int
 	rank         int
 	minimumParts func(n int) int // how many of n shards must answer
 	shards       []string
 	fingerprints func() []quarantiner.Fingerprint
+	whole        bool // the leaf's whole reply is wanted, of the only shard
+	once         bool // the request may run at most once
 }
 
 // peerClients holds a client for each other VM, by address. Each has one HTTP/2
@@ -107,8 +108,8 @@
 	}
 	request := &gatherv1.GatherRequest{
 		Attempt: r.attemptID, Method: r.template.Method(), Head: r.template.Head(), Body: r.template.Body(),
-		Route: r.delegation.route, Shards: shards, Top: uint32(r.delegation.topK), Attempts: uint32(r.delegation.maxAttempts),
-		Rank: uint32(r.delegation.rank), Spread: a.Member.Region() != r.entry.scheduler.Partitioner().Self().Region(),
+		Route: r.delegation.route, Shards: shards, Top: uint32(r.delegation.topK), Attempts: uint32(a.Attempts), Once: r.delegation.once,
+		Rank: uint32(r.delegation.rank), Spread: !r.delegation.whole && a.Member.Region() != r.entry.scheduler.Partitioner().Self().Region(),
 		Minimum: uint32(r.delegation.minimumParts(len(shards))),
 		AimMs:   int64(a.Target), EndMs: int64(a.Deadline), Repeated: a.Repeated,
 	}
@@ -122,6 +123,9 @@
 		if err := r.readShareReplies(ctx, searchCtx, a, request); err != nil && ctx.Err() == nil {
 			r.entry.log.RateLimitedInfo("share-failed", "request", r.attemptID, "peer", a.Member.VM().Name(), "error", err)
 			r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
+				if connect.CodeOf(err) == connect.CodeUnimplemented {
+					return s.ShareDeclined(now, a.Share) // a VM of an earlier version
+				}
 				return s.ShareFailed(now, a.Share)
 			})
 		}
@@ -132,7 +136,12 @@
 // reply only acknowledges the share. ctx ends when the share is recalled, searchCtx when the
 // search ends.
 func (r *searchRun) readShareReplies(ctx, searchCtx context.Context, a searcher.Delegate, request *gatherv1.GatherRequest) error {
-	stream, err := r.entry.peers.clientOf(a.Member.VM().Address()).Gather(ctx, connect.NewRequest(request))
+	client := r.entry.peers.clientOf(a.Member.VM().Address())
+	call := client.Gather
+	if r.delegation.whole {
+		call = client.Relay
+	}
+	stream, err := call(ctx, connect.NewRequest(request))
 	if err != nil {
 		return errors.Wrap(err, "searchRun.readShareReplies")
 	}
@@ -160,6 +169,14 @@
 			Reply: reply, Last: reply.GetLast(), MayHaveRun: reply.GetMayHaveRun(),
 			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()), Ended: reply.GetEnded(),
 		}
+		switch whole := reply.GetWhole(); {
+		case whole == nil && r.delegation.whole && len(reply.GetParts()) > 0:
+			return errors.New("searchRun.readShareReplies: the leaf's reply is missing")
+		case whole != nil && report.Last:
+			report.Failure = restoreReply(whole)
+		case whole != nil:
+			report.Whole = restoreReply(whole)
+		}
 		if report.Parts, err = shareParts(a, reply.GetParts()); err != nil {
 			return err
 		}
@@ -262,8 +279,11 @@
 }
 
 // takesShares reports whether this VM searches shares of others' requests. Without a view it
-// knows no leafs, and if it stops it might not finish.
-func (e *Entry) takesShares() bool { return e.table.Load() != nil && !e.stopping.Load() }
+// knows no leafs, without links it reaches none, and if it stops it might not finish.
+func (e *Entry) takesShares() bool { return e.serves() && !e.linksLost.Load() }
+
+// serves reports whether this VM serves callers, itself or through other VMs.
+func (e *Entry) serves() bool { return e.table.Load() != nil && !e.stopping.Load() }
 
 // peerService serves the calls of other VMs.
 type peerService struct{ entry *Entry }
@@ -271,21 +291,40 @@
 // Gather searches a share (some of the shards) of another VM's request. It acknowledges the
 // share with an empty reply and then streams partial results as they come in.
 func (p *peerService) Gather(ctx context.Context, c *connect.Request[gatherv1.GatherRequest], stream *connect.ServerStream[gatherv1.GatherReply]) error {
-	e, request := p.entry, c.Msg
+	return errors.Wrap(p.search(ctx, c.Msg, stream, false), "peerService.Gather")
+}
+
+// Relay calls a leaf for another VM's request and returns the leaf's whole reply.
+func (p *peerService) Relay(ctx context.Context, c *connect.Request[gatherv1.GatherRequest], stream *connect.ServerStream[gatherv1.GatherReply]) error {
+	if n := len(c.Msg.GetShards()); n != 1 {
+		return connect.NewError(connect.CodeInvalidArgument, errors.Errorf("peerService.Relay: %d services, want 1", n))
+	}
+	return errors.Wrap(p.search(ctx, c.Msg, stream, true), "peerService.Relay")
+}
+
+// search searches a share. whole says that the leaf's reply is returned as it is.
+func (p *peerService) search(ctx context.Context, request *gatherv1.GatherRequest, stream *connect.ServerStream[gatherv1.GatherReply], whole bool) error {
+	e := p.entry
 	takes := e.takesShares()
 	if err := stream.Send(&gatherv1.GatherReply{Declined: !takes}); err != nil {
-		return errors.Wrap(err, "peerService.Gather")
+		return errors.Wrap(err, "peerService.search")
 	}
 	if !takes {
-		e.log.RateLimitedInfo("share-declined", "request", request.GetAttempt(), "stopping", e.stopping.Load())
+		e.log.RateLimitedInfo("share-declined", "request", request.GetAttempt(), "stopping", e.stopping.Load(), "links-lost", e.linksLost.Load())
 		return nil
 	}
 	now := e.clock.Now()
 	options := []searcher.TermsOption{
-		searcher.Idempotent(), searcher.WithMaxAttempts(int(request.GetAttempts())),
+		searcher.WithMaxAttempts(int(request.GetAttempts())),
 		searcher.WithMinimumParts(int(request.GetMinimum())), searcher.WithRank(int(request.GetRank())),
 		searcher.ForAnotherVM(),
 	}
+	if !request.GetOnce() {
+		options = append(options, searcher.Idempotent())
+	}
+	if whole {
+		options = append(options, searcher.ForwardFailures())
+	}
 	if request.GetRepeated() {
 		options = append(options, searcher.Repeated())
 	}
@@ -300,14 +339,19 @@
 	if request.GetSpread() {
 		shares = e.divideShards(request.GetRoute(), request.GetShards())
 	}
-	run := e.newRun(request.GetAttempt(), true, leafclient.RestoreTemplate(request.GetMethod(), request.GetHead(), request.GetBody()),
+	run := e.newRun(request.GetAttempt(), !request.GetOnce(), leafclient.RestoreTemplate(request.GetMethod(), request.GetHead(), request.GetBody()),
 		terms, request.GetShards(), shares)
 	run.delegation = delegationTerms{
-		route: request.GetRoute(), topK: int(request.GetTop()), maxAttempts: int(request.GetAttempts()), rank: int(request.GetRank()),
+		route: request.GetRoute(), topK: int(request.GetTop()), rank: int(request.GetRank()),
 		minimumParts: func(n int) int { return n * int(request.GetMinimum()) / max(1, len(request.GetShards())) }, shards: request.GetShards(),
-		fingerprints: fingerprintsOf,
+		fingerprints: fingerprintsOf, whole: whole, once: request.GetOnce(),
+	}
+	run.flush = func(f searcher.Flush) error {
+		if whole {
+			return stream.Send(wholeReply(f))
+		}
+		return stream.Send(shareReply(request, f))
 	}
-	run.flush = func(f searcher.Flush) error { return stream.Send(shareReply(request, f)) }
 	outcome, cancelled := run.execute(ctx)
 	e.countCalls(outcome)
 	if outcome.Missing() > 0 {
@@ -328,7 +372,10 @@
 	for _, i := range outcome.Uncalled() {
 		last.Uncalled = append(last.Uncalled, uint32(i))
 	}
-	return errors.Wrap(stream.Send(last), "peerService.Gather")
+	if outcome.Failure() != nil {
+		last.Whole = encodeReply(outcome.Failure().(*leafclient.Reply))
+	}
+	return errors.Wrap(stream.Send(last), "peerService.search")
 }
 
 // shareReply merges the parts received since the last reply, for the VM that delegated them.
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -209,7 +209,7 @@
 	}
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, e.divideShards(q.route.Name(), shards))
 	run.delegation = delegationTerms{
-		route: q.route.Name(), topK: q.route.TopK(), maxAttempts: q.route.MaxAttempts(), rank: q.route.Rank(),
+		route: q.route.Name(), topK: q.route.TopK(), rank: q.route.Rank(),
 		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprints: q.fingerprints,
 	}
 	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
@@ -250,6 +250,10 @@
 func (e *Entry) serveSingle(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	service := q.route.PickService(rand.Float64())
 	run := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, q.terms(), []string{service}, nil)
+	run.delegation = delegationTerms{
+		route: q.route.Name(), rank: q.route.Rank(), minimumParts: func(int) int { return 1 }, shards: []string{service},
+		fingerprints: q.fingerprints, whole: true, once: !q.route.Idempotent(),
+	}
 	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
 	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
--- a/cicadagraded/entry/links.go
+++ b/cicadagraded/entry/links.go
@@ -47,10 +47,19 @@
 	}
 	e.mu.Lock()
 	change, changed := e.scheduler.Balancer().Surveyed(e.clock.Now(), accepted, len(sample))
+	if changed {
+		e.scheduler.LinksChanged()
+	}
+	woken := e.scheduler.TakeWoken()
 	e.mu.Unlock()
-	switch {
-	case !changed:
+	if !changed {
 		e.log.RateLimitedInfo("leaf-links-surveyed", "accepted", accepted, "of", len(sample))
+		return
+	}
+	e.linksLost.Store(change.Lost())
+	e.leafClient.CloseAllIdle() // they may be dead without having been closed
+	wakeAll(woken)
+	switch {
 	case change.Lost():
 		e.log.Warn("leaf-links-lost", "surveyed", len(sample), "silent-ms", int64(change.After()))
 	default:
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// wakeAll wakes the runs of some searches.
+func wakeAll(searches []*searcher.Search) {
+	for _, s := range searches {
+		s.UserData().(*searchRun).wake()
+	}
+}
+
 // execute runs the search to its end. The second result reports whether ctx ended first,
 // which means that the caller has disconnected.
 func (r *searchRun) execute(ctx context.Context) (searcher.Outcome, bool) {
@@ -110,9 +117,7 @@
 	actions := event(r.search, e.clock.Now())
 	woken := e.scheduler.TakeWoken()
 	e.mu.Unlock()
-	for _, s := range woken {
-		s.UserData().(*searchRun).wake()
-	}
+	wakeAll(woken)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case searcher.Send:
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -59,6 +59,11 @@
 	body   []byte
 }
 
+// NewReply returns a reply that another client has received.
+func NewReply(status int, header http.Header, body []byte) *Reply {
+	return &Reply{status: status, header: header, body: body}
+}
+
 // Status is the status code.
 func (r *Reply) Status() int { return r.status }
 
@@ -361,6 +366,13 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	c.closed = true
+	c.mu.Unlock()
+	c.CloseAllIdle()
+}
+
+// CloseAllIdle closes the idle connections to all addresses.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
 	all := c.idle
 	c.idle = map[string][]*conn{}
 	c.mu.Unlock()
--- a/tier/balancer/links.go
+++ b/tier/balancer/links.go
@@ -34,6 +34,7 @@
 type links struct {
 	lost        bool
 	lostAt      tier.Millis
+	unreachedAt tier.Millis            // calls sent since then, before lostAt, have reached no leaf
 	silentSince tier.Millis            // the first call since a leaf last replied, or never
 	silent      map[string]bool        // ids of the leafs called since then
 	broken      map[string]tier.Millis // by id: when a call last ended without a reply
@@ -76,6 +77,10 @@
 // LinksLost reports whether this VM reaches no leaf by itself.
 func (b *Balancer) LinksLost() bool { return b.links.lost }
 
+// MayHaveArrived reports whether a call sent at a time, before the links were lost, may have
+// reached its leaf.
+func (b *Balancer) MayHaveArrived(sentAt tier.Millis) bool { return sentAt < b.links.unreachedAt }
+
 // Survey returns the leafs to which a connection should be opened now, out of the usable ones, to
 // find out whether this VM reaches leafs. It returns none if no survey is due. Surveyed takes
 // the result.
@@ -127,7 +132,7 @@
 	change := LinkChange{lost: lost}
 	switch {
 	case lost && !wasLost:
-		l.lostAt = now
+		l.lostAt, l.unreachedAt = now, l.silentSince
 		if l.silentSince < never {
 			change.after = now - l.silentSince
 		}
--- a/tier/balancer/links_test.go
+++ b/tier/balancer/links_test.go
@@ -1,102 +1,99 @@
 package balancer
 
 import (
+	"bufio"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
 )
 
-// surveyed is what a test expects after a step.
-type surveyed struct {
-	due  bool
-	lost bool
-}
-
 // TestLinksAreLostOnlyBySurvey checks when calls raise a doubt, and that only a survey in which no
-// leaf accepts a connection makes the links count as lost.
+// leaf accepts a connection makes the links count as lost. Each line of a script of
+// testdata/links is a time in ms and
+//
+//	call | reply | break | refuse LEAF      a call is sent; it brings a reply, brings none, or
+//	                                        no connection could be made
+//	surveyed N                              of four leafs, N have accepted a connection
+//	surveyed none                           there was no leaf to survey
+//	expect [no] survey, linked | lost       whether a survey is due, and what is known
 func TestLinksAreLostOnlyBySurvey(t *testing.T) {
-	type step struct {
-		at       tier.Millis
-		do       string // call, reply, break or refuse, and the leaf; or survey
-		leaf     int
-		accepted int
-		want     surveyed
+	files, err := filepath.Glob("testdata/links/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
 	}
-	cases := map[string][]step{
-		"a reply ends the silence": {
-			{at: 0, do: "call", leaf: 0}, {at: 0, do: "call", leaf: 1}, {at: 150, do: "reply", leaf: 0},
-			{at: 300, want: surveyed{due: false}},
-		},
-		"one slow leaf is not surveyed at once": {
-			{at: 0, do: "call", leaf: 0}, {at: 900, want: surveyed{due: false}}, {at: 1000, want: surveyed{due: true}},
-		},
-		"two silent leafs": {
-			{at: 0, do: "call", leaf: 0}, {at: 50, do: "call", leaf: 1}, {at: 199, want: surveyed{due: false}},
-			{at: 200, want: surveyed{due: true}},
-			{at: 300, do: "survey", accepted: 0, want: surveyed{due: false, lost: true}},
-			{at: 550, want: surveyed{due: true, lost: true}},
-			{at: 600, do: "survey", accepted: 0, want: surveyed{lost: true}},
-			{at: 900, do: "survey", accepted: 1, want: surveyed{lost: false}},
-		},
-		"dead leafs are not the links": {
-			{at: 0, do: "call", leaf: 0}, {at: 0, do: "call", leaf: 1}, {at: 5, do: "refuse", leaf: 0}, {at: 5, do: "refuse", leaf: 1},
-			{at: 10, want: surveyed{due: true}},
-			{at: 20, do: "survey", accepted: 3, want: surveyed{due: false}},
-			{at: 30, do: "call", leaf: 0}, {at: 35, do: "refuse", leaf: 0}, {at: 35, do: "refuse", leaf: 1},
-			{at: 900, want: surveyed{due: false}},
-			{at: 1030, want: surveyed{due: true}},
-		},
-		"new connections refused while open ones live on": {
-			{at: 0, do: "call", leaf: 0}, {at: 0, do: "call", leaf: 1}, {at: 0, do: "call", leaf: 2}, {at: 4, do: "refuse", leaf: 0},
-			{at: 10, do: "reply", leaf: 2}, {at: 11, want: surveyed{due: false}}, {at: 12, do: "refuse", leaf: 1},
-			{at: 20, do: "reply", leaf: 2}, {at: 21, want: surveyed{due: true}},
-			{at: 30, do: "survey", accepted: 0, want: surveyed{lost: true}},
-		},
-		"a leaf that replies again is no longer broken": {
-			{at: 0, do: "call", leaf: 0}, {at: 0, do: "call", leaf: 1}, {at: 0, do: "call", leaf: 0},
-			{at: 5, do: "break", leaf: 0}, {at: 6, do: "reply", leaf: 0}, {at: 7, do: "break", leaf: 1}, {at: 8, want: surveyed{due: false}},
-		},
-	}
-	for name, steps := range cases {
-		t.Run(name, func(t *testing.T) {
-			b := New(func(string) Distance { return SameDataCentre }, WithRandom(func() float64 { return 0.5 }))
-			var leafs []lister.Leaf
-			for k := range 9 {
-				leafs = append(leafs, lister.NewLeaf(fmt.Sprint("i-", k), "s", fmt.Sprint("a:", k)))
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			in, err := os.Open(file)
+			if err != nil {
+				t.Fatal(err)
 			}
-			for k, s := range steps {
-				switch leaf := leafs[s.leaf]; s.do {
-				case "call":
-					b.Sent(s.at, leaf)
-					continue
-				case "reply":
-					b.Answered(s.at, "c", leaf, 1)
-					continue
-				case "break":
-					b.Broken(s.at, leaf)
-					continue
-				case "refuse":
-					b.Unreachable(s.at, leaf)
-					continue
-				case "survey":
-					b.Surveyed(s.at, s.accepted, surveyRecent+surveyOthers)
-				}
-				// A survey that is not finished does not change what is due.
-				copied := *b
-				sample := copied.Survey(s.at, func() []lister.Leaf { return append([]lister.Leaf{}, leafs...) })
-				if got := (surveyed{due: sample != nil, lost: b.LinksLost()}); got != s.want {
-					t.Errorf("step %d: %+v, want %+v", k, got, s.want)
-				}
-				if sample != nil && len(sample) != surveyRecent+surveyOthers {
-					t.Errorf("step %d: %d leafs are surveyed", k, len(sample))
-				}
+			defer func() { _ = in.Close() }()
+			b := New(func(string) Distance { return SameDataCentre }, WithRandom(func() float64 { return 0.5 }))
+			lines := bufio.NewScanner(in)
+			for lines.Scan() {
+				playLinks(t, b, lines.Text())
 			}
 		})
 	}
 }
 
+// playLinks plays one line of a script.
+func playLinks(t *testing.T, b *Balancer, line string) {
+	t.Helper()
+	words := strings.Fields(line)
+	if words[0] == "#" {
+		return
+	}
+	ms, err := strconv.Atoi(words[0])
+	if err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	now, leaf := tier.Millis(ms), lister.NewLeaf(words[2], "s", words[2]+":1")
+	switch words[1] {
+	case "call":
+		b.Sent(now, leaf)
+	case "reply":
+		b.Answered(now, "c", leaf, 1)
+	case "break":
+		b.Broken(now, leaf)
+	case "refuse":
+		b.Unreachable(now, leaf)
+	case "surveyed":
+		surveyed := 4
+		accepted, err := strconv.Atoi(words[2])
+		if words[2] == "none" {
+			surveyed, accepted, err = 0, 0, nil
+		}
+		if err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		b.Surveyed(now, accepted, surveyed)
+	case "expect":
+		// A survey that is not finished does not change what is due.
+		copied := *b
+		got := "no survey, "
+		if copied.Survey(now, func() []lister.Leaf { return []lister.Leaf{leaf} }) != nil {
+			got = "survey, "
+		}
+		if b.LinksLost() {
+			got += "lost"
+		} else {
+			got += "linked"
+		}
+		if want := strings.Join(words[2:], " "); got != want {
+			t.Errorf("%s ms: %s, want %s", words[0], got, want)
+		}
+	default:
+		t.Fatalf("unknown command %q", line)
+	}
+}
+
 // TestSurveyAsksLeafsThatRepliedLast guards against links that count as lost because some leafs
 // have ended: those that live on have replied last.
 func TestSurveyAsksLeafsThatRepliedLast(t *testing.T) {
@@ -113,7 +110,8 @@
 	}
 	b.Unreachable(110, leafs[0])
 	b.Unreachable(110, leafs[1])
-	sample := b.Survey(120, func() []lister.Leaf { return append([]lister.Leaf{}, leafs...) })
+	usable := func() []lister.Leaf { return append([]lister.Leaf{}, leafs...) }
+	sample := b.Survey(120, usable)
 	if len(sample) != surveyRecent+surveyOthers || sample[0].ID() != "i-17" || sample[1].ID() != "i-4" {
 		t.Errorf("surveyed: %v", sample)
 	}
@@ -124,7 +122,7 @@
 		}
 		seen[leaf.ID()] = true
 	}
-	if again := b.Survey(130, func() []lister.Leaf { return leafs }); again != nil {
+	if again := b.Survey(130, usable); again != nil {
 		t.Error("a second survey begins while one is on")
 	}
 }
--- a/tier/forecaster/forecaster.go
+++ b/tier/forecaster/forecaster.go
@@ -47,6 +47,9 @@
 // New returns a forecaster without observations.
 func New() *Forecaster { return &Forecaster{shards: map[string]*shardStats{}} }
 
+// Reset drops all observations.
+func (f *Forecaster) Reset() { clear(f.shards) }
+
 // RecordMissed records that a shard did not answer by the target time of a request.
 func (f *Forecaster) RecordMissed(now tier.Millis, name string) {
 	s, ok := f.shards[name]
--- a/tier/partitioner/owners.go
+++ b/tier/partitioner/owners.go
@@ -50,7 +50,8 @@
 	return rank
 }
 
-// eligible lists the large VMs of a region that are not suspected, by name.
+// eligible lists the large VMs of a region that are not suspected, by name. It leaves out the
+// own VM if that is excluded.
 func (p *Partitioner) eligible(region string) []Member { return p.large(region, false) }
 
 // large lists the large VMs of a region, by name.
@@ -58,7 +59,7 @@
 	maxCores := 0.0
 	var list []Member
 	for _, m := range p.members {
-		if m.member.region != region || m.suspected && !suspected {
+		if m.member.region != region || !suspected && (m.suspected || p.selfExcluded && m.member.vm.Name() == p.self.vm.Name()) {
 			continue
 		}
 		list = append(list, m.member)
--- a/tier/partitioner/partition.go
+++ b/tier/partitioner/partition.go
@@ -33,8 +33,9 @@
 
 // Partition assigns each shard of a request to a VM. A shard with a leaf in this VM's
 // region goes to its owner there. The others go to a gateway in each further region,
-// which partitions them again. locationsOf lists the locations of a shard's leafs;
-// random returns numbers uniform in [0, 1).
+// which partitions them again, and those that no gateway is near to a stand-in. The share
+// of an excluded VM is what no VM can query. locationsOf lists the locations of a shard's
+// leafs; random returns numbers uniform in [0, 1).
 func (p *Partitioner) Partition(class string, shards []string, locationsOf func(string) []Location, random func() float64) []Share {
 	result := partition{shareIndex: map[string]int{}, self: p.self.vm.Name()}
 	var remote []int
@@ -42,33 +43,53 @@
 	for i, shard := range shards {
 		locations := locationsOf(shard)
 		switch {
-		case !hasRegion(locations, p.self.region):
+		case !hasRegion(locations, p.self.region), len(eligible) == 0:
 			remote = append(remote, i)
-		case len(eligible) == 0:
-			result.assign(p.self, i)
 		default:
 			result.assign(pickOwner(shard, p.self.region, preferLeafDataCentres(eligible, hasDataCentre(locations))), i)
 		}
 	}
 	for len(remote) > 0 {
 		region, found := p.pickRegion(class, shards, remote, locationsOf, random())
-		var remaining []int
-		member := p.self
-		if gateways := p.gateways(region); found && len(gateways) > 0 {
-			member = gateways[int(random()*float64(len(gateways)))%len(gateways)]
+		if !found {
+			break
 		}
+		gateways := p.gateways(region)
+		gateway := gateways[int(random()*float64(len(gateways)))%len(gateways)]
+		var remaining []int
 		for _, i := range remote {
-			if found && !hasRegion(locationsOf(shards[i]), region) {
+			if !hasRegion(locationsOf(shards[i]), region) {
 				remaining = append(remaining, i)
 				continue
 			}
-			result.assign(member, i)
+			result.assign(gateway, i)
 		}
 		remote = remaining
 	}
+	for _, i := range remote {
+		result.assign(p.standIn(shards[i], eligible), i)
+	}
 	return result.shares
 }
 
+// standIn is the VM that queries a shard whose leafs no other VM is near: this one or, if it is
+// excluded, one of its region or else of any other. It is this one if there is none.
+func (p *Partitioner) standIn(shard string, eligible []Member) Member {
+	if !p.selfExcluded {
+		return p.self
+	}
+	for _, region := range p.otherRegions() {
+		if len(eligible) > 0 {
+			break
+		}
+		eligible = p.gateways(region)
+	}
+	if len(eligible) == 0 {
+		return p.self
+	}
+	return pickOwner(shard, p.self.region, eligible)
+}
+
 func hasRegion(locations []Location, region string) bool {
 	return slices.ContainsFunc(locations, func(l Location) bool { return l.Region == region })
 }
@@ -114,18 +135,22 @@
 	p.shares[index].parts = append(p.shares[index].parts, part)
 }
 
-// pickRegion picks a region for shards without a leaf in this one, among the regions
-// with leafs of the most of them, or of at least minShardsFraction as many. The pick
-// is random, with a higher weight for lower latency. It reports false if no shard has
-// a leaf.
+// pickRegion picks another region with a gateway for some shards, among those with leafs
+// of the most of them, or of at least minShardsFraction as many. The pick is random, with
+// a higher weight for lower latency. It reports false if there is none.
 func (p *Partitioner) pickRegion(class string, shards []string, remote []int, locationsOf func(string) []Location, random float64) (string, bool) {
 	count := map[string]int{}
 	maxCount := 0
-	for _, i := range remote {
-		for _, l := range locationsOf(shards[i]) {
-			count[l.Region]++
-			maxCount = max(maxCount, count[l.Region])
+	for _, region := range p.otherRegions() {
+		if len(p.eligible(region)) == 0 {
+			continue
+		}
+		for _, i := range remote {
+			if hasRegion(locationsOf(shards[i]), region) {
+				count[region]++
+			}
 		}
+		maxCount = max(maxCount, count[region])
 	}
 	var names []string
 	for r, n := range count {
--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -110,6 +110,7 @@
 	ownerCache      map[string]string // owners of shards in this VM's region
 	ownerRanks      map[string]int    // this VM's ranks as owner, cached as long
 	ownerCacheAt    tier.Millis
+	selfExcluded    bool // the own VM queries no shards
 	// withoutLargeSince is when this small VM first found no large one in its region, or 0.
 	withoutLargeSince tier.Millis
 }
@@ -224,6 +225,12 @@
 	return m.suspected
 }
 
+// ExcludeSelf sets whether the own VM queries no shards, because it reaches no leafs.
+func (p *Partitioner) ExcludeSelf(excluded bool) {
+	p.selfExcluded = excluded
+	p.ownerCache = nil
+}
+
 // Probes lists the VMs to probe now. Each is listed again after its backoff unless
 // Recovered is called.
 func (p *Partitioner) Probes(now tier.Millis) []Member {
@@ -314,7 +321,7 @@
 	return list[:gatewaysPerRegion]
 }
 
-// otherRegions lists the regions that have members, except the own one.
+// otherRegions lists the regions that have members, except the own one, by name.
 func (p *Partitioner) otherRegions() []string {
 	var list []string
 	for _, m := range p.members {
@@ -322,5 +329,6 @@
 			list = append(list, region)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -325,3 +325,50 @@
 		}
 	}
 }
+
+// TestExcludedVMsGetNoShares guards against shards that a VM without links to the leafs keeps for
+// itself, or gives to VMs that are suspected, while other VMs could query them.
+func TestExcludedVMsGetNoShares(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 3))
+	list := shards(30)
+	fleet := newFleet(2, 1)
+	// The large VMs that each VM suspects, by prefix of their names.
+	for _, suspects := range [][]string{nil, {"r1"}, {"r1", "r2"}, {"r1", "r2", "r3"}} {
+		for name, p := range fleet {
+			p.ExcludeSelf(true)
+			healthy := 0
+			for other := range fleet {
+				for _, prefix := range suspects {
+					if other[:2] == prefix {
+						p.Failed(0, other)
+					}
+				}
+			}
+			for _, m := range p.HealthyPeers() {
+				if m.VM().Name() != name {
+					healthy++
+				}
+			}
+			assigned := 0
+			for _, share := range p.Partition("class", list, locationsOf, random.Float64) {
+				assigned += len(share.Parts())
+				if share.Self() && healthy > 0 {
+					t.Errorf("%s keeps %d shards, though %d others are healthy", name, len(share.Parts()), healthy)
+				}
+				if other := fleet[share.Member().VM().Name()]; !share.Self() && p.members[other.self.vm.Name()].suspected {
+					t.Errorf("%s gives shards to %s, which is suspected", name, other.self.vm.Name())
+				}
+			}
+			if assigned != len(list) {
+				t.Errorf("%s assigns %d of %d shards", name, assigned, len(list))
+			}
+			if p.Owns(0, list[0], func(string) bool { return true }) {
+				t.Errorf("%s owns a shard", name)
+			}
+			p.ExcludeSelf(false)
+			for other := range fleet {
+				p.Recovered(0, other)
+			}
+		}
+	}
+}
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -81,6 +81,7 @@
 	Target   tier.Millis // time left until the VM has to send its report
 	Deadline tier.Millis // time left until the deadline
 	Repeated bool        // another VM may have made the first calls already
+	Attempts int         // calls of each part that may run
 }
 
 // Recall cancels a share. Its reports are ignored.
@@ -112,6 +113,8 @@
 	Parts      []int // indexes of the services whose part arrived
 	Uncalled   []int // indexes of the services for which that VM knew no leaf, in the last report
 	Reply      any
+	Whole      any  // the leaf's reply, if it is to be passed on as it is, in place of Reply
+	Failure    any  // a reply with which the leaf reports a failure, in the last report
 	Last       bool // no report follows
 	MayHaveRun bool
 	Calls      int      // made by that VM, in the last report
@@ -143,6 +146,7 @@
 	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
 	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
 	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
+	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
 	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
 	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
 	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -67,7 +67,10 @@
 		return actions
 	}
 	cause := Complete
-	if s.arrived < len(s.parts) {
+	switch {
+	case s.arrived < len(s.parts) && s.terms.forwardFailures && s.parts[0].failureReply != nil:
+		cause = LeafFailure
+	case s.arrived < len(s.parts):
 		cause = PartsLost
 	}
 	return s.finish(now, cause, actions)
@@ -86,6 +89,8 @@
 		return Quarantined
 	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
 		return LeafsLimited
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
+		return LinksLost
 	case len(s.calls) == 0 && !s.mayHaveRun:
 		return NoLeaf
 	case !s.mayHaveRun:
@@ -98,6 +103,7 @@
 
 func (s *Search) finish(now tier.Millis, cause Cause, actions []Action) []Action {
 	s.done = true
+	delete(s.scheduler.active, s)
 	// A leaf may be working on a call that has not ended.
 	for i := range s.calls {
 		if !s.calls[i].ended {
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -70,9 +70,10 @@
 	}
 }
 
-// dispatchQueued sends queued parts of a service while its leafs have capacity.
+// dispatchQueued sends queued parts of a service while its leafs have capacity and this VM
+// reaches leafs.
 func (sc *Scheduler) dispatchQueued(now tier.Millis, service string) {
-	for len(sc.queue[service]) > 0 {
+	for len(sc.queue[service]) > 0 && !sc.balancer.LinksLost() {
 		list := sc.queue[service]
 		best := 0
 		for k := 1; k < len(list); k++ {
@@ -153,7 +154,11 @@
 	if s.done {
 		return nil
 	}
-	return s.finishIfDone(now, s.takePending(nil))
+	actions := s.takePending(nil)
+	if s.scheduler.balancer.LinksLost() {
+		actions = s.handOver(now, s.overdue(now), actions)
+	}
+	return s.finishIfDone(now, s.takePending(actions))
 }
 
 func (s *Search) takePending(actions []Action) []Action {
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -71,6 +71,7 @@
 	regionOf    func(dataCentre string) string
 	random      func() float64
 	queue       queue
+	active      map[*Search]bool // searches that have started and not finished
 	quarantiner *quarantiner.Quarantiner
 	fleetSize   int                       // VMs, registered or not, as far as known
 	isShard     func(service string) bool // whether a service is a shard of a route
@@ -95,7 +96,7 @@
 func NewScheduler(l *lister.Lister, b *balancer.Balancer, budget *budgeter.Budgeter, p *partitioner.Partitioner, options ...SchedulerOption) *Scheduler {
 	sc := &Scheduler{
 		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(), quarantiner: quarantiner.New(),
-		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{},
+		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{}, active: map[*Search]bool{},
 		isShard: func(string) bool { return false },
 	}
 	for _, set := range options {
@@ -159,6 +160,16 @@
 // Forecaster predicts requests that will not get enough parts.
 func (sc *Scheduler) Forecaster() *forecaster.Forecaster { return sc.forecaster }
 
+// LinksChanged makes other VMs query leafs for this one, if the balancer says that it has lost
+// its links to them, or ends that. All searches in progress wake up.
+func (sc *Scheduler) LinksChanged() {
+	sc.partitioner.ExcludeSelf(sc.balancer.LinksLost())
+	sc.forecaster.Reset() // it has judged shards by links of this VM
+	for s := range sc.active {
+		sc.wake(s)
+	}
+}
+
 // Terms are the limits of a request: times, attempts and the parts that it needs.
 type Terms struct {
 	class           string
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -68,7 +68,10 @@
 //	NAME report SHARE PART,.. [last [PART,..]]
 //	                                the other VM reports the parts, or - for none; the
 //	                                second list is those for which it knew no leaf
+//	NAME relay SHARE [failure]      the other VM reports the whole reply of a leaf, or its
+//	                                failure in the last report
 //	NAME break SHARE                the other VM's stream of reports breaks off
+//	links lost | links restored     a survey finds that this VM reaches no leaf, or does
 //	NAME leave                      the caller disconnects
 //	at MS                           advances the clock and runs expired timers
 type script struct {
@@ -126,6 +129,14 @@
 		s.lister.Put(s.now, lister.NewEntry("servers/"+words[1], leaf, int64(s.sequence)))
 	case "quarantine":
 		s.scheduler.quarantiner.Heard(s.now, quarantiner.Fingerprint(words[1]), "vm", 1, quarantiner.Report{Leafs: []string{"x", "y", "z"}})
+	case "links":
+		accepted := 0
+		if words[1] == "restored" {
+			accepted = 1
+		}
+		s.scheduler.balancer.Surveyed(s.now, accepted, 1)
+		s.scheduler.LinksChanged()
+		s.print("", nil)
 	case "limit":
 		for _, leaf := range s.lister.Leafs("s") {
 			if leaf.ID() == words[1] {
@@ -221,6 +232,12 @@
 			report.Uncalled = s.numbers(words[4])
 		}
 		s.print(name, search.ShareReported(s.now, index, report))
+	case "relay":
+		report := ShareReport{Parts: []int{0}, Whole: "reply", MayHaveRun: true}
+		if len(words) > 2 {
+			report = ShareReport{Failure: "failure", MayHaveRun: true, Last: true}
+		}
+		s.print(name, search.ShareReported(s.now, index, report))
 	case "decline":
 		s.print(name, search.ShareDeclined(s.now, index))
 	case "break":
@@ -286,7 +303,8 @@
 		if action.Repeated {
 			kind = "delegate extra"
 		}
-		return fmt.Sprintf("%s %d: parts %v to %s, target %d, deadline %d", kind, action.Share, action.Parts, action.Member.VM().Name(), action.Target, action.Deadline)
+		return fmt.Sprintf("%s %d: parts %v to %s, target %d, deadline %d, attempts %d",
+			kind, action.Share, action.Parts, action.Member.VM().Name(), action.Target, action.Deadline, action.Attempts)
 	case Recall:
 		return fmt.Sprintf("recall %d, timed out %v", action.Share, action.TimedOut)
 	case Flush:
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -34,6 +34,8 @@
 	flushed      bool   // handed on by a Flush
 	queued       bool   // it waits for a leaf with capacity
 	pastTarget   bool   // it arrived after the target time
+	handOvers    int    // how often it was handed over to another VM
+	mayHaveRun   bool   // another VM that had it may have made calls
 	lossReason   string // why it was marked as lost
 }
 
@@ -50,6 +52,7 @@
 	timeAllowed    tier.Millis // for its VM to reply, counted from when it gets the share
 	second         bool        // another VM had it before
 	repeated       bool        // that VM may have made the first calls
+	attempts       int         // calls of each part that may run
 	reported       bool
 	ended          bool
 	replies        []any
@@ -94,7 +97,7 @@
 		for _, i := range sh.Parts() {
 			s.parts[i].shareIndex = len(s.shares)
 		}
-		s.shares = append(s.shares, share{member: sh.Member(), parts: sh.Parts(), repeated: terms.repeated})
+		s.shares = append(s.shares, share{member: sh.Member(), parts: sh.Parts(), repeated: terms.repeated, attempts: terms.maxAttempts})
 	}
 	s.calls = make([]call, 0, len(services)+len(services)/4)
 	return s
@@ -102,15 +105,18 @@
 
 // Start returns the first calls and delegations.
 func (s *Search) Start(now tier.Millis) []Action {
+	s.scheduler.active[s] = true
 	actions := make([]Action, 0, len(s.parts)+1)
 	for k := range s.shares {
 		actions = s.delegate(now, k, actions)
 	}
+	own := make([]int, 0, len(s.parts))
 	for i := range s.parts {
 		if s.parts[i].shareIndex == noShare {
-			actions = s.send(now, i, actions)
+			own = append(own, i)
 		}
 	}
+	actions = s.sendAll(now, own, actions)
 	return s.finishIfDone(now, s.takePending(actions))
 }
 
@@ -172,9 +178,12 @@
 	for k := range s.shares {
 		actions = s.tickShare(now, k, actions)
 	}
+	if s.scheduler.balancer.LinksLost() {
+		actions = s.handOver(now, s.overdue(now), actions)
+	}
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.arrived || p.lost {
+		if p.arrived || p.lost || p.shareIndex != noShare {
 			continue
 		}
 		if now >= p.retryAt {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -5,6 +5,17 @@
 	"cicadagrade.example/tier/lister"
 )
 
+// sendAll starts the next call of some parts.
+func (s *Search) sendAll(now tier.Millis, parts []int, actions []Action) []Action {
+	if s.scheduler.balancer.LinksLost() {
+		return s.handOver(now, parts, actions)
+	}
+	for _, i := range parts {
+		actions = s.send(now, i, actions)
+	}
+	return actions
+}
+
 // send starts the next call of a part, queues the part until a leaf has capacity, or
 // gives it up.
 func (s *Search) send(now tier.Millis, partIndex int, actions []Action) []Action {
@@ -12,6 +23,9 @@
 	if s.terms.deadline-now < minCallTime || p.queued {
 		return actions
 	}
+	if s.scheduler.balancer.LinksLost() {
+		return s.handOver(now, []int{partIndex}, actions)
+	}
 	if s.quarantined(now) {
 		s.markLost(p, quarantinedReason)
 		return actions
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -10,7 +10,7 @@
 	sh.acceptDeadline = now + tier.Millis(acceptRoundTrips*roundTrip+acceptSlackMs)
 	sh.reportDeadline = s.terms.target + reportGrace
 	sh.timeAllowed = max(1, s.terms.target-now-tier.Millis(roundTrip)-shareReplyMargin)
-	return append(actions, Delegate{Share: shareIndex, Member: sh.member, Parts: sh.parts, Target: sh.timeAllowed, Deadline: s.terms.deadline - now, Repeated: sh.repeated})
+	return append(actions, Delegate{Share: shareIndex, Member: sh.member, Parts: sh.parts, Target: sh.timeAllowed, Deadline: s.terms.deadline - now, Repeated: sh.repeated, Attempts: sh.attempts})
 }
 
 // ShareAccepted records that a VM has accepted its share.
@@ -36,11 +36,14 @@
 	s.mayHaveRun = s.mayHaveRun || report.MayHaveRun
 	for _, i := range report.Parts {
 		if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived && !p.lost {
-			p.arrived, p.pastTarget = true, now > s.terms.target
+			p.arrived, p.pastTarget, p.reply = true, now > s.terms.target, report.Whole
 			s.arrived++
 		}
 	}
-	if len(report.Parts) > 0 {
+	if report.Failure != nil {
+		s.parts[sh.parts[0]].failureReply, s.leafReported = report.Failure, true
+	}
+	if len(report.Parts) > 0 && report.Whole == nil {
 		sh.replies = append(sh.replies, report.Reply)
 	}
 	if report.Last {
@@ -50,13 +53,14 @@
 		s.endedElsewhere = append(s.endedElsewhere, report.Ended...)
 		s.scheduler.partitioner.RecordShareLatency(s.terms.class, sh.member.Region(), now-sh.sentAt)
 		// What that VM did not know, this one may.
-		var actions []Action
+		var uncalled []int
 		for _, i := range report.Uncalled {
 			if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived {
 				p.shareIndex, p.nextIsExtra = noShare, sh.repeated
-				actions = s.send(now, i, actions)
+				uncalled = append(uncalled, i)
 			}
 		}
+		actions := s.sendAll(now, uncalled, nil)
 		for _, i := range sh.parts {
 			if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived {
 				s.markLost(p, "")
@@ -93,6 +97,10 @@
 	if sh.ended || !notAccepted && !notReported {
 		return actions
 	}
+	if !s.terms.idempotent {
+		sh.acceptDeadline, sh.reportDeadline = never, never // it may run there at any time
+		return actions
+	}
 	if notAccepted && !notReported && !s.canRepeat(sh) {
 		sh.acceptDeadline = now + retryDelay
 		return actions
@@ -141,10 +149,19 @@
 	repeated := sh.repeated || mayHaveCalled
 	var left []int
 	for _, i := range sh.parts {
-		if p := &s.parts[i]; !p.arrived && !p.lost {
-			p.shareIndex, p.nextIsExtra = noShare, repeated
-			left = append(left, i)
+		p := &s.parts[i]
+		if p.arrived || p.lost {
+			continue
 		}
+		if mayHaveCalled && !s.terms.idempotent {
+			s.markLost(p, "")
+			continue
+		}
+		p.shareIndex, p.nextIsExtra, p.mayHaveRun = noShare, repeated, p.mayHaveRun || mayHaveCalled
+		left = append(left, i)
+	}
+	if s.scheduler.balancer.LinksLost() {
+		return s.handOver(now, left, actions)
 	}
 	if !handOn || sh.second || len(left) < minRedelegatedParts || now >= s.terms.target {
 		for _, i := range left {
@@ -152,26 +169,36 @@
 		}
 		return actions
 	}
-	services := make([]string, len(left))
-	for k, i := range left {
+	return s.redelegate(now, left, s.terms.maxAttempts, actions)
+}
+
+// redelegate gives parts to other VMs, which may make a number of attempts at each. This VM
+// queries those that are its own, or loses them if it has lost its links.
+func (s *Search) redelegate(now tier.Millis, parts []int, attempts int, actions []Action) []Action {
+	services := make([]string, len(parts))
+	for k, i := range parts {
 		services[k] = s.parts[i].service
 	}
 	for _, division := range s.scheduler.Divide(s.terms.class, services) {
-		parts := make([]int, len(division.Parts()))
-		for k, index := range division.Parts() {
-			parts[k] = left[index]
-		}
-		if division.Self() {
-			for _, i := range parts {
+		sh := share{member: division.Member(), second: true, repeated: s.terms.repeated, attempts: attempts}
+		for _, index := range division.Parts() {
+			i := parts[index]
+			p := &s.parts[i]
+			switch {
+			case !division.Self():
+				p.shareIndex = len(s.shares)
+				sh.parts = append(sh.parts, i)
+				sh.repeated = sh.repeated || p.mayHaveRun
+			case s.scheduler.balancer.LinksLost():
+				s.markLost(p, linksLostReason)
+			default:
 				actions = s.send(now, i, actions)
 			}
-			continue
 		}
-		s.shares = append(s.shares, share{member: division.Member(), parts: parts, second: true, repeated: repeated})
-		for _, i := range parts {
-			s.parts[i].shareIndex = len(s.shares) - 1
+		if !division.Self() {
+			s.shares = append(s.shares, sh)
+			actions = s.delegate(now, len(s.shares)-1, actions)
 		}
-		actions = s.delegate(now, len(s.shares)-1, actions)
 	}
 	return actions
 }
