Give parts back at once when a VM loses its links to the leafs

Now a share's parts of which no call has reached a leaf go back to the VM that has the request, a VM that loses its links ends its suspicions, and a share that is declined ends what was held against its shards.

--- a/cicadagraded/entry/links.go
+++ b/cicadagraded/entry/links.go
@@ -46,9 +46,10 @@
 		return
 	}
 	e.mu.Lock()
-	change, changed := e.scheduler.Balancer().Surveyed(e.clock.Now(), accepted, len(sample))
+	now := e.clock.Now()
+	change, changed := e.scheduler.Balancer().Surveyed(now, accepted, len(sample))
 	if changed {
-		e.scheduler.LinksChanged()
+		e.scheduler.LinksChanged(now)
 	}
 	woken := e.scheduler.TakeWoken()
 	e.mu.Unlock()
--- a/tier/forecaster/forecaster.go
+++ b/tier/forecaster/forecaster.go
@@ -50,6 +50,9 @@
 // Reset drops all observations.
 func (f *Forecaster) Reset() { clear(f.shards) }
 
+// Forget drops the observations of one shard.
+func (f *Forecaster) Forget(name string) { delete(f.shards, name) }
+
 // RecordMissed records that a shard did not answer by the target time of a request.
 func (f *Forecaster) RecordMissed(now tier.Millis, name string) {
 	s, ok := f.shards[name]
--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -225,10 +225,14 @@
 	return m.suspected
 }
 
-// ExcludeSelf sets whether the own VM queries no shards, because it reaches no leafs.
-func (p *Partitioner) ExcludeSelf(excluded bool) {
+// ExcludeSelf sets whether the own VM queries no shards, because it reaches no leafs. It ends
+// all suspicions: shares of others may have failed for what this VM had not done in time.
+func (p *Partitioner) ExcludeSelf(now tier.Millis, excluded bool) {
 	p.selfExcluded = excluded
 	p.ownerCache = nil
+	for name := range p.members {
+		p.Recovered(now, name)
+	}
 }
 
 // Probes lists the VMs to probe now. Each is listed again after its backoff unless
--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -335,7 +335,7 @@
 	// The large VMs that each VM suspects, by prefix of their names.
 	for _, suspects := range [][]string{nil, {"r1"}, {"r1", "r2"}, {"r1", "r2", "r3"}} {
 		for name, p := range fleet {
-			p.ExcludeSelf(true)
+			p.ExcludeSelf(0, true)
 			healthy := 0
 			for other := range fleet {
 				for _, prefix := range suspects {
@@ -365,9 +365,9 @@
 			if p.Owns(0, list[0], func(string) bool { return true }) {
 				t.Errorf("%s owns a shard", name)
 			}
-			p.ExcludeSelf(false)
-			for other := range fleet {
-				p.Recovered(0, other)
+			p.ExcludeSelf(0, false)
+			if n := len(p.HealthyPeers()); n != len(fleet)-1 {
+				t.Errorf("%s still suspects some: %d are healthy", name, n)
 			}
 		}
 	}
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -111,7 +111,7 @@
 // ShareReport is the report of a VM on its share.
 type ShareReport struct {
 	Parts      []int // indexes of the services whose part arrived
-	Uncalled   []int // indexes of the services for which that VM knew no leaf, in the last report
+	Uncalled   []int // indexes of the services of which that VM reached no leaf, in the last report
 	Reply      any
 	Whole      any  // the leaf's reply, if it is to be passed on as it is, in place of Reply
 	Failure    any  // a reply with which the leaf reports a failure, in the last report
@@ -218,8 +218,8 @@
 // MayHaveRun reports whether a leaf may have begun to work on the request.
 func (o Outcome) MayHaveRun() bool { return o.mayHaveRun }
 
-// Uncalled are the indexes of the services for which no call was made, because this VM
-// knew no usable leaf.
+// Uncalled are the indexes of the services for which no call has reached a leaf, because this VM
+// knew no usable one or had lost its links to them.
 func (o Outcome) Uncalled() []int { return o.uncalled }
 
 // RetryAfter is how much later the same request would be sent, if limits of leafs or the
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -1,6 +1,7 @@
 package searcher
 
 import (
+	"cmp"
 	"slices"
 
 	"cicadagrade.example/tier"
@@ -136,7 +137,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && p.lossReason == noLeafReason && len(p.tried) == 0 {
+		if p.lost && (p.lossReason == noLeafReason && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 	}
@@ -182,7 +183,7 @@
 		for k := range s.calls {
 			if c := &s.calls[k]; c.part == i {
 				m.leaf, m.waited = c.leaf.ID(), now-c.sentAt
-				m.reason = c.reason
+				m.reason = cmp.Or(c.reason, m.reason)
 				if !c.ended {
 					m.reason = "slow"
 				}
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -25,7 +25,8 @@
 }
 
 // handOver has other VMs query parts, because this VM has lost its links to the leafs. It cancels
-// their calls. Parts that no VM takes are lost.
+// their calls. Parts that no VM takes are lost, as are those of a search for another VM, which can
+// query them itself.
 func (s *Search) handOver(now tier.Millis, parts []int, actions []Action) []Action {
 	if s.terms.deadline-now < minCallTime {
 		return actions
@@ -44,10 +45,6 @@
 			}
 			continue
 		}
-		if p.handOvers >= maxHandOvers {
-			s.markLost(p, linksLostReason)
-			continue
-		}
 		s.scheduler.dequeue(s, i)
 		if p.inFlight > 0 {
 			s.mayHaveRun = true
@@ -56,6 +53,10 @@
 		p.ranCalls, p.handOvers = used, p.handOvers+1
 		p.hedgeAt, p.retryAt = never, never
 		p.mayHaveRun = p.mayHaveRun || used > 0
+		if p.handOvers > maxHandOvers || s.terms.flushes {
+			s.markLost(p, linksLostReason)
+			continue
+		}
 		byAttempts[used] = append(byAttempts[used], i)
 	}
 	for used := range s.terms.maxAttempts {
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -162,8 +162,8 @@
 
 // LinksChanged makes other VMs query leafs for this one, if the balancer says that it has lost
 // its links to them, or ends that. All searches in progress wake up.
-func (sc *Scheduler) LinksChanged() {
-	sc.partitioner.ExcludeSelf(sc.balancer.LinksLost())
+func (sc *Scheduler) LinksChanged(now tier.Millis) {
+	sc.partitioner.ExcludeSelf(now, sc.balancer.LinksLost())
 	sc.forecaster.Reset() // it has judged shards by links of this VM
 	for s := range sc.active {
 		sc.wake(s)
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -135,7 +135,7 @@
 			accepted = 1
 		}
 		s.scheduler.balancer.Surveyed(s.now, accepted, 1)
-		s.scheduler.LinksChanged()
+		s.scheduler.LinksChanged(s.now)
 		s.print("", nil)
 	case "limit":
 		for _, leaf := range s.lister.Leafs("s") {
@@ -314,8 +314,12 @@
 		if outcome.RetryAfter() > 0 {
 			return fmt.Sprintf("finish %s: may have run %v, retry after %d ms", outcome.Cause(), outcome.MayHaveRun(), outcome.RetryAfter())
 		}
-		return fmt.Sprintf("finish %s: missing %d, may have run %v, failure %v, misses %v",
-			outcome.Cause(), outcome.Missing(), outcome.MayHaveRun(), outcome.Failure(), outcome.Misses())
+		uncalled := ""
+		if list := outcome.Uncalled(); len(list) > 0 {
+			uncalled = fmt.Sprintf(", uncalled %v", list)
+		}
+		return fmt.Sprintf("finish %s: missing %d, may have run %v, failure %v, misses %v%s",
+			outcome.Cause(), outcome.Missing(), outcome.MayHaveRun(), outcome.Failure(), outcome.Misses(), uncalled)
 	}
 	return "unknown action"
 }
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -71,12 +71,15 @@
 	return s.finishIfDone(now, nil)
 }
 
-// ShareDeclined handles a VM that takes no shares, because it has no view yet or stops. It
-// has made no calls.
+// ShareDeclined handles a VM that takes no shares, because it has no view yet, reaches no leaf
+// or stops. It has made no calls, and what it has lost before says nothing of the leafs.
 func (s *Search) ShareDeclined(now tier.Millis, shareIndex int) []Action {
 	if s.done || s.shares[shareIndex].ended {
 		return nil
 	}
+	for _, i := range s.shares[shareIndex].parts {
+		s.scheduler.forecaster.Forget(s.parts[i].service)
+	}
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, false, nil)))
 }
 
