Count a leaf as ended only if another leaf can be reached

A VM that lost its links with requests at leafs took the leafs for ended, as they broke the connection and accepted no other, and told all VMs, which then refused these requests for ten minutes.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -79,8 +79,10 @@
 }
 
 // recordEndedLeafs records those of the leafs of a request that no longer accept connections,
-// unless another leaf answers it in the meantime.
+// unless another leaf answers it in the meantime, or this VM reaches no leaf at all: what it
+// can't reach may be there for other VMs.
 func (e *Entry) recordEndedLeafs(q *request, leafs []lister.Leaf) {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), endedLeafTimeout.Duration())
 	defer cancel()
 	ended := make([]bool, len(leafs))
@@ -97,7 +99,8 @@
 			ids = append(ids, leaf.ID()+"@"+strconv.FormatInt(leaf.StartTime(), 10))
 		}
 	}
-	if len(ids) > 0 && !q.answered.Load() {
+	reachesOthers := len(ids) == 0 || e.reachesLeafs(start)
+	if len(ids) > 0 && reachesOthers && !q.answered.Load() {
 		list := q.fingerprints()
 		e.mu.Lock()
 		for _, f := range list {
@@ -107,7 +110,7 @@
 		e.wakeCrashReports()
 	}
 	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprints()[0],
-		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load())
+		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load(), "reaches-others", reachesOthers)
 }
 
 // quarantined reports whether a request must not be sent to a leaf, and for how much longer.
--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -41,12 +41,14 @@
 
 	mu      sync.Mutex
 	crashed []string // ids of leafs that have ended
+	held    int      // requests to /line/hold that have come to leafs
+	release chan struct{}
 }
 
 func newCrashFleet(t *testing.T, vms int) *crashFleet {
 	t.Helper()
 	server := httptest.NewServer(storeserver.New(tier.NewClock()))
-	f := &crashFleet{t: t, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
+	f := &crashFleet{t: t, release: make(chan struct{}), store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
 	t.Cleanup(func() {
 		f.group.Wait()
 		for _, e := range f.entries {
@@ -118,6 +120,14 @@
 				_ = server.Listener.Close()
 				f.group.Go(server.CloseClientConnections)
 				panic(http.ErrAbortHandler)
+			case strings.HasSuffix(r.URL.Path, "/hold"):
+				f.mu.Lock()
+				f.held++
+				f.mu.Unlock()
+				select {
+				case <-f.release:
+				case <-r.Context().Done():
+				}
 			case strings.HasSuffix(r.URL.Path, "/mute"):
 				panic(http.ErrAbortHandler)
 			}
@@ -138,10 +148,8 @@
 func (f *crashFleet) settle() {
 	for _, e := range f.entries {
 		e.background.Wait()
-		if err := e.writeCrashReports(context.Background()); err != nil {
-			f.t.Fatal(err)
-		}
 	}
+	f.settleReports()
 	f.mu.Lock()
 	crashed := f.crashed
 	f.mu.Unlock()
@@ -154,6 +162,21 @@
 			f.t.Fatal(err)
 		}
 	}
+	f.readStores()
+}
+
+// settleReports lets all VMs report the leafs that have ended, and read the reports.
+func (f *crashFleet) settleReports() {
+	for _, e := range f.entries {
+		if err := e.writeCrashReports(context.Background()); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	f.readStores()
+}
+
+// readStores lets all VMs read the store.
+func (f *crashFleet) readStores() {
 	for _, e := range f.entries {
 		if err := e.readStore(context.Background(), false); err != nil {
 			f.t.Fatal(err)
@@ -164,18 +187,37 @@
 
 // ask sends a request to a VM and returns the response.
 func (f *crashFleet) ask(e *Entry, path string) *httptest.ResponseRecorder {
+	f.nextID++
+	response := f.send(e, path, f.nextID)
+	f.settle()
+	return response
+}
+
+// send sends a request with a number of its own to a VM and returns the response.
+func (f *crashFleet) send(e *Entry, path string, id int) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodGet, path, nil)
 	request.Host = "search.example"
 	// A caller reaches each VM from an address near it.
 	request.RemoteAddr = fmt.Sprintf("192.0.2.%d:4711", 1+slices.Index(f.entries, e))
-	f.nextID++
-	responder.SetCallerHeaders(request.Header, fmt.Sprint("a", f.nextID), callerTimeoutMs)
+	responder.SetCallerHeaders(request.Header, fmt.Sprint("a", id), callerTimeoutMs)
 	response := httptest.NewRecorder()
 	e.ServeHTTP(response, request)
-	f.settle()
 	return response
 }
 
+// newRequest returns a caller's request, as far as its content goes.
+func (f *crashFleet) newRequest(path string) *request {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Host = "search.example"
+	return &request{fingerprints: newFingerprints(r, path, nil)}
+}
+
+func (f *crashFleet) heldCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
 func (f *crashFleet) crashCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -57,6 +58,8 @@
 	crashReported    chan struct{}  // gets a value when crashReports has a new one
 	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
 	crashLeaseAt     tier.Millis    // when it was granted
+	reachMu          sync.Mutex     // serialises reachesLeafs
+	unreachedAt      time.Time      // when reachesLeafs last began to find that no leaf can be reached
 	background       sync.WaitGroup // calls to leafs and other VMs in progress
 
 	// mu serialises the steps of all searches and guards the state they share.
--- a/cicadagraded/entry/links.go
+++ b/cicadagraded/entry/links.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// reachesLeafs reports whether this VM has opened a connection to any leaf since a time, or opens
+// one now.
+func (e *Entry) reachesLeafs(since time.Time) bool {
+	e.reachMu.Lock() // one survey serves all that wait for it
+	defer e.reachMu.Unlock()
+	if e.linksLost.Load() || e.unreachedAt.After(since) {
+		return false
+	}
+	if e.leafClient.ConnectedSince(since) {
+		return true
+	}
+	at := time.Now()
+	e.mu.Lock()
+	sample := e.scheduler.Balancer().Sample(e.scheduler.Lister().Usable())
+	e.mu.Unlock()
+	if e.countAccepting(context.Background(), sample) > 0 {
+		return true
+	}
+	e.unreachedAt = at
+	return false
+}
+
 // countAccepting counts those of some leafs that accept a connection within surveyTimeout.
 func (e *Entry) countAccepting(ctx context.Context, leafs []lister.Leaf) int {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout.Duration())
--- a/cicadagraded/entry/links_test.go
+++ b/cicadagraded/entry/links_test.go
@@ -81,7 +81,7 @@
 	return &cutConnection{Conn: connection, links: c}, nil
 }
 
-// cutConnection loses what is written during a silent cut.
+// cutConnection loses what is written during a silent cut, and reports a reset as such.
 type cutConnection struct {
 	net.Conn
 	links *cutLinks
@@ -94,6 +94,14 @@
 	return c.Conn.Write(b)
 }
 
+func (c *cutConnection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if mode, _ := c.links.state(); mode == resetAll && errors.Is(err, net.ErrClosed) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // linkFleet is a number of entry VMs that give each other shares, each with links to the leafs
 // that can be cut.
 type linkFleet struct {
@@ -230,6 +238,57 @@
 	}
 }
 
+// TestLeafsThatAVMCannotReachHaveNotEnded guards against VMs that lose their links while they have
+// requests at leafs, take these leafs for ended, and have all VMs refuse the requests.
+func TestLeafsThatAVMCannotReachHaveNotEnded(t *testing.T) {
+	const perVM = 8
+	modes := map[string]cutMode{"silent": silent, "reset": resetAll, "refused": refusedAnew}
+	cuts := map[string][]int{"one": {0}, "region": {0, 1}}
+	for modeName, mode := range modes {
+		for cutName, cut := range cuts {
+			t.Run(modeName+"/"+cutName, func(t *testing.T) {
+				t.Parallel()
+				f := newLinkFleet(t, "depot-a", "depot-a", "depot-c")
+				f.addLeafs("orders", 7)
+				var group sync.WaitGroup
+				for _, k := range cut {
+					for range perVM {
+						f.nextID++
+						id := f.nextID
+						group.Go(func() { f.send(f.entries[k], "/line/hold", id) })
+					}
+				}
+				for f.heldCount() < perVM*len(cut) {
+					time.Sleep(time.Millisecond)
+				}
+				for _, k := range cut {
+					f.links[f.entries[k]].set(mode)
+				}
+				if mode == refusedAnew {
+					for _, server := range f.servers {
+						server.CloseClientConnections()
+					}
+				}
+				// What ends now is reported, before a leaf answers.
+				time.Sleep((2 * endedLeafTimeout).Duration())
+				f.settleReports()
+				time.Sleep((2 * tier.Second).Duration())
+				for _, k := range cut {
+					f.links[f.entries[k]].set(sound)
+				}
+				f.settleReports()
+				for k, e := range f.entries {
+					if left, refused := e.quarantined(f.newRequest("/line/hold")); refused {
+						t.Errorf("VM %d refuses the request for %d ms", k, left)
+					}
+				}
+				close(f.release)
+				group.Wait()
+			})
+		}
+	}
+}
+
 // TestCutLinksFailCalls guards against a fixture that cuts nothing: a cut must fail calls
 // that go through it.
 func TestCutLinksFailCalls(t *testing.T) {
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -92,6 +92,8 @@
 	bodyMemory int64
 	bodyBytes  atomic.Int64 // of bodies being read, without smallReplyBytes of each
 
+	connectedAt atomic.Int64 // when a connection was last opened, in nanoseconds of Unix time
+
 	dials, requests, staleReplies, outOfSync atomic.Int64
 }
 
@@ -196,7 +198,7 @@
 // Accepts reports whether a server accepts a connection before ctx ends. One that has ended
 // refuses it, or nothing answers at its address.
 func (c *Client) Accepts(ctx context.Context, address string) bool {
-	connection, err := c.dial(ctx, "tcp", address)
+	connection, err := c.connect(ctx, address)
 	if err != nil {
 		return false
 	}
@@ -204,6 +206,18 @@
 	return true
 }
 
+// ConnectedSince reports whether a connection to any server has been opened since a time.
+func (c *Client) ConnectedSince(t time.Time) bool { return c.connectedAt.Load() >= t.UnixNano() }
+
+// connect opens a connection.
+func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := c.dial(ctx, "tcp", address)
+	if err == nil {
+		c.connectedAt.Store(time.Now().UnixNano())
+	}
+	return connection, err
+}
+
 // readReply reads the reply to the request just written. The second result reports whether
 // the connection can be reused.
 func (c *Client) readReply(cn *conn, call Call) (*Reply, bool, error) {
@@ -256,7 +270,7 @@
 		_ = cn.Close()
 	}
 	c.dials.Add(1)
-	raw, err := c.dial(ctx, "tcp", address)
+	raw, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "Client.acquire")
 	}
--- a/tier/balancer/links.go
+++ b/tier/balancer/links.go
@@ -89,7 +89,12 @@
 		return nil
 	}
 	b.links.surveyAt = never
-	list := usable()
+	return b.Sample(usable())
+}
+
+// Sample picks some leafs of a list, which it reorders: those that replied last, and others by
+// chance.
+func (b *Balancer) Sample(list []lister.Leaf) []lister.Leaf {
 	repliedAt := func(leaf lister.Leaf) tier.Millis {
 		if s, ok := b.leafs[leaf.ID()]; ok && s.startTime == leaf.StartTime() {
 			return s.repliedAt
