Charge the retry budget only for calls that reach a leaf

A call for which no connection could be made reached no leaf, yet its successor counted as an extra call, so that parts whose first leaf was dead were lost for want of budget while their second leaf was free. Such a call now counts as none: its token is returned, or the next call is the first. Script refused-without-budget failed before (no call was sent after the first refusal).

--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -99,6 +99,12 @@
 	return true
 }
 
+// Return gives back the token of an extra call that has reached no leaf.
+func (b *Budgeter) Return(service string) {
+	bk := b.bucket(service)
+	bk.tokens = min(b.capacity(bk), bk.tokens+1)
+}
+
 // ForgetUnused drops buckets that have been unused for unusedBucketTTL. It is called
 // with each new configuration. A service that returns earlier keeps its bucket: the
 // tokens of a new one at each change would add up to more than the budget.
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -14,6 +14,7 @@
 	ended  bool
 	reason string // why it brought no usable reply
 	broken bool   // the leaf has ended the connection
+	extra  bool   // it has taken from the retry budget
 }
 
 // part is the state of one service in a search.
@@ -30,6 +31,7 @@
 	retryAt      tier.Millis // when to send again or, if queued, to look for capacity; or never
 	failureReply any
 	nextIsExtra  bool   // a first call was made, or may have been made by another VM
+	counted      bool   // the retry budget has counted the request
 	shareIndex   int    // the share that it belongs to, or noShare
 	flushed      bool   // handed on by a Flush
 	queued       bool   // it waits for a leaf with capacity
@@ -159,6 +161,9 @@
 		actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
 	case NotRun:
 		p.notRunCalls++
+		if r.Reason == NoConnection {
+			s.takeBackCall(c, p)
+		}
 		delay := tier.Millis(0)
 		if r.Reason == Shed {
 			delay = retryDelay
@@ -264,6 +269,16 @@
 	}
 }
 
+// takeBackCall makes a call that has reached no leaf count as none.
+func (s *Search) takeBackCall(c *call, p *part) {
+	if !c.extra {
+		p.nextIsExtra = false
+		return
+	}
+	s.extraCalls--
+	s.scheduler.budgeter.Return(p.service)
+}
+
 // markLost gives up a part. reason is empty if the last call or share explains the
 // loss.
 func (s *Search) markLost(p *part, reason string) {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -126,10 +126,11 @@
 // startCall records a call to a leaf and schedules its hedge.
 func (s *Search) startCall(now tier.Millis, partIndex int, leaf lister.Leaf, extra bool, actions []Action) []Action {
 	p := &s.parts[partIndex]
-	if !p.nextIsExtra {
-		p.nextIsExtra = true
+	if !p.nextIsExtra && !p.counted {
+		p.counted = true
 		s.scheduler.budgeter.CountRequest(p.service, s.scheduler.ownerCount(now, p.service))
 	}
+	p.nextIsExtra = true
 	if extra {
 		s.extraCalls++
 	}
@@ -138,7 +139,7 @@
 	}
 	p.inFlight++
 	s.scheduler.balancer.Sent(now, leaf)
-	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now})
+	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra})
 	p.hedgeAt = never
 	if s.terms.idempotent && p.ranCalls+p.inFlight < s.terms.maxAttempts {
 		p.hedgeAt = now + s.hedgeDelay(now, p, leaf)
