--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -41,6 +41,8 @@
 	GatherServiceRelayProcedure = "/cicadagrade.gather.v1.GatherService/Relay"
 	// GatherServiceFetchProcedure is the fully-qualified name of the GatherService's Fetch RPC.
 	GatherServiceFetchProcedure = "/cicadagrade.gather.v1.GatherService/Fetch"
+	// GatherServiceWarnProcedure is the fully-qualified name of the GatherService's Warn RPC.
+	GatherServiceWarnProcedure = "/cicadagrade.gather.v1.GatherService/Warn"
 	// GatherServicePingProcedure is the fully-qualified name of the GatherService's Ping RPC.
 	GatherServicePingProcedure = "/cicadagrade.gather.v1.GatherService/Ping"
 )
@@ -55,6 +57,8 @@
 	Relay(context.Context, *connect.Request[v1.GatherRequest]) (*connect.ServerStreamForClient[v1.GatherReply], error)
 	// Fetch returns the items that the VM has read from the store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
+	// Warn tells of requests under which several leafs may have ended.
+	Warn(context.Context, *connect.Request[v1.WarnRequest]) (*connect.Response[v1.WarnReply], error)
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
 	// keeps connections open.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
@@ -89,6 +93,12 @@
 			connect.WithSchema(gatherServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		warn: connect.NewClient[v1.WarnRequest, v1.WarnReply](
+			httpClient,
+			baseURL+GatherServiceWarnProcedure,
+			connect.WithSchema(gatherServiceMethods.ByName("Warn")),
+			connect.WithClientOptions(opts...),
+		),
 		ping: connect.NewClient[v1.PingRequest, v1.PingReply](
 			httpClient,
 			baseURL+GatherServicePingProcedure,
@@ -103,6 +113,7 @@
 	gather *connect.Client[v1.GatherRequest, v1.GatherReply]
 	relay  *connect.Client[v1.GatherRequest, v1.GatherReply]
 	fetch  *connect.Client[v1.FetchRequest, v1.FetchReply]
+	warn   *connect.Client[v1.WarnRequest, v1.WarnReply]
 	ping   *connect.Client[v1.PingRequest, v1.PingReply]
 }
 
@@ -121,6 +132,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Warn calls cicadagrade.gather.v1.GatherService.Warn.
+func (c *gatherServiceClient) Warn(ctx context.Context, req *connect.Request[v1.WarnRequest]) (*connect.Response[v1.WarnReply], error) {
+	return c.warn.CallUnary(ctx, req)
+}
+
 // Ping calls cicadagrade.gather.v1.GatherService.Ping.
 func (c *gatherServiceClient) Ping(ctx context.Context, req *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
 	return c.ping.CallUnary(ctx, req)
@@ -136,6 +152,8 @@
 	Relay(context.Context, *connect.Request[v1.GatherRequest], *connect.ServerStream[v1.GatherReply]) error
 	// Fetch returns the items that the VM has read from the store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchReply], error)
+	// Warn tells of requests under which several leafs may have ended.
+	Warn(context.Context, *connect.Request[v1.WarnRequest]) (*connect.Response[v1.WarnReply], error)
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
 	// keeps connections open.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
@@ -166,6 +184,12 @@
 		connect.WithSchema(gatherServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatherServiceWarnHandler := connect.NewUnaryHandler(
+		GatherServiceWarnProcedure,
+		svc.Warn,
+		connect.WithSchema(gatherServiceMethods.ByName("Warn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gatherServicePingHandler := connect.NewUnaryHandler(
 		GatherServicePingProcedure,
 		svc.Ping,
@@ -180,6 +204,8 @@
 			gatherServiceRelayHandler.ServeHTTP(w, r)
 		case GatherServiceFetchProcedure:
 			gatherServiceFetchHandler.ServeHTTP(w, r)
+		case GatherServiceWarnProcedure:
+			gatherServiceWarnHandler.ServeHTTP(w, r)
 		case GatherServicePingProcedure:
 			gatherServicePingHandler.ServeHTTP(w, r)
 		default:
@@ -203,6 +229,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Fetch is not implemented"))
 }
 
+func (UnimplementedGatherServiceHandler) Warn(context.Context, *connect.Request[v1.WarnRequest]) (*connect.Response[v1.WarnReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Warn is not implemented"))
+}
+
 func (UnimplementedGatherServiceHandler) Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Ping is not implemented"))
 }
--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -124,6 +124,17 @@
 	return e.scheduler.Quarantiner().Refuses(e.clock.Now(), list)
 }
 
+// wantsCaution reports whether a request should be sent to one leaf first.
+func (e *Entry) wantsCaution(q *request) bool {
+	if !e.knowsCrashes() {
+		return false
+	}
+	list := q.fingerprints()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scheduler.Quarantiner().WantsCaution(e.clock.Now(), list)
+}
+
 // knowsCrashes reports whether leafs have ended under some request.
 func (e *Entry) knowsCrashes() bool {
 	e.mu.Lock()
--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -36,8 +36,10 @@
 	address string
 	entries []*Entry
 	servers []*httptest.Server // of the leafs
-	group   sync.WaitGroup     // closes the connections of leafs
-	nextID  int
+
+	services map[string]string // of the leafs, by id
+	group    sync.WaitGroup    // closes the connections of leafs
+	nextID   int
 
 	mu      sync.Mutex
 	crashed []string // ids of leafs that have ended
@@ -48,7 +50,7 @@
 func newCrashFleet(t *testing.T, vms int) *crashFleet {
 	t.Helper()
 	server := httptest.NewServer(storeserver.New(tier.NewClock()))
-	f := &crashFleet{t: t, release: make(chan struct{}), store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
+	f := &crashFleet{t: t, release: make(chan struct{}), services: map[string]string{}, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
 	t.Cleanup(func() {
 		f.group.Wait()
 		for _, e := range f.entries {
@@ -68,6 +70,20 @@
 	return f
 }
 
+// putConfiguration stores a configuration with a route /wide/ over shards t0, t1 and so on, which
+// may lack one of them.
+func (f *crashFleet) putConfiguration(shards int) {
+	names := make([]string, shards)
+	for k := range names {
+		names[k] = fmt.Sprintf("\"t%d\"", k)
+	}
+	f.put(platform.ConfigurationKey, fmt.Appendf(nil, `{"version": 9, "routes": [
+		{"name": "wide", "host": "search.example", "pathPrefix": "/wide/", "kind": "idempotent", "timeoutMs": 3000,
+		 "targetLatencyMs": 1000, "priority": 1, "shards": [%s], "maxAttempts": 3, "topK": 4, "minimumShardShare": 0.8}],
+		"services": [], "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 64, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000}}`,
+		strings.Join(names, ", ")))
+}
+
 // addVM starts an entry VM in data centre depot-a.
 func (f *crashFleet) addVM() *Entry { return f.addVMIn("depot-a") }
 
@@ -139,6 +155,7 @@
 			f.t.Fatal(err)
 		}
 		f.servers = append(f.servers, server)
+		f.services[id] = service
 		f.put(platform.LeafsPrefix+id, raw)
 	}
 }
@@ -297,3 +314,93 @@
 		}
 	}
 }
+
+// TestSweepThatEndsLeafsSparesTheirTwins guards against a sweep that ends the first leaf of each
+// shard, and whose hedges, retries and next tries at other VMs end the second as well, so that no
+// caller is served until they are back.
+func TestSweepThatEndsLeafsSparesTheirTwins(t *testing.T) {
+	const shards, tries = 6, 4
+	f := newLinkFleet(t, "depot-a", "depot-a", "depot-b", "depot-c")
+	f.putConfiguration(shards)
+	for k := range shards {
+		f.addLeafsIn("depot-a", fmt.Sprint("t", k), 1)
+		f.addLeafsIn("depot-c", fmt.Sprint("t", k), 1)
+	}
+	f.settle()
+	for _, e := range f.entries {
+		if response := f.ask(e, "/wide/1"); response.Code != http.StatusOK {
+			t.Fatalf("%s: status %d", e.settings.Load().Name(), response.Code)
+		}
+	}
+	for k := range tries {
+		// The caller tries again at once, at another VM.
+		f.nextID++
+		f.send(f.entries[k%len(f.entries)], "/wide/crash", f.nextID)
+	}
+	f.settle()
+	down := map[string]int{}
+	f.mu.Lock()
+	for _, id := range f.crashed {
+		down[f.services[id]]++
+	}
+	f.mu.Unlock()
+	gone := 0
+	for _, n := range down {
+		if n == 2 {
+			gone++
+		}
+	}
+	if len(down) < shards {
+		t.Errorf("leafs of %d shards have ended, the sweep was to end one of each: %v", len(down), down)
+	}
+	if gone > 1 {
+		t.Errorf("%d shards have lost both leafs: %v", gone, down)
+	}
+	for _, e := range f.entries {
+		if response := f.ask(e, "/wide/1"); response.Code != http.StatusOK {
+			t.Errorf("%s: another sweep got %d", e.settings.Load().Name(), response.Code)
+		}
+	}
+}
+
+// TestSweepsThatLoseLeafsWithARackAreServed guards against sweeps that are held or refused because
+// leafs have ended for another reason while they had them.
+func TestSweepsThatLoseLeafsWithARackAreServed(t *testing.T) {
+	const shards = 6
+	f := newLinkFleet(t, "depot-a", "depot-a", "depot-c")
+	f.putConfiguration(shards)
+	var rack []*httptest.Server
+	for k := range shards {
+		f.addLeafsIn("depot-a", fmt.Sprint("t", k), 1)
+		rack = append(rack, f.servers[len(f.servers)-1])
+		f.addLeafsIn("depot-c", fmt.Sprint("t", k), 1)
+	}
+	f.settle()
+	var group sync.WaitGroup
+	results := make([]int, 2) // more would exceed the retry budget of a VM
+	for k := range results {
+		f.nextID++
+		id := f.nextID
+		group.Go(func() { results[k] = f.send(f.entries[k%2], "/wide/hold", id).Code })
+	}
+	for f.heldCount() < shards {
+		time.Sleep(time.Millisecond)
+	}
+	for _, server := range rack {
+		_ = server.Listener.Close()
+		f.group.Go(server.CloseClientConnections)
+	}
+	time.Sleep((100 * tier.Millisecond).Duration())
+	close(f.release)
+	group.Wait()
+	for k, code := range results {
+		if code != http.StatusOK {
+			t.Errorf("sweep %d, in progress when the rack ended: status %d", k, code)
+		}
+	}
+	for _, e := range f.entries {
+		if response := f.ask(e, "/wide/hold"); response.Code != http.StatusOK {
+			t.Errorf("%s: the same sweep later: status %d", e.settings.Load().Name(), response.Code)
+		}
+	}
+}
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -167,7 +167,7 @@
 		}
 		report := searcher.ShareReport{
 			Reply: reply, Last: reply.GetLast(), MayHaveRun: reply.GetMayHaveRun(),
-			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()), Ended: reply.GetEnded(),
+			Calls: int(reply.GetCalls()), Extra: int(reply.GetExtra()), Ended: reply.GetEnded(), Suspected: reply.GetSuspected(),
 		}
 		switch whole := reply.GetWhole(); {
 		case whole == nil && r.delegation.whole && len(reply.GetParts()) > 0:
@@ -183,6 +183,9 @@
 		if report.Uncalled, err = shareParts(a, reply.GetUncalled()); err != nil {
 			return err
 		}
+		if report.Broken, err = shareParts(a, reply.GetBroken()); err != nil {
+			return err
+		}
 		r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
 			return s.ShareReported(now, a.Share, report)
 		})
@@ -352,6 +355,11 @@
 		}
 		return stream.Send(shareReply(request, f))
 	}
+	run.suspected = func() {
+		if err := stream.Send(&gatherv1.GatherReply{Suspected: true}); err != nil {
+			e.log.RateLimitedInfo("share-not-reported", "request", request.GetAttempt(), "error", err)
+		}
+	}
 	outcome, cancelled := run.execute(ctx)
 	e.countCalls(outcome)
 	if outcome.Missing() > 0 {
@@ -372,6 +380,9 @@
 	for _, i := range outcome.Uncalled() {
 		last.Uncalled = append(last.Uncalled, uint32(i))
 	}
+	for _, i := range outcome.Broken() {
+		last.Broken = append(last.Broken, uint32(i))
+	}
 	if outcome.Failure() != nil {
 		last.Whole = encodeReply(outcome.Failure().(*leafclient.Reply))
 	}
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -17,6 +17,7 @@
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/delayestimator"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/router"
@@ -61,6 +62,7 @@
 	margin  tier.Millis // for merging and writing the response
 
 	fingerprints func() []quarantiner.Fingerprint
+	cautious     bool        // leafs may have ended under requests of this content
 	answered     atomic.Bool // a leaf has answered
 }
 
@@ -119,6 +121,7 @@
 		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
 		return
 	}
+	q.cautious = e.wantsCaution(q)
 	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
 	if route.IsScatterGather() {
 		e.serveScatterGather(w, r, q, template)
@@ -184,6 +187,9 @@
 	if q.route.Idempotent() {
 		options = append(options, searcher.Idempotent())
 	}
+	if q.cautious {
+		options = append(options, searcher.Cautious())
+	}
 	if q.route.IsScatterGather() {
 		options = append(options, searcher.WithMinimumParts(q.route.MinimumParts()))
 	} else {
@@ -207,7 +213,12 @@
 			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
 		return
 	}
-	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, e.divideShards(q.route.Name(), shards))
+	var shares []partitioner.Share
+	if !q.cautious {
+		shares = e.divideShards(q.route.Name(), shards)
+	}
+	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, shares)
+	run.suspected = func() { e.warnOthers(q) }
 	run.delegation = delegationTerms{
 		route: q.route.Name(), topK: q.route.TopK(), rank: q.route.Rank(),
 		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprints: q.fingerprints,
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -34,6 +34,7 @@
 	delegation  delegationTerms
 	flush       func(searcher.Flush) error // sends partial results to the delegating VM
 	leafEnded   func(lister.Leaf)          // handles a leaf that may have ended under the request, or nil
+	suspected   func()                     // handles the suspicion that the request ends its leafs, or nil
 	events      chan searchEvent
 	wakeup      chan struct{}
 	cancelCall  map[int]context.CancelFunc
@@ -146,6 +147,10 @@
 			if r.leafEnded != nil {
 				r.leafEnded(a.Leaf)
 			}
+		case searcher.Suspected:
+			if r.suspected != nil {
+				r.suspected()
+			}
 		case searcher.Finish:
 			r.outcome, r.done = a.Outcome, true
 		}
--- a/tier/partitioner/relays.go
+++ b/tier/partitioner/relays.go
@@ -100,6 +100,21 @@
 	return ok
 }
 
+// Neighbours lists the other VMs of the own region that are not suspected.
+func (p *Partitioner) Neighbours() []Member {
+	list := p.HealthyPeers()
+	return slices.DeleteFunc(list, func(m Member) bool { return m.region != p.self.region })
+}
+
+// Gateways lists the gateways to all other regions.
+func (p *Partitioner) Gateways() []Member {
+	var list []Member
+	for _, region := range p.otherRegions() {
+		list = append(list, p.gateways(region)...)
+	}
+	return list
+}
+
 // HealthyPeers lists the other VMs that are not suspected, those of the own region
 // first.
 func (p *Partitioner) HealthyPeers() []Member {
--- a/tier/quarantiner/quarantiner.go
+++ b/tier/quarantiner/quarantiner.go
@@ -16,6 +16,9 @@
 	confirmDelay = 1 * tier.Second
 	// evidenceTTL is how long it counts that a leaf has ended.
 	evidenceTTL = 10 * tier.Minute
+	// warningTTL is how long a warning holds. By then the leafs have been found to have ended, or
+	// not.
+	warningTTL = 10 * tier.Second
 	// maxRecords bounds the fingerprints that are remembered, and maxLeafs the leafs that a VM
 	// names for each.
 	maxRecords = 2048
@@ -42,6 +45,7 @@
 	clearedAt   int64                  // revision of the last report of an answer
 	changedAt   tier.Millis            // when a leaf was last added
 	suspectedAt tier.Millis            // when minEndedLeafs was reached, or never
+	warnedUntil tier.Millis            // until when a warning holds
 }
 
 const never = tier.Millis(1) << 60
@@ -106,6 +110,24 @@
 	return Report{Leafs: slices.Clone(r.own)}
 }
 
+// Warn handles a warning, of this VM or another one, that several leafs may have ended under a
+// request.
+func (q *Quarantiner) Warn(now tier.Millis, f Fingerprint) {
+	r := q.recordOf(now, f)
+	r.warnedUntil = now + warningTTL
+}
+
+// WantsCaution reports whether a request with these fingerprints should be sent to one leaf first,
+// as leafs may have ended under it and none has answered since.
+func (q *Quarantiner) WantsCaution(now tier.Millis, fingerprints []Fingerprint) bool {
+	for _, f := range fingerprints {
+		if r, ok := q.records[f]; ok && now < r.changedAt+evidenceTTL && (now < r.warnedUntil || r.ended() > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // Answered records that a leaf has answered a request sent by this VM: requests of this
 // fingerprint do not end each leaf that runs them. If other VMs may believe otherwise, it
 // returns the report for them.
@@ -118,7 +140,7 @@
 	for _, report := range r.heard {
 		r.clearedAt = max(r.clearedAt, report.revision)
 	}
-	r.own, r.reported = nil, false
+	r.own, r.reported, r.warnedUntil = nil, false, 0
 	r.update(now)
 	return Report{Answered: true}, tell
 }
@@ -132,7 +154,7 @@
 	}
 	if report.Answered {
 		r.clearedAt = max(r.clearedAt, revision)
-		r.own, r.reported = nil, false
+		r.own, r.reported, r.warnedUntil = nil, false, 0
 	}
 	r.heard[vm] = heardReport{leafs: report.Leafs[:min(len(report.Leafs), maxLeafs)], revision: revision}
 	r.changedAt = now
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -100,7 +100,12 @@
 	Shares  []any  // replies of the VMs that queried the others
 }
 
+// Suspected tells that a leaf has ended under a request of several parts and none is known to have
+// answered it: other VMs should send such requests with caution. It is sent once.
+type Suspected struct{}
+
 func (Send) action()      {}
+func (Suspected) action() {}
 func (LeafEnded) action() {}
 func (Cancel) action()    {}
 func (Finish) action()    {}
@@ -120,6 +125,8 @@
 	Calls      int      // made by that VM, in the last report
 	Extra      int      // hedges and retries among them
 	Ended      []string // ids of leafs that ended a connection, if no leaf answered, in the last report
+	Suspected  bool     // a leaf has ended, and none has answered
+	Broken     []int    // indexes of the services whose leaf has ended so and that were not sent again, in the last report
 }
 
 // Part is one service's part of the answer.
@@ -186,6 +193,7 @@
 	callsSent  int
 	extraCalls int
 	uncalled   []int
+	broken     []int
 	retryAfter tier.Millis
 	ended      []lister.Leaf
 
@@ -222,6 +230,10 @@
 // knew no usable one or had lost its links to them.
 func (o Outcome) Uncalled() []int { return o.uncalled }
 
+// Broken are the indexes of the services whose leaf has ended under the request and that were not
+// sent again, in a search for another VM.
+func (o Outcome) Broken() []int { return o.broken }
+
 // RetryAfter is how much later the same request would be sent, if limits of leafs or the
 // quarantine have ended the search, or 0.
 func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -14,6 +14,7 @@
 	if s.done {
 		return actions
 	}
+	actions = s.review(now, actions)
 	total := len(s.parts)
 	if s.terms.flushes {
 		return s.flushOrFinish(now, actions)
@@ -140,6 +141,9 @@
 		if p.lost && (p.lossReason == noLeafReason && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
+		if p.lost && p.lossReason == endedUnderRequest {
+			o.broken = append(o.broken, i)
+		}
 	}
 	return append(actions, Finish{Outcome: o})
 }
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -16,7 +16,7 @@
 	var list []int
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.arrived || p.lost || p.shareIndex != noShare || p.inFlight > 0 && (!s.terms.idempotent || now < p.hedgeAt && p.hedgeAt != never) {
+		if p.arrived || p.lost || p.held || p.shareIndex != noShare || p.inFlight > 0 && (!s.terms.idempotent || now < p.hedgeAt && p.hedgeAt != never) {
 			continue
 		}
 		list = append(list, i)
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -160,6 +160,13 @@
 // Forecaster predicts requests that will not get enough parts.
 func (sc *Scheduler) Forecaster() *forecaster.Forecaster { return sc.forecaster }
 
+// Active calls a function with each search in progress.
+func (sc *Scheduler) Active(do func(*Search)) {
+	for s := range sc.active {
+		do(s)
+	}
+}
+
 // LinksChanged makes other VMs query leafs for this one, if the balancer says that it has lost
 // its links to them, or ends that. All searches in progress wake up.
 func (sc *Scheduler) LinksChanged(now tier.Millis) {
@@ -178,6 +185,7 @@
 	minimumParts    int
 	forwardFailures bool
 	flushes         bool
+	cautious        bool
 	repeated        bool
 	rank            int
 	fingerprints    func() []quarantiner.Fingerprint
@@ -228,6 +236,10 @@
 // have made it already.
 func Repeated() TermsOption { return func(t *Terms) { t.repeated = true } }
 
+// Cautious sends the request to one leaf first, and to others once that one has answered,
+// because leafs have ended under such requests.
+func Cautious() TermsOption { return func(t *Terms) { t.cautious = true } }
+
 // ForAnotherVM hands parts on by Flush: at the target time all that have arrived,
 // then each later one at once. The search goes on until no further part can arrive.
 func ForAnotherVM() TermsOption { return func(t *Terms) { t.flushes = true } }
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -53,7 +53,7 @@
 //	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
-//	    [share PEER=PART,..] SERVICE ...
+//	    [cautious] [share PEER=PART,..] SERVICE ...
 //	                                starts a search; its times count from now;
 //	                                once: not idempotent; peer: on behalf of another VM
 //	NAME answer CALL | fail CALL    the leaf replies, or reports a failure
@@ -68,6 +68,10 @@
 //	NAME report SHARE PART,.. [last [PART,..]]
 //	                                the other VM reports the parts, or - for none; the
 //	                                second list is those for which it knew no leaf
+//	NAME suspect SHARE              the other VM has lost a leaf under the request
+//	NAME broken SHARE PART,.. LEAF,..
+//	                                the last report: the leafs have ended under these parts
+//	NAME warn                       another VM warns that leafs may have ended
 //	NAME relay SHARE [failure]      the other VM reports the whole reply of a leaf, or its
 //	                                failure in the last report
 //	NAME break SHARE                the other VM's stream of reports breaks off
@@ -184,6 +188,8 @@
 		case "rank":
 			i++
 			options = append(options, WithRank(s.number(words[i])))
+		case "cautious":
+			options = append(options, Cautious())
 		case "once":
 			once = true
 		case "peer":
@@ -217,6 +223,10 @@
 		s.print(name, search.Abandon(s.now))
 		return
 	}
+	if words[0] == "warn" {
+		search.Warned()
+		return
+	}
 	index := s.number(words[1])
 	results := map[string]Result{
 		"answer": Answered{Reply: "reply"}, "fail": FailedReply{Reply: "failure"}, "lose": Lost{Cause: "cut"},
@@ -232,6 +242,12 @@
 			report.Uncalled = s.numbers(words[4])
 		}
 		s.print(name, search.ShareReported(s.now, index, report))
+	case "suspect":
+		s.print(name, search.ShareReported(s.now, index, ShareReport{Suspected: true}))
+	case "broken":
+		s.print(name, search.ShareReported(s.now, index, ShareReport{
+			Last: true, MayHaveRun: true, Broken: s.numbers(words[2]), Ended: strings.Split(words[3], ","),
+		}))
 	case "relay":
 		report := ShareReport{Parts: []int{0}, Whole: "reply", MayHaveRun: true}
 		if len(words) > 2 {
@@ -294,6 +310,8 @@
 			kind = "send extra"
 		}
 		return fmt.Sprintf("%s %d: part %d to %s, %d ms", kind, action.Call, action.Part, action.Leaf.ID(), action.TimeLeft)
+	case Suspected:
+		return "suspected"
 	case LeafEnded:
 		return "leaf ended: " + action.Leaf.ID()
 	case Cancel:
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -38,6 +38,7 @@
 	pastTarget   bool   // it arrived after the target time
 	handOvers    int    // how often it was handed over to another VM
 	mayHaveRun   bool   // another VM that had it may have made calls
+	held         bool   // it is not sent until a leaf has answered the request
 	lossReason   string // why it was marked as lost
 }
 
@@ -83,12 +84,17 @@
 	woken               bool        // it is in the list of TakeWoken
 	targetFlushed       bool        // the Flush at the target time was sent
 	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
+	caution             caution
+	startedAt           tier.Millis
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
 // this VM queries all other services itself.
 func NewSearch(scheduler *Scheduler, terms Terms, services []string, shares []partitioner.Share) *Search {
-	s := &Search{scheduler: scheduler, terms: terms, parts: make([]part, len(services))}
+	s := &Search{
+		scheduler: scheduler, terms: terms, parts: make([]part, len(services)),
+		caution: caution{holdUntil: never, trialPart: notTrying, suspected: terms.cautious},
+	}
 	for i, name := range services {
 		s.parts[i] = part{service: name, hedgeAt: never, retryAt: never, shareIndex: noShare, nextIsExtra: terms.repeated}
 	}
@@ -108,7 +114,14 @@
 // Start returns the first calls and delegations.
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
+	s.startedAt = now
 	actions := make([]Action, 0, len(s.parts)+1)
+	if s.terms.cautious && len(s.parts) > 1 {
+		for i := range s.parts {
+			s.hold(now, i)
+		}
+		return s.finishIfDone(now, s.takePending(s.tryAlone(now, actions)))
+	}
 	for k := range s.shares {
 		actions = s.delegate(now, k, actions)
 	}
@@ -158,7 +171,14 @@
 			actions = append(actions, LeafEnded{Leaf: c.leaf})
 		}
 		p.ranCalls++
-		actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
+		switch {
+		case c.broken && s.terms.cautious && len(s.parts) == 1 && !s.answered():
+			s.markLost(p, endedUnderRequest)
+		case c.broken && p.inFlight == 0 && !p.arrived && !p.lost && s.holds():
+			s.hold(now, c.part)
+		default:
+			actions = s.retry(now, c.part, s.terms.idempotent, 0, actions)
+		}
 	case NotRun:
 		p.notRunCalls++
 		if r.Reason == NoConnection {
@@ -188,7 +208,7 @@
 	}
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.arrived || p.lost || p.shareIndex != noShare {
+		if p.arrived || p.lost || p.held || p.shareIndex != noShare {
 			continue
 		}
 		if now >= p.retryAt {
@@ -215,6 +235,9 @@
 		if (s.arrived >= s.terms.minimumParts || s.terms.flushes) && !s.targetFlushed && s.terms.target < next {
 			next = s.terms.target
 		}
+		if s.caution.trialPart == notTrying {
+			next = min(next, s.caution.holdUntil)
+		}
 		for k := range s.shares {
 			if sh := &s.shares[k]; !sh.ended {
 				next = min(next, sh.acceptDeadline)
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -95,6 +95,10 @@
 // hedge starts a second call while one is in flight.
 func (s *Search) hedge(now tier.Millis, partIndex int, actions []Action) []Action {
 	p := &s.parts[partIndex]
+	if !s.mayHedge(now) {
+		p.hedgeAt = now + hedgeRetryDelay
+		return actions
+	}
 	if p.ranCalls+p.inFlight >= s.terms.maxAttempts || s.quarantined(now) {
 		return actions
 	}
@@ -112,6 +116,7 @@
 	if !s.scheduler.budgeter.Take(p.service) {
 		return actions
 	}
+	s.caution.hedged = s.caution.hedged || !s.answered()
 	return s.startCall(now, partIndex, leaf, true, actions)
 }
 
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -32,7 +32,11 @@
 	if s.done || sh.ended {
 		return nil
 	}
-	sh.acceptDeadline, sh.reported = never, true
+	sh.acceptDeadline = never
+	if report.Suspected {
+		return s.shareSuspected()
+	}
+	sh.reported = true
 	s.mayHaveRun = s.mayHaveRun || report.MayHaveRun
 	for _, i := range report.Parts {
 		if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived && !p.lost {
@@ -61,6 +65,13 @@
 			}
 		}
 		actions := s.sendAll(now, uncalled, nil)
+		for _, i := range report.Broken {
+			if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived {
+				p.shareIndex, p.nextIsExtra = noShare, true
+				p.ranCalls++
+				s.hold(now, i)
+			}
+		}
 		for _, i := range sh.parts {
 			if p := &s.parts[i]; p.shareIndex == shareIndex && !p.arrived {
 				s.markLost(p, "")
@@ -68,7 +79,16 @@
 		}
 		return s.finishIfDone(now, s.takePending(actions))
 	}
-	return s.finishIfDone(now, nil)
+	return s.finishIfDone(now, s.takePending(nil))
+}
+
+// shareSuspected handles a VM that has lost a leaf under its share.
+func (s *Search) shareSuspected() []Action {
+	if s.answered() || s.caution.suspected {
+		return nil
+	}
+	s.mayHaveRun, s.caution.suspected, s.caution.warned = true, true, true
+	return []Action{Suspected{}}
 }
 
 // ShareDeclined handles a VM that takes no shares, because it has no view yet, reaches no leaf
