Count leafs that other VMs have lost before their shares end

The VM with the request sent two held parts to their second leafs after 50 ms, as it knew of two lost leafs only: shares that had lost more reported them at their end.

--- a/tier/searcher/caution.go
+++ b/tier/searcher/caution.go
@@ -35,9 +35,15 @@
 // answered reports whether any leaf is known to have answered the request.
 func (s *Search) answered() bool { return s.arrived > 0 || s.leafReported }
 
-// endedCount is the number of calls whose leaf has ended the connection, of all VMs.
+// endedCount is the number of calls whose leaf has ended the connection, of all VMs. A share that
+// goes on has lost one at least if its VM says so.
 func (s *Search) endedCount() int {
 	count := len(s.endedElsewhere)
+	for k := range s.shares {
+		if sh := &s.shares[k]; sh.suspected && !sh.ended {
+			count++
+		}
+	}
 	for i := range s.calls {
 		if s.calls[i].broken {
 			count++
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -56,6 +56,7 @@
 	second         bool        // another VM had it before
 	repeated       bool        // that VM may have made the first calls
 	attempts       int         // calls of each part that may run
+	suspected      bool // its VM has lost a leaf under it
 	reported       bool
 	ended          bool
 	replies        []any
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -34,7 +34,7 @@
 	}
 	sh.acceptDeadline = never
 	if report.Suspected {
-		return s.shareSuspected()
+		return s.shareSuspected(sh)
 	}
 	sh.reported = true
 	s.mayHaveRun = s.mayHaveRun || report.MayHaveRun
@@ -83,11 +83,12 @@
 }
 
 // shareSuspected handles a VM that has lost a leaf under its share.
-func (s *Search) shareSuspected() []Action {
+func (s *Search) shareSuspected(sh *share) []Action {
+	s.mayHaveRun, sh.suspected = true, true
 	if s.answered() || s.caution.suspected {
 		return nil
 	}
-	s.mayHaveRun, s.caution.suspected, s.caution.warned = true, true, true
+	s.caution.suspected, s.caution.warned = true, true
 	return []Action{Suspected{}}
 }
 
