Measure the silence of leafs by how long they usually take

A quiet VM that waits for leafs which work for long would have opened four connections a second to find out whether its links were lost. A leaf is now silent once its reply is late by its own usual latency, twice that at least.

--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -253,14 +253,14 @@
 	return best, lowestCost, found
 }
 
-// Sent records the start of a call.
-func (b *Balancer) Sent(now tier.Millis, leaf lister.Leaf) {
+// Sent records the start of a call for a request of a class.
+func (b *Balancer) Sent(now tier.Millis, class string, leaf lister.Leaf) {
 	s := b.stateOf(leaf)
 	if s.inFlight == 0 {
 		s.silentSince = now
 	}
 	s.inFlight++
-	b.links.called(now, leaf.ID())
+	b.links.called(now, leaf.ID(), b.baseLatency(class, leaf)+decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs))
 	if s.throttle != nil {
 		s.throttle.Sent(now, b.rateShare(now, s.leaf))
 	}
--- a/tier/balancer/links.go
+++ b/tier/balancer/links.go
@@ -12,10 +12,12 @@
 // not show whether the leafs or the links have failed, so they only raise a doubt: a survey,
 // which opens a connection to a few leafs, settles it.
 const (
-	// silenceLimit is how long no leaf may reply, with calls sent to minDoubtedLeafs, and
-	// singleSilenceLimit how long with calls sent to one leaf.
+	// silenceLimit is how long a leaf may take to reply, or lateFactor times as long as it
+	// usually does, while no other replies either. singleSilenceGrace is how much longer it
+	// may take if it is the only one.
 	silenceLimit       = 200 * tier.Millisecond
-	singleSilenceLimit = 1 * tier.Second
+	lateFactor         = 2.0
+	singleSilenceGrace = 800 * tier.Millisecond
 	// minDoubtedLeafs is how many leafs must be silent, or have broken calls off within
 	// brokenWindow, to doubt the links.
 	minDoubtedLeafs = 2
@@ -36,7 +38,7 @@
 	lostAt      tier.Millis
 	unreachedAt tier.Millis            // calls sent since then, before lostAt, have reached no leaf
 	silentSince tier.Millis            // the first call since a leaf last replied, or never
-	silent      map[string]bool        // ids of the leafs called since then
+	silent      map[string]tier.Millis // by id of the leafs called since then: when a reply is late
 	broken      map[string]tier.Millis // by id: when a call last ended without a reply
 	surveyAt    tier.Millis            // the earliest time of the next survey
 }
@@ -44,12 +46,15 @@
 const never = tier.Millis(1) << 60
 
 func newLinks() links {
-	return links{silentSince: never, silent: map[string]bool{}, broken: map[string]tier.Millis{}, surveyAt: longAgo}
+	return links{silentSince: never, silent: map[string]tier.Millis{}, broken: map[string]tier.Millis{}, surveyAt: longAgo}
 }
 
-func (l *links) called(now tier.Millis, id string) {
+// called records a call to a leaf that usually replies within a latency, in milliseconds.
+func (l *links) called(now tier.Millis, id string, usualLatency float64) {
 	l.silentSince = min(l.silentSince, now)
-	l.silent[id] = true
+	if _, called := l.silent[id]; !called {
+		l.silent[id] = now + max(silenceLimit, tier.Millis(lateFactor*usualLatency))
+	}
 }
 
 func (l *links) replied(id string) {
@@ -62,8 +67,16 @@
 
 // doubted reports whether calls suggest that the links have failed.
 func (l *links) doubted(now tier.Millis) bool {
-	silence := now - l.silentSince
-	if silence >= singleSilenceLimit || silence >= silenceLimit && len(l.silent) >= minDoubtedLeafs {
+	late := 0
+	for _, at := range l.silent {
+		if now >= at+singleSilenceGrace {
+			return true
+		}
+		if now >= at {
+			late++
+		}
+	}
+	if late >= minDoubtedLeafs {
 		return true
 	}
 	for id, at := range l.broken {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -143,7 +143,7 @@
 		p.tried = append(p.tried, leaf.ID())
 	}
 	p.inFlight++
-	s.scheduler.balancer.Sent(now, leaf)
+	s.scheduler.balancer.Sent(now, s.terms.class, leaf)
 	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra})
 	p.hedgeAt = never
 	if s.terms.idempotent && p.ranCalls+p.inFlight < s.terms.maxAttempts {
