Refuse a request only after a leaf has ended that was called alone

Content that many callers send was refused for ten minutes when all leafs of its service ended at the same moment, as with a rack: three leafs had ended under it, and none answered for a second, as none was left. No answer could clear it later, as it was no longer sent. A request is now refused only if one of the three leafs was called alone, after others had ended under such requests; until then it goes to one leaf first.

TestRequestsThatLoseAllLeafsAtOnceAreServedLater failed before (503, Retry-After 598 s) and passes. TestRequestThatEndsLeafsIsNoLongerSent holds as before.

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -39,6 +39,7 @@
 // crashReport is the stored form of a quarantiner.Report.
 type crashReport struct {
 	Leafs    []string `json:"leafs"`
+	Alone    bool     `json:"alone"`
 	Answered bool     `json:"answered"`
 }
 
@@ -72,16 +73,17 @@
 }
 
 // checkEndedLeafs finds out, in the background, which leafs have ended while they had a request.
-func (e *Entry) checkEndedLeafs(q *request, leafs []lister.Leaf) {
+// alone says that they were called alone, after others had ended.
+func (e *Entry) checkEndedLeafs(q *request, leafs []lister.Leaf, alone bool) {
 	if len(leafs) > 0 {
-		e.background.Go(func() { e.recordEndedLeafs(q, leafs) })
+		e.background.Go(func() { e.recordEndedLeafs(q, leafs, alone) })
 	}
 }
 
 // recordEndedLeafs records those of the leafs of a request that no longer accept connections,
 // unless another leaf answers it in the meantime, or this VM reaches no leaf at all: what it
 // can't reach may be there for other VMs.
-func (e *Entry) recordEndedLeafs(q *request, leafs []lister.Leaf) {
+func (e *Entry) recordEndedLeafs(q *request, leafs []lister.Leaf, alone bool) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), endedLeafTimeout.Duration())
 	defer cancel()
@@ -104,13 +106,13 @@
 		list := q.fingerprints()
 		e.mu.Lock()
 		for _, f := range list {
-			e.addCrashReport(f, e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids))
+			e.addCrashReport(f, e.scheduler.Quarantiner().Ended(e.clock.Now(), f, ids, alone))
 		}
 		e.mu.Unlock()
 		e.wakeCrashReports()
 	}
 	e.log.RateLimitedInfo("leafs-ended-under-request", "request", q.attempt.ID(), "fingerprint", q.fingerprints()[0],
-		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load(), "reaches-others", reachesOthers)
+		"ended", strings.Join(ids, " "), "alive", len(leafs)-len(ids), "answered", q.answered.Load(), "reaches-others", reachesOthers, "alone", alone)
 }
 
 // quarantined reports whether a request must not be sent to a leaf, and for how much longer.
--- a/cicadagraded/entry/crashes_test.go
+++ b/cicadagraded/entry/crashes_test.go
@@ -404,3 +404,37 @@
 		}
 	}
 }
+
+// TestRequestsThatLoseAllLeafsAtOnceAreServedLater guards against the content of good requests that
+// is refused for ten minutes because all leafs of a service have ended at the same moment.
+func TestRequestsThatLoseAllLeafsAtOnceAreServedLater(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.addLeafs("orders", 5)
+	rack := slices.Clone(f.servers)
+	f.addLeafs("s1", 2) // other services go on
+	var group sync.WaitGroup
+	const requests = 20
+	for k := range requests {
+		f.nextID++
+		id := f.nextID
+		group.Go(func() { f.send(f.entries[k%2], "/line/hold", id) })
+	}
+	for f.heldCount() < requests {
+		time.Sleep(time.Millisecond)
+	}
+	for _, server := range rack {
+		_ = server.Listener.Close()
+	}
+	for _, server := range rack {
+		server.CloseClientConnections()
+	}
+	group.Wait()
+	close(f.release)
+	f.addLeafs("orders", 2)
+	time.Sleep((2 * tier.Second).Duration())
+	for _, e := range f.entries {
+		if response := f.ask(e, "/line/hold"); response.Code != http.StatusOK {
+			t.Errorf("%s: status %d, Retry-After %q", e.settings.Load().Name(), response.Code, response.Header().Get("Retry-After"))
+		}
+	}
+}
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -223,7 +223,7 @@
 		route: q.route.Name(), topK: q.route.TopK(), rank: q.route.Rank(),
 		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprints: q.fingerprints,
 	}
-	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
+	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
@@ -265,7 +265,7 @@
 		route: q.route.Name(), rank: q.route.Rank(), minimumParts: func(int) int { return 1 }, shards: []string{service},
 		fingerprints: q.fingerprints, whole: true, once: !q.route.Idempotent(),
 	}
-	run.leafEnded = func(leaf lister.Leaf) { e.checkEndedLeafs(q, []lister.Leaf{leaf}) }
+	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	outcome, callerGone := run.execute(r.Context())
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
@@ -320,7 +320,7 @@
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
 	e.recordLeafAnswer(q, outcome)
-	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()))
+	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -11,7 +11,6 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
-	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/searcher"
 )
@@ -33,7 +32,7 @@
 	search      *searcher.Search
 	delegation  delegationTerms
 	flush       func(searcher.Flush) error // sends partial results to the delegating VM
-	leafEnded   func(lister.Leaf)          // handles a leaf that may have ended under the request, or nil
+	leafEnded   func(searcher.LeafEnded)   // handles a leaf that may have ended under the request, or nil
 	suspected   func()                     // handles the suspicion that the request ends its leafs, or nil
 	events      chan searchEvent
 	wakeup      chan struct{}
@@ -145,7 +144,7 @@
 			}
 		case searcher.LeafEnded:
 			if r.leafEnded != nil {
-				r.leafEnded(a.Leaf)
+				r.leafEnded(a)
 			}
 		case searcher.Suspected:
 			if r.suspected != nil {
--- a/tier/quarantiner/quarantiner.go
+++ b/tier/quarantiner/quarantiner.go
@@ -8,7 +8,7 @@
 
 const (
 	// minEndedLeafs is the number of leafs that must have ended under a request before it is
-	// refused. Fewer may have ended for other reasons while they had it.
+	// refused, one of them called alone after others. Fewer may have ended for other reasons.
 	minEndedLeafs = 3
 	// confirmDelay is how long no leaf may answer the request after that. Requests with the
 	// content of many others lose several leafs at a time when these end for other
@@ -28,18 +28,21 @@
 // Report is what a VM tells the others of the requests of a fingerprint.
 type Report struct {
 	Leafs    []string // leafs that have ended under them since a leaf last answered one
+	Alone    bool     // one of these was called alone, after others had ended
 	Answered bool     // a leaf has answered one
 }
 
 // heardReport is a Report of another VM.
 type heardReport struct {
 	leafs    []string
+	alone    bool
 	revision int64
 }
 
 // record is what is known of the requests of one fingerprint.
 type record struct {
 	own         []string               // leafs that ended under requests of this VM
+	ownAlone    bool                   // one of them was called alone, after others had ended
 	reported    bool                   // other VMs have been told of own
 	heard       map[string]heardReport // by VM
 	clearedAt   int64                  // revision of the last report of an answer
@@ -66,10 +69,24 @@
 	return len(leafs)
 }
 
+// alone reports whether a leaf has ended that was called alone, after others had ended. Leafs that
+// end at the same moment may have another cause.
+func (r *record) alone() bool {
+	for _, report := range r.heard {
+		if report.alone && report.revision > r.clearedAt {
+			return true
+		}
+	}
+	return r.ownAlone
+}
+
+// clear forgets what this VM has seen, as a leaf has answered.
+func (r *record) clear() { r.own, r.ownAlone, r.reported, r.warnedUntil = nil, false, false, 0 }
+
 // update notes at now whether enough leafs have ended.
 func (r *record) update(now tier.Millis) {
 	switch {
-	case r.ended() < minEndedLeafs:
+	case r.ended() < minEndedLeafs || !r.alone():
 		r.suspectedAt = never
 	case r.suspectedAt == never:
 		r.suspectedAt = now
@@ -96,18 +113,18 @@
 // Refused is the number of times that Refuses has refused a request.
 func (q *Quarantiner) Refused() int64 { return q.refused }
 
-// Ended records leafs that ended under a request sent by this VM. It returns the report for the
-// other VMs.
-func (q *Quarantiner) Ended(now tier.Millis, f Fingerprint, leafs []string) Report {
+// Ended records leafs that ended under a request sent by this VM. alone says that they were called
+// alone, after others had ended under it. It returns the report for the other VMs.
+func (q *Quarantiner) Ended(now tier.Millis, f Fingerprint, leafs []string, alone bool) Report {
 	r := q.recordOf(now, f)
 	for _, leaf := range leafs {
 		if !slices.Contains(r.own, leaf) && len(r.own) < maxLeafs {
 			r.own = append(r.own, leaf)
 		}
 	}
-	r.changedAt, r.reported = now, true
+	r.changedAt, r.reported, r.ownAlone = now, true, r.ownAlone || alone
 	r.update(now)
-	return Report{Leafs: slices.Clone(r.own)}
+	return Report{Leafs: slices.Clone(r.own), Alone: r.ownAlone}
 }
 
 // Warn handles a warning, of this VM or another one, that several leafs may have ended under a
@@ -140,7 +157,7 @@
 	for _, report := range r.heard {
 		r.clearedAt = max(r.clearedAt, report.revision)
 	}
-	r.own, r.reported, r.warnedUntil = nil, false, 0
+	r.clear()
 	r.update(now)
 	return Report{Answered: true}, tell
 }
@@ -154,9 +171,9 @@
 	}
 	if report.Answered {
 		r.clearedAt = max(r.clearedAt, revision)
-		r.own, r.reported, r.warnedUntil = nil, false, 0
+		r.clear()
 	}
-	r.heard[vm] = heardReport{leafs: report.Leafs[:min(len(report.Leafs), maxLeafs)], revision: revision}
+	r.heard[vm] = heardReport{leafs: report.Leafs[:min(len(report.Leafs), maxLeafs)], alone: report.Alone, revision: revision}
 	r.changedAt = now
 	r.update(now)
 }
--- a/tier/searcher/caution.go
+++ b/tier/searcher/caution.go
@@ -79,6 +79,20 @@
 	return len(s.parts) > 1 || s.terms.flushes && !s.terms.forwardFailures
 }
 
+// callsAlone reports whether a call that is sent now is the only one, after leafs have ended under
+// such requests.
+func (s *Search) callsAlone() bool {
+	if s.answered() || !s.terms.cautious && s.endedCount() == 0 {
+		return false
+	}
+	for i := range s.parts {
+		if s.parts[i].inFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Warned handles a warning that leafs may have ended under the request.
 func (s *Search) Warned() { s.caution.warned = true }
 
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -68,7 +68,10 @@
 // LeafEnded tells that a leaf has ended the connection while it had the request, and that no
 // leaf has answered yet: the request may have ended the leaf. It comes at once, as the search
 // may go on for long.
-type LeafEnded struct{ Leaf lister.Leaf }
+type LeafEnded struct {
+	Leaf  lister.Leaf
+	Alone bool // it was called alone, after leafs had ended under such a request
+}
 
 // Finish ends the search. It is the last action.
 type Finish struct{ Outcome Outcome }
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -15,6 +15,7 @@
 	reason string // why it brought no usable reply
 	broken bool   // the leaf has ended the connection
 	extra  bool   // it has taken from the retry budget
+	alone  bool   // leafs had ended under the request, and no other call was in flight
 }
 
 // part is the state of one service in a search.
@@ -56,7 +57,7 @@
 	second         bool        // another VM had it before
 	repeated       bool        // that VM may have made the first calls
 	attempts       int         // calls of each part that may run
-	suspected      bool // its VM has lost a leaf under it
+	suspected      bool        // its VM has lost a leaf under it
 	reported       bool
 	ended          bool
 	replies        []any
@@ -169,7 +170,7 @@
 		s.mayHaveRun = true
 		c.broken = r.Ended
 		if c.broken && s.arrived == 0 && !s.leafReported {
-			actions = append(actions, LeafEnded{Leaf: c.leaf})
+			actions = append(actions, LeafEnded{Leaf: c.leaf, Alone: c.alone})
 		}
 		p.ranCalls++
 		switch {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -142,9 +142,10 @@
 	if !contains(p.tried, leaf.ID()) {
 		p.tried = append(p.tried, leaf.ID())
 	}
+	alone := s.callsAlone()
 	p.inFlight++
 	s.scheduler.balancer.Sent(now, s.terms.class, leaf)
-	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra})
+	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra, alone: alone})
 	p.hedgeAt = never
 	if s.terms.idempotent && p.ranCalls+p.inFlight < s.terms.maxAttempts {
 		p.hedgeAt = now + s.hedgeDelay(now, p, leaf)
