Read a search's next timer under the lock

The race detector found, in the test of requests that lose all leafs at once, that a run reads when its search is due while a step of another search moves a waiting part of it. It was there before. The time is now taken with each step, under the lock, and a search whose part another one takes out of the queue wakes up.

--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -38,6 +38,7 @@
 	wakeup      chan struct{}
 	cancelCall  map[int]context.CancelFunc
 	cancelShare map[int]context.CancelFunc
+	nextTick    tier.Millis // when the search has to be stepped at the latest
 	outcome     searcher.Outcome
 	done        bool
 }
@@ -86,7 +87,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !r.done {
-		timer.Reset(max(0, r.search.NextTick()-e.clock.Now()).Duration() + time.Millisecond/2)
+		timer.Reset(max(0, r.nextTick-e.clock.Now()).Duration() + time.Millisecond/2)
 		select {
 		case event := <-r.events:
 			r.step(ctx, event)
@@ -116,6 +117,7 @@
 	e.mu.Lock()
 	actions := event(r.search, e.clock.Now())
 	woken := e.scheduler.TakeWoken()
+	r.nextTick = r.search.NextTick() // steps of other searches change it, and wake this one
 	e.mu.Unlock()
 	wakeAll(woken)
 	for _, a := range actions {
--- a/tier/searcher/caution.go
+++ b/tier/searcher/caution.go
@@ -139,7 +139,6 @@
 		s.caution.suspected = true
 		actions = append(actions, Suspected{})
 	}
-	ended := s.endedCount()
 	if i := s.caution.trialPart; i != notTrying {
 		if p := &s.parts[i]; p.held || p.lost {
 			return s.loseHeld(actions)
@@ -149,6 +148,7 @@
 	if now < s.caution.holdUntil && s.awaitsAnswer() {
 		return actions
 	}
+	ended := s.endedCount()
 	switch {
 	case s.terms.flushes && (s.caution.warned || ended >= minSuspectLeafs-1 || len(s.parts) == 1):
 		return s.loseHeld(actions) // the VM that has the request knows of all parts
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -96,6 +96,7 @@
 		p := &q.search.parts[q.part]
 		if p.nextIsExtra && !sc.budgeter.Take(service) {
 			p.retryAt = now + retryDelay
+			sc.wake(q.search)
 			continue
 		}
 		p.retryAt = never
