--- a/cicadagraded/entry/links_test.go
+++ b/cicadagraded/entry/links_test.go
@@ -105,14 +105,14 @@
 // linkFleet is a number of entry VMs that give each other shares, each with links to the leafs
 // that can be cut.
 type linkFleet struct {
-	*crashFleet
+	*testFleet
 	links map[*Entry]*cutLinks
 }
 
 // newLinkFleet starts VMs, one in each of the data centres that are named.
 func newLinkFleet(t *testing.T, dataCentres ...string) *linkFleet {
 	t.Helper()
-	f := &linkFleet{crashFleet: newCrashFleet(t, 0), links: map[*Entry]*cutLinks{}}
+	f := &linkFleet{testFleet: newTestFleet(t, 0), links: map[*Entry]*cutLinks{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	t.Cleanup(func() {
