Check on open connections what a cut of the tests' links does

For silent links and for refused new connections the test looked at new connections only, so that a silent cut that loses nothing would have passed. It now reads at the other end: a silent or reset link carries nothing of an open connection, one that refuses new ones carries it all.

--- a/cicadagraded/entry/links_test.go
+++ b/cicadagraded/entry/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -319,13 +320,24 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
 		links.set(mode)
-		if mode == resetAll {
-			if _, err := connection.Write([]byte("x")); !errors.Is(err, net.ErrClosed) {
-				t.Errorf("mode %d: written with %v", mode, err)
-			}
+		_, err = connection.Write([]byte("x"))
+		if failed := err != nil; failed != (mode == resetAll) {
+			t.Errorf("mode %d: written with %v", mode, err)
 		}
 		_ = connection.Close()
+		got, err := io.ReadAll(accepted)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if arrived := string(got) == "x"; arrived != (mode == refusedAnew) {
+			t.Errorf("mode %d: %q arrives on a connection from before the cut", mode, got)
+		}
+		_ = accepted.Close()
 		_ = listener.Close()
 	}
 }
