--- a/api/gather/v1/gatherv1connect/gather.connect.go
+++ b/api/gather/v1/gatherv1connect/gather.connect.go
@@ -45,6 +45,8 @@
 	GatherServiceWarnProcedure = "/cicadagrade.gather.v1.GatherService/Warn"
 	// GatherServicePingProcedure is the fully-qualified name of the GatherService's Ping RPC.
 	GatherServicePingProcedure = "/cicadagrade.gather.v1.GatherService/Ping"
+	// GatherServiceAccountProcedure is the fully-qualified name of the GatherService's Account RPC.
+	GatherServiceAccountProcedure = "/cicadagrade.gather.v1.GatherService/Account"
 )
 
 // GatherServiceClient is a client for the cicadagrade.gather.v1.GatherService service.
@@ -62,6 +64,9 @@
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
 	// keeps connections open.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
+	// Account reports requests that the calling VM has admitted, to the VM that keeps
+	// the accounts of their organisations.
+	Account(context.Context, *connect.Request[v1.AccountRequest]) (*connect.Response[v1.AccountReply], error)
 }
 
 // NewGatherServiceClient constructs a client for the cicadagrade.gather.v1.GatherService service.
@@ -105,16 +110,23 @@
 			connect.WithSchema(gatherServiceMethods.ByName("Ping")),
 			connect.WithClientOptions(opts...),
 		),
+		account: connect.NewClient[v1.AccountRequest, v1.AccountReply](
+			httpClient,
+			baseURL+GatherServiceAccountProcedure,
+			connect.WithSchema(gatherServiceMethods.ByName("Account")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatherServiceClient implements GatherServiceClient.
 type gatherServiceClient struct {
-	gather *connect.Client[v1.GatherRequest, v1.GatherReply]
-	relay  *connect.Client[v1.GatherRequest, v1.GatherReply]
-	fetch  *connect.Client[v1.FetchRequest, v1.FetchReply]
-	warn   *connect.Client[v1.WarnRequest, v1.WarnReply]
-	ping   *connect.Client[v1.PingRequest, v1.PingReply]
+	gather  *connect.Client[v1.GatherRequest, v1.GatherReply]
+	relay   *connect.Client[v1.GatherRequest, v1.GatherReply]
+	fetch   *connect.Client[v1.FetchRequest, v1.FetchReply]
+	warn    *connect.Client[v1.WarnRequest, v1.WarnReply]
+	ping    *connect.Client[v1.PingRequest, v1.PingReply]
+	account *connect.Client[v1.AccountRequest, v1.AccountReply]
 }
 
 // Gather calls cicadagrade.gather.v1.GatherService.Gather.
@@ -142,6 +154,11 @@
 	return c.ping.CallUnary(ctx, req)
 }
 
+// Account calls cicadagrade.gather.v1.GatherService.Account.
+func (c *gatherServiceClient) Account(ctx context.Context, req *connect.Request[v1.AccountRequest]) (*connect.Response[v1.AccountReply], error) {
+	return c.account.CallUnary(ctx, req)
+}
+
 // GatherServiceHandler is an implementation of the cicadagrade.gather.v1.GatherService service.
 type GatherServiceHandler interface {
 	// Gather searches the given shards and merges their replies. The first
@@ -157,6 +174,9 @@
 	// Ping returns an empty reply. It probes VMs that are suspected to be down and
 	// keeps connections open.
 	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error)
+	// Account reports requests that the calling VM has admitted, to the VM that keeps
+	// the accounts of their organisations.
+	Account(context.Context, *connect.Request[v1.AccountRequest]) (*connect.Response[v1.AccountReply], error)
 }
 
 // NewGatherServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -196,6 +216,12 @@
 		connect.WithSchema(gatherServiceMethods.ByName("Ping")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatherServiceAccountHandler := connect.NewUnaryHandler(
+		GatherServiceAccountProcedure,
+		svc.Account,
+		connect.WithSchema(gatherServiceMethods.ByName("Account")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cicadagrade.gather.v1.GatherService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatherServiceGatherProcedure:
@@ -208,6 +234,8 @@
 			gatherServiceWarnHandler.ServeHTTP(w, r)
 		case GatherServicePingProcedure:
 			gatherServicePingHandler.ServeHTTP(w, r)
+		case GatherServiceAccountProcedure:
+			gatherServiceAccountHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -236,3 +264,7 @@
 func (UnimplementedGatherServiceHandler) Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Ping is not implemented"))
 }
+
+func (UnimplementedGatherServiceHandler) Account(context.Context, *connect.Request[v1.AccountRequest]) (*connect.Response[v1.AccountReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadagrade.gather.v1.GatherService.Account is not implemented"))
+}
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -42,6 +42,9 @@
 	fingerprints func() []quarantiner.Fingerprint
 	whole        bool // the leaf's whole reply is wanted, of the only shard
 	once         bool // the request may run at most once
+	regions      tier.RegionSet
+	organisation string
+	weight       float64 // of the organisation's requests
 }
 
 // peerClients holds a client for each other VM, by address. Each has one HTTP/2
@@ -110,6 +113,8 @@
 		Rank: uint32(r.delegation.rank), Spread: !r.delegation.whole && a.Member.Region() != r.entry.scheduler.Partitioner().Self().Region(),
 		Minimum: uint32(r.delegation.minimumParts(len(shards))),
 		AimMs:   int64(a.Target), EndMs: int64(a.Deadline), Repeated: a.Repeated,
+		Restricted: r.delegation.regions.Restricted(), Regions: r.delegation.regions.Names(),
+		Organisation: r.delegation.organisation, Weight: r.delegation.weight,
 	}
 	if r.delegation.fingerprints != nil && r.entry.knowsCrashes() {
 		for _, f := range r.delegation.fingerprints() {
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -61,6 +61,9 @@
 	body    []byte
 	margin  tier.Millis // for merging and writing the response
 
+	organisation *router.Organisation // of the caller, or nil
+	weight       float64              // of the organisation's requests, relative to those of others
+
 	fingerprints func() []quarantiner.Fingerprint
 	cautious     bool        // leafs may have ended under requests of this content
 	answered     atomic.Bool // a leaf has answered
@@ -165,6 +168,33 @@
 		"view-age-ms", int64(e.viewAge()))
 }
 
+// regions are the regions in which the request may be served: those that both its route and
+// its organisation allow.
+func (q *request) regions() tier.RegionSet {
+	if q.organisation == nil {
+		return q.route.Regions()
+	}
+	return q.route.Regions().Intersect(q.organisation.Regions())
+}
+
+// rank is the rank of the request. That of its organisation goes before that of its route.
+func (q *request) rank() int {
+	if q.organisation != nil {
+		if rank, ok := q.organisation.Rank(); ok {
+			return rank
+		}
+	}
+	return q.route.Rank()
+}
+
+// organisationName is the name of the caller's organisation, or empty.
+func (q *request) organisationName() string {
+	if q.organisation == nil {
+		return ""
+	}
+	return q.organisation.Name()
+}
+
 // terms are the target time, deadline and limits of the search, from the route and the
 // caller's remaining time.
 func (q *request) terms() searcher.Terms {
@@ -182,7 +212,8 @@
 		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
 	}
 	options := []searcher.TermsOption{
-		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.route.Rank()), searcher.WithFingerprints(q.fingerprints),
+		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.rank()), searcher.WithFingerprints(q.fingerprints),
+		searcher.InRegions(q.regions()), searcher.WithOrganisation(q.organisationName(), q.weight),
 	}
 	if q.route.Idempotent() {
 		options = append(options, searcher.Idempotent())
@@ -220,8 +251,9 @@
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, shares)
 	run.suspected = func() { e.warnOthers(q) }
 	run.delegation = delegationTerms{
-		route: q.route.Name(), topK: q.route.TopK(), rank: q.route.Rank(),
+		route: q.route.Name(), topK: q.route.TopK(), rank: q.rank(),
 		minimumParts: q.route.MinimumPartsOf, shards: shards, fingerprints: q.fingerprints,
+		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	outcome, callerGone := run.execute(r.Context())
@@ -262,8 +294,9 @@
 	service := q.route.PickService(rand.Float64())
 	run := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, q.terms(), []string{service}, nil)
 	run.delegation = delegationTerms{
-		route: q.route.Name(), rank: q.route.Rank(), minimumParts: func(int) int { return 1 }, shards: []string{service},
+		route: q.route.Name(), rank: q.rank(), minimumParts: func(int) int { return 1 }, shards: []string{service},
 		fingerprints: q.fingerprints, whole: true, once: !q.route.Idempotent(),
+		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	outcome, callerGone := run.execute(r.Context())
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -75,7 +75,12 @@
 		fingerprints[i] = quarantiner.Fingerprint(f)
 	}
 	fingerprintsOf := func() []quarantiner.Fingerprint { return fingerprints }
-	options = append(options, searcher.WithFingerprints(fingerprintsOf))
+	var regions tier.RegionSet
+	if request.GetRestricted() {
+		regions = tier.RestrictedTo(request.GetRegions()...)
+	}
+	options = append(options, searcher.WithFingerprints(fingerprintsOf), searcher.InRegions(regions),
+		searcher.WithOrganisation(request.GetOrganisation(), request.GetWeight()))
 	terms := searcher.NewTerms(request.GetRoute(), now+tier.Millis(request.GetAimMs()), now+tier.Millis(request.GetEndMs()), options...)
 	var shares []partitioner.Share
 	if request.GetSpread() {
@@ -87,6 +92,7 @@
 		route: request.GetRoute(), topK: int(request.GetTop()), rank: int(request.GetRank()),
 		minimumParts: func(n int) int { return n * int(request.GetMinimum()) / max(1, len(request.GetShards())) }, shards: request.GetShards(),
 		fingerprints: fingerprintsOf, whole: whole, once: request.GetOnce(),
+		regions: regions, organisation: request.GetOrganisation(), weight: request.GetWeight(),
 	}
 	run.flush = func(f searcher.Flush) error {
 		if whole {
--- a/tier/router/route.go
+++ b/tier/router/route.go
@@ -34,6 +34,8 @@
 	shards        []string
 	topK          int
 	minimumShare  float64
+	regions       tier.RegionSet
+	public        bool
 }
 
 // Option sets an optional field of a route.
@@ -75,6 +77,12 @@
 	return func(r *Route) { r.topK, r.minimumShare, r.shards = topK, minimumShare, shards }
 }
 
+// InRegions sets the regions in which requests of the route may be served.
+func InRegions(regions tier.RegionSet) Option { return func(r *Route) { r.regions = regions } }
+
+// Public says that requests of the route need no key.
+func Public() Option { return func(r *Route) { r.public = true } }
+
 // Name is the operator's name for the route.
 func (r *Route) Name() string { return r.name }
 
@@ -106,6 +114,12 @@
 // targets.
 func (r *Route) Shards() []string { return r.shards }
 
+// Regions are the regions in which requests of the route may be served.
+func (r *Route) Regions() tier.RegionSet { return r.regions }
+
+// IsPublic reports whether requests of the route need no key.
+func (r *Route) IsPublic() bool { return r.public }
+
 // IsScatterGather reports whether requests are sent to all shards and the replies merged.
 func (r *Route) IsScatterGather() bool { return len(r.shards) > 0 }
 
--- a/tier/router/table.go
+++ b/tier/router/table.go
@@ -43,10 +43,13 @@
 	shards       map[string]bool // those that are shards of some route
 	limits       Limits
 	routeCount   int
+
+	organisations []*Organisation
+	services      map[string]Service // by name
 }
 
 // NewTable returns a table of routes.
-func NewTable(version int64, routes []*Route, limits Limits) *Table {
+func NewTable(version int64, routes []*Route, limits Limits, options ...TableOption) *Table {
 	t := &Table{
 		version:      version,
 		routesByHost: map[string][]*Route{},
@@ -54,6 +57,10 @@
 		shards:       map[string]bool{},
 		limits:       limits,
 		routeCount:   len(routes),
+		services:     map[string]Service{},
+	}
+	for _, set := range options {
+		set(t)
 	}
 	for _, r := range routes {
 		t.routesByHost[r.host] = append(t.routesByHost[r.host], r)
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -191,6 +191,9 @@
 	fingerprints    func() []quarantiner.Fingerprint
 	target          tier.Millis
 	deadline        tier.Millis
+	regions         tier.RegionSet
+	organisation    string
+	weight          float64
 }
 
 // TermsOption sets one of the Terms.
@@ -240,6 +243,15 @@
 // because leafs have ended under such requests.
 func Cautious() TermsOption { return func(t *Terms) { t.cautious = true } }
 
+// InRegions sets the regions in which the request may be served.
+func InRegions(regions tier.RegionSet) TermsOption { return func(t *Terms) { t.regions = regions } }
+
+// WithOrganisation sets the caller's organisation, and the weight of its requests relative to
+// those of others where they wait for the same leafs.
+func WithOrganisation(name string, weight float64) TermsOption {
+	return func(t *Terms) { t.organisation, t.weight = name, weight }
+}
+
 // ForAnotherVM hands parts on by Flush: at the target time all that have arrived,
 // then each later one at once. The search goes on until no further part can arrive.
 func ForAnotherVM() TermsOption { return func(t *Terms) { t.flushes = true } }
