Hedge earlier and on open connections where load is spread evenly

Of the parts whose call stayed silent, half were denied a hedge by the budget, which was not asked again and comes back with requests alone; the hedges of the other half took 105 to 113 ms, because a connection to the other region had to be opened first, where 50 ms were expected. Change (searcher.WithEvenLoad, balancer.WithConnectionCosts, budgeter.WithRefill; off by default): owners open a connection to the replica that a hedge would call; the cost of opening one is part of the expected cost and not of the latency; a denied hedge is asked for again; an owner's part of the slack comes back over the budget's window, half saved and half refilled; hedges are sent after 0.15 of the target time while leafs and budget have room. The log says why a slow part got no hedge.

--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -11,6 +11,7 @@
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
+	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/searcher"
 )
@@ -124,6 +125,8 @@
 		switch a := a.(type) {
 		case searcher.Send:
 			r.sendCall(ctx, a)
+		case searcher.Prepare:
+			r.entry.prepare(a.Leaf)
 		case searcher.Cancel:
 			if cancel, ok := r.cancelCall[a.Call]; ok {
 				cancel()
@@ -193,6 +196,25 @@
 	})
 }
 
+// prepareTimeout bounds the opening of a connection before it is needed: several round trips
+// between regions.
+const prepareTimeout = 300 * tier.Millisecond
+
+// prepare opens a connection to a leaf in the background.
+func (e *Entry) prepare(leaf lister.Leaf) {
+	e.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), prepareTimeout.Duration())
+		defer cancel()
+		if err := e.leafClient.Prepare(ctx, leaf.Address()); err != nil {
+			e.log.RateLimitedInfo("connection-not-prepared", "leaf", leaf.ID(), "error", err)
+			return
+		}
+		e.mu.Lock()
+		e.scheduler.Balancer().Connected(e.clock.Now(), leaf)
+		e.mu.Unlock()
+	})
+}
+
 // classifyResult converts the reply or error of a leaf call to the search's result.
 func classifyResult(reply *leafclient.Reply, err error) searcher.Result {
 	var notSent *leafclient.NotSentError
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -269,10 +269,16 @@
 		}
 		_ = cn.Close()
 	}
+	cn, err := c.open(ctx, address)
+	return cn, errors.Wrap(err, "Client.acquire")
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	c.dials.Add(1)
 	raw, err := c.connect(ctx, address)
 	if err != nil {
-		return nil, errors.Wrap(err, "Client.acquire")
+		return nil, errors.Wrap(err, "Client.open")
 	}
 	limiter := &headLimiter{source: raw}
 	return &conn{
@@ -280,6 +286,29 @@
 	}, nil
 }
 
+// Prepare makes sure that there is a connection to an address that has been idle for a short
+// time only, so that the next request need not wait for one.
+func (c *Client) Prepare(ctx context.Context, address string) error {
+	if c.hasFresh(address) {
+		return nil
+	}
+	cn, err := c.open(ctx, address)
+	if err != nil {
+		return errors.Wrap(err, "Client.Prepare")
+	}
+	c.release(address, cn)
+	return nil
+}
+
+// hasFresh reports whether the connection that the next request would take has been idle for less
+// than a quarter of its time.
+func (c *Client) hasFresh(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	return len(list) > 0 && time.Since(list[len(list)-1].idleSince) < list[len(list)-1].idleTimeout/4
+}
+
 // popIdle removes and returns the most recently used idle connection to an address, or nil.
 func (c *Client) popIdle(address string) *conn {
 	c.mu.Lock()
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -131,6 +131,8 @@
 	repliedAt        tier.Millis // when it last replied
 	leaf             lister.Leaf
 	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
+	connectedUntil   tier.Millis         // there is an open connection until then
+	connectAt        tier.Millis         // when to ask for a connection again
 }
 
 // Balancer holds what one VM has observed of leafs. It is not safe for concurrent
@@ -142,6 +144,8 @@
 	rateShare     RateShare
 	random        func() float64
 	links         links
+
+	connectionCosts bool // calls to other regions are cheaper on open connections
 }
 
 // Option changes a Balancer.
@@ -214,9 +218,9 @@
 	base := b.baseLatency(class, leaf)
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
-		return base
+		return base + b.connectCost(now, leaf, nil)
 	}
-	cost := base + decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs)
+	cost := base + b.connectCost(now, leaf, s) + decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs)
 	cost += failureCostMs * decayed(s.failureRate, now-s.failureRateAt, failureHalfLifeMs)
 	cost += refusalRateCostMs * decayed(s.refusalRate, now-s.refusalRateAt, refusalHalfLifeMs)
 	if excessCalls := s.inFlight + 1 - leaf.Slots(); excessCalls > 0 {
@@ -269,6 +273,8 @@
 // Answered records a complete reply and its latency.
 func (b *Balancer) Answered(now tier.Millis, class string, leaf lister.Leaf, latency tier.Millis) {
 	s := b.endRepliedCall(now, leaf)
+	latency = max(0, latency-tier.Millis(b.connectCost(now-latency, leaf, s)))
+	s.connectedUntil = now + connectedFor
 	key := latencyKey{class, leaf.DataCentre()}
 	base, ok := b.baseLatencies[key]
 	if !ok {
@@ -335,6 +341,7 @@
 	s := b.stateOf(leaf)
 	since := s.silentSince
 	b.decrementInFlight(s)
+	s.connectedUntil = 0 // the connection is closed
 	// The time waited is a lower bound of the latency.
 	excess := decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs)
 	if observed := float64(waited) - b.baseLatency(class, leaf); observed > excess {
@@ -356,7 +363,9 @@
 // endBrokenCall ends a call without a reply.
 func (b *Balancer) endBrokenCall(now tier.Millis, leaf lister.Leaf) *leafState {
 	b.links.brokenOff(now, leaf.ID())
-	return b.endCall(now, leaf)
+	s := b.endCall(now, leaf)
+	s.connectedUntil = 0
+	return s
 }
 
 // endCall ends a call with a reply or failure.
--- a/tier/budgeter/budgeter.go
+++ b/tier/budgeter/budgeter.go
@@ -21,6 +21,10 @@
 	// allVMsFraction is the fraction that is divided among all VMs, which query a
 	// service when its owners have failed.
 	allVMsFraction = 0.25
+	// refillFraction is the fraction of an owner's part of the slack that comes back over a
+	// window, if it is refilled. The rest is saved in the bucket, so that both together
+	// stay within the part in any window.
+	refillFraction = 0.5
 )
 
 // unusedBucketTTL is how long the bucket of a service without a route is kept:
@@ -32,20 +36,33 @@
 	ratio   float64
 	slack   float64
 	vms     int
-	denied  int64 // extra calls that were not granted
+	denied  int64       // extra calls that were not granted
+	window  tier.Millis // over which an owner's part of the slack comes back, or 0
 	buckets map[string]*bucket
 }
 
+// Option changes a Budgeter.
+type Option func(*Budgeter)
+
+// WithRefill gives an owner its part of the slack again over each window, whether or not there
+// are requests. Without it, the slack is granted once, and tokens come with requests alone.
+func WithRefill(window tier.Millis) Option { return func(b *Budgeter) { b.window = window } }
+
 type bucket struct {
 	tokens      float64
 	owners      int         // owners of the service if this VM is one of them, or 0
 	unusedSince tier.Millis // when the last route to the service was removed, or 0
+	refilledAt  tier.Millis
 }
 
 // New returns the budgeter of one of several VMs. In each window, all VMs together
 // may make ratio extra calls for each request of a service, plus slack.
-func New(ratio, slack float64, vms int) *Budgeter {
-	return &Budgeter{ratio: ratio, slack: slack, vms: max(vms, 1), buckets: map[string]*bucket{}}
+func New(ratio, slack float64, vms int, options ...Option) *Budgeter {
+	b := &Budgeter{ratio: ratio, slack: slack, vms: max(vms, 1), buckets: map[string]*bucket{}}
+	for _, set := range options {
+		set(b)
+	}
+	return b
 }
 
 // Configure changes the budget.
@@ -61,10 +78,29 @@
 		return 0
 	}
 	tokens := b.slack * allVMsFraction / float64(b.vms)
-	if bk.owners > 0 {
-		tokens += b.slack * ownersFraction / float64(bk.owners)
+	saved := b.ownerTokens(bk)
+	if b.window > 0 {
+		saved *= 1 - refillFraction
+	}
+	return max(1, tokens+saved)
+}
+
+// ownerTokens is this VM's part of the slack as one of the owners of a service.
+func (b *Budgeter) ownerTokens(bk *bucket) float64 {
+	if bk.owners == 0 {
+		return 0
+	}
+	return b.slack * ownersFraction / float64(bk.owners)
+}
+
+// refill adds the tokens that have come back to an owner since the last time.
+func (b *Budgeter) refill(now tier.Millis, bk *bucket) {
+	if b.window > 0 && bk.refilledAt > 0 {
+		passed := min(now-bk.refilledAt, b.window)
+		bk.tokens += b.ownerTokens(bk) * refillFraction * float64(passed) / float64(b.window)
 	}
-	return max(1, tokens)
+	bk.refilledAt = max(now, 1)
+	bk.tokens = min(bk.tokens, b.capacity(bk))
 }
 
 // bucket returns the bucket of a service. A new one has only the tokens of a VM that
@@ -81,16 +117,17 @@
 
 // CountRequest counts the first call of a request to a service. owners is the number
 // of VMs that own the service, or 0 if this VM is not one of them.
-func (b *Budgeter) CountRequest(service string, owners int) {
+func (b *Budgeter) CountRequest(now tier.Millis, service string, owners int) {
 	bk := b.bucket(service)
+	b.refill(now, bk)
 	bk.owners = owners
 	bk.tokens = min(b.capacity(bk), bk.tokens+b.ratio*ratioFraction)
 }
 
 // Take spends a token for one extra call, and reports whether there was one.
-func (b *Budgeter) Take(service string) bool {
+func (b *Budgeter) Take(now tier.Millis, service string) bool {
 	bk := b.bucket(service)
-	bk.tokens = min(bk.tokens, b.capacity(bk))
+	b.refill(now, bk)
 	if bk.tokens < 1 {
 		b.denied++
 		return false
@@ -137,4 +174,14 @@
 }
 
 // Tokens is the number of tokens in the bucket of a service.
-func (b *Budgeter) Tokens(service string) float64 { return b.bucket(service).tokens }
+func (b *Budgeter) Tokens(now tier.Millis, service string) float64 {
+	bk := b.bucket(service)
+	b.refill(now, bk)
+	return bk.tokens
+}
+
+// IsAmple reports whether at least half of the tokens that the bucket of a service can hold are
+// left.
+func (b *Budgeter) IsAmple(now tier.Millis, service string) bool {
+	return b.Tokens(now, service) >= b.capacity(b.bucket(service))/2
+}
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -193,6 +193,9 @@
 				}
 			}
 		}
+		if m.reason == "slow" && p.hedgeDenied != "" {
+			m.reason += "/" + p.hedgeDenied
+		}
 		list = append(list, m)
 	}
 	return list
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -94,7 +94,7 @@
 		}
 		sc.dequeue(q.search, q.part)
 		p := &q.search.parts[q.part]
-		if p.nextIsExtra && !sc.budgeter.Take(service) {
+		if p.nextIsExtra && !sc.budgeter.Take(now, service) {
 			p.retryAt = now + retryDelay
 			sc.wake(q.search)
 			continue
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -48,6 +48,8 @@
 // script drives the searches of one VM, which is in data centre a of region home.
 // Its commands are:
 //
+//	even                            spreads load evenly, before all other commands
+//	connected ID                    there is an open connection to a leaf
 //	budget RATIO SLACK              sets the retry budget
 //	leaf ID SERVICE DC [SLOTS]      registers a leaf; DC a or b is in the home region
 //	limit ID RATE                   the leaf names a limit of requests a second
@@ -84,6 +86,7 @@
 	now       tier.Millis
 	lister    *lister.Lister
 	scheduler *Scheduler
+	distance  func(dataCentre string) balancer.Distance
 	searches  map[string]*Search
 	names     []string
 	peers     map[string]partitioner.Member
@@ -92,7 +95,7 @@
 
 func newScript(t *testing.T) *script {
 	s := &script{t: t, lister: lister.New(), searches: map[string]*Search{}, peers: map[string]partitioner.Member{}}
-	distance := func(dataCentre string) balancer.Distance {
+	s.distance = func(dataCentre string) balancer.Distance {
 		switch dataCentre {
 		case "a":
 			return balancer.SameDataCentre
@@ -101,17 +104,22 @@
 		}
 		return balancer.OtherRegion
 	}
+	s.schedule(nil)
+	return s
+}
+
+// schedule makes a new scheduler.
+func (s *script) schedule(balancing []balancer.Option, options ...SchedulerOption) {
 	self := partitioner.NewMember(tier.NewVM("self", "a", "self:1", tier.WithVMState(tier.VMLive)), "home", 1)
 	regionOf := func(dataCentre string) string {
-		if distance(dataCentre) == balancer.OtherRegion {
+		if s.distance(dataCentre) == balancer.OtherRegion {
 			return "away"
 		}
 		return "home"
 	}
 	random := func() float64 { return 0.5 }
-	s.scheduler = NewScheduler(s.lister, balancer.New(distance, balancer.WithRandom(random)), budgeter.New(0.2, 20, 1), partitioner.New(self),
-		WithRegions(regionOf), WithRandom(random))
-	return s
+	s.scheduler = NewScheduler(s.lister, balancer.New(s.distance, append(balancing, balancer.WithRandom(random))...), budgeter.New(0.2, 20, 1), partitioner.New(self),
+		append(options, WithRegions(regionOf), WithRandom(random))...)
 }
 
 func (s *script) play(line string) {
@@ -121,6 +129,14 @@
 		return
 	}
 	switch words[0] {
+	case "even":
+		s.schedule([]balancer.Option{balancer.WithConnectionCosts()}, WithEvenLoad())
+	case "connected":
+		for _, leaf := range s.lister.Usable() {
+			if leaf.ID() == words[1] {
+				s.scheduler.balancer.Connected(s.now, leaf)
+			}
+		}
 	case "budget":
 		s.scheduler.budgeter.Configure(s.float(words[1]), s.float(words[2]))
 	case "leaf":
@@ -310,6 +326,8 @@
 			kind = "send extra"
 		}
 		return fmt.Sprintf("%s %d: part %d to %s, %d ms", kind, action.Call, action.Part, action.Leaf.ID(), action.TimeLeft)
+	case Prepare:
+		return fmt.Sprintf("prepare %s", action.Leaf.ID())
 	case Suspected:
 		return "suspected"
 	case LeafEnded:
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -41,6 +41,7 @@
 	mayHaveRun   bool   // another VM that had it may have made calls
 	held         bool   // it is not sent until a leaf has answered the request
 	lossReason   string // why it was marked as lost
+	hedgeDenied  string // why the last hedge was not sent
 }
 
 // noShare marks a part that this VM queries itself.
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -55,7 +55,7 @@
 		s.scheduler.enqueue(now, s, partIndex)
 		return actions
 	}
-	if p.nextIsExtra && !s.scheduler.budgeter.Take(p.service) {
+	if p.nextIsExtra && !s.scheduler.budgeter.Take(now, p.service) {
 		switch {
 		case p.inFlight > 0:
 		case now < s.terms.target:
@@ -92,34 +92,6 @@
 	return refused
 }
 
-// hedge starts a second call while one is in flight.
-func (s *Search) hedge(now tier.Millis, partIndex int, actions []Action) []Action {
-	p := &s.parts[partIndex]
-	if !s.mayHedge(now) {
-		p.hedgeAt = now + hedgeRetryDelay
-		return actions
-	}
-	if p.ranCalls+p.inFlight >= s.terms.maxAttempts || s.quarantined(now) {
-		return actions
-	}
-	leaf, cost, found := s.scheduler.pickWithCapacity(now, s, p)
-	if !found {
-		if now < s.terms.target {
-			p.hedgeAt = now + hedgeRetryDelay
-		}
-		return actions
-	}
-	missesTarget := now+tier.Millis(cost) > s.terms.target
-	if missesTarget && s.arrived >= s.terms.minimumParts && s.terms.target > now {
-		return actions // its reply would arrive after the answer was sent
-	}
-	if !s.scheduler.budgeter.Take(p.service) {
-		return actions
-	}
-	s.caution.hedged = s.caution.hedged || !s.answered()
-	return s.startCall(now, partIndex, leaf, true, actions)
-}
-
 // pickLeaf picks the leaf with the least expected cost, among those without a call
 // of the part if untriedOnly is set.
 func (s *Search) pickLeaf(now tier.Millis, p *part, untriedOnly bool) (lister.Leaf, float64, bool) {
@@ -133,7 +105,7 @@
 	p := &s.parts[partIndex]
 	if !p.nextIsExtra && !p.counted {
 		p.counted = true
-		s.scheduler.budgeter.CountRequest(p.service, s.scheduler.ownerCount(now, p.service))
+		s.scheduler.budgeter.CountRequest(now, p.service, s.scheduler.ownerCount(now, p.service))
 	}
 	p.nextIsExtra = true
 	if extra {
@@ -149,24 +121,13 @@
 	p.hedgeAt = never
 	if s.terms.idempotent && p.ranCalls+p.inFlight < s.terms.maxAttempts {
 		p.hedgeAt = now + s.hedgeDelay(now, p, leaf)
+		actions = s.prepareReplica(now, p, actions)
 	}
 	return append(actions, Send{
 		Call: len(s.calls) - 1, Part: partIndex, Leaf: leaf, TimeLeft: s.terms.deadline - now, Extra: extra,
 	})
 }
 
-// hedgeDelay is how long to wait for a reply before hedging: well beyond the
-// expected latency, but early enough for the hedge to be answered by the target.
-func (s *Search) hedgeDelay(now tier.Millis, p *part, leaf lister.Leaf) tier.Millis {
-	byTarget := hedgeDelayFraction * float64(s.terms.target-now)
-	byLatency := hedgeLatencyFactor*s.scheduler.balancer.BaseLatency(s.terms.class, leaf) + hedgeSlackMs
-	wait := max(byTarget, byLatency)
-	if _, cost, found := s.pickLeaf(now, p, true); found {
-		wait = min(wait, float64(s.terms.target-now)-hedgeReserveFactor*cost)
-	}
-	return max(minHedgeDelay, tier.Millis(wait))
-}
-
 // retry repeats a part after a call without a usable reply. Calls that did not run
 // are no attempts and have a bound of their own.
 func (s *Search) retry(now tier.Millis, partIndex int, allowed bool, delay tier.Millis, actions []Action) []Action {
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -125,7 +125,7 @@
 		sh.acceptDeadline, sh.reportDeadline = never, never // it may run there at any time
 		return actions
 	}
-	if notAccepted && !notReported && !s.canRepeat(sh) {
+	if notAccepted && !notReported && !s.canRepeat(now, sh) {
 		sh.acceptDeadline = now + retryDelay
 		return actions
 	}
@@ -139,7 +139,7 @@
 
 // canRepeat reports whether the budget allows to repeat the calls of most of a share's missing
 // parts. If not, the VM that has the share is the best chance to get them.
-func (s *Search) canRepeat(sh *share) bool {
+func (s *Search) canRepeat(now tier.Millis, sh *share) bool {
 	missing, allowed := 0, 0
 	for _, i := range sh.parts {
 		p := &s.parts[i]
@@ -147,7 +147,7 @@
 			continue
 		}
 		missing++
-		if s.scheduler.budgeter.Tokens(p.service) >= 1 {
+		if s.scheduler.budgeter.Tokens(now, p.service) >= 1 {
 			allowed++
 		}
 	}
