Keep requests in their regions, and leave evacuated data centres

Requests whose route or organisation lists regions were sent anywhere, and evacuations in the store were not read.

One check (tier/searcher/placement.go) now decides which leafs and VMs a request may go to; calls, hedges, retries, queued parts, shares and hand-overs ask it. Requests with too few usable parts are refused before any call. Evacuations come with the view and are relayed.

testdata/placement/paths.txt plays 16 paths by which a request leaves a VM; each reaches a place outside the regions when the restriction is left out. Unrestricted requests allocate nothing more.

--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -88,11 +88,12 @@
 	delete(p.byAddress, address)
 }
 
-// divideShards assigns the shards of a request to VMs near their leafs.
-func (e *Entry) divideShards(route string, shards []string) []partitioner.Share {
+// divideShards assigns the shards of a request to VMs near their leafs, in the regions in which it
+// may be served.
+func (e *Entry) divideShards(route string, shards []string, regions tier.RegionSet) []partitioner.Share {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.scheduler.Divide(route, shards)
+	return e.scheduler.Divide(route, shards, regions)
 }
 
 // delegate sends a share, some of the request's shards, to another VM, and posts its
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -233,7 +233,7 @@
 func (e *Entry) serveScatterGather(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	shards := q.route.Shards()
 	e.mu.Lock()
-	likelyToFail := e.scheduler.Forecaster().LikelyToFail(q.start, shards, q.route.MinimumParts(), q.arrival.IsRetry(), rand.Float64())
+	likelyToFail := e.scheduler.ForecasterOf(q.regions()).LikelyToFail(q.start, shards, q.route.MinimumParts(), q.arrival.IsRetry(), rand.Float64())
 	e.mu.Unlock()
 	if likelyToFail {
 		e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
@@ -246,7 +246,7 @@
 	}
 	var shares []partitioner.Share
 	if !q.cautious {
-		shares = e.divideShards(q.route.Name(), shards)
+		shares = e.divideShards(q.route.Name(), shards, q.regions())
 	}
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, shares)
 	run.suspected = func() { e.warnOthers(q) }
@@ -337,7 +337,9 @@
 	switch {
 	case !outcome.MayHaveRun():
 		status = http.StatusServiceUnavailable
-		platform.WriteRetryAfter(w.Header(), max(refusalRetryAfter, outcome.RetryAfter())+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
+		if after, helps := retryAfter(outcome); helps {
+			platform.WriteRetryAfter(w.Header(), after)
+		}
 	case outcome.Cause() == searcher.OutOfTime:
 		status = http.StatusGatewayTimeout
 	}
@@ -354,15 +356,24 @@
 	e.countCalls(outcome)
 	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
+	if outcome.Cause() == searcher.NoLeafInRegions {
+		e.refusedForRegions.Add(1)
+	}
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
-	e.log.RateLimitedInfo("request-ended", "request", q.attempt.ID(), "route", q.route.Name(),
+	fields := []any{
+		"request", q.attempt.ID(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
 		"aim-ms", int64(q.route.LatencyTarget()), "spent-ms", int64(q.arrival.Elapsed()), "trip-ms", int64(q.arrival.RoundTrip()),
 		"missing", outcome.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(outcome.Shares()), "calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(),
-		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome))
+		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome),
+	}
+	if regions := q.regions(); regions.Restricted() {
+		fields = append(fields, "regions", strings.Join(regions.Names(), " "))
+	}
+	e.log.RateLimitedInfo("request-ended", fields...)
 }
 
 // describeMisses lists the missing parts, as the value of a log key.
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -84,7 +84,7 @@
 	terms := searcher.NewTerms(request.GetRoute(), now+tier.Millis(request.GetAimMs()), now+tier.Millis(request.GetEndMs()), options...)
 	var shares []partitioner.Share
 	if request.GetSpread() {
-		shares = e.divideShards(request.GetRoute(), request.GetShards())
+		shares = e.divideShards(request.GetRoute(), request.GetShards(), regions)
 	}
 	run := e.newRun(request.GetAttempt(), !request.GetOnce(), leafclient.RestoreTemplate(request.GetMethod(), request.GetHead(), request.GetBody()),
 		terms, request.GetShards(), shares)
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -114,18 +114,17 @@
 	return nil
 }
 
-// readAll reads the configuration, the leafs and what VMs keep in the store, at the same time. The
+// readAll reads the configuration and the evacuations of data centres, the leafs and what VMs keep in the store, at the same time. The
 // three reads are not atomic, so later polls start at the revision of the earliest one.
 func (e *Entry) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
 	defer cancel()
 	start := e.clock.Now()
-	var configuration storer.Value
-	var leafs, state []storer.Value
+	var operator, leafs, state []storer.Value
 	var at [3]int64
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
-		configuration, at[0], err = e.store.GetWithRevision(ctx, platform.ConfigurationKey)
+		operator, at[0], err = e.readOperatorKeys(ctx)
 		return err
 	})
 	g.Go(func() (err error) {
@@ -141,10 +140,7 @@
 	}
 	afterOutage := e.storeUnreachable.Load()
 	e.markStoreReachable()
-	list := slices.Concat(leafs, state)
-	if configuration.Present() {
-		list = append(list, configuration)
-	}
+	list := slices.Concat(leafs, state, operator)
 	revision := min(at[1], at[2])
 	if at[0] != 0 {
 		revision = min(revision, at[0])
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -24,6 +24,7 @@
 func (e *Entry) replaceView(list []storer.Value, revision int64, afterOutage bool) {
 	var entries []lister.Entry
 	var members []storer.Value
+	var evacuations []storer.Value
 	kept := make([]storer.Value, 0, len(list))
 	for _, c := range list {
 		switch {
@@ -39,10 +40,14 @@
 			members = append(members, c)
 		case strings.HasPrefix(c.Key(), crashesPrefix):
 			e.applyCrash(c)
+		case e.isEvacuation(c.Key()):
+			evacuations = append(evacuations, c)
+			continue
 		}
 		kept = append(kept, c)
 	}
 	e.mu.Lock()
+	kept = append(kept, e.replaceEvacuations(evacuations, revision)...)
 	e.relayer.Replace(kept, revision)
 	e.scheduler.Lister().Replace(e.clock.Now(), entries)
 	e.mu.Unlock()
@@ -64,6 +69,10 @@
 		e.applyMember(c)
 	case strings.HasPrefix(c.Key(), crashesPrefix):
 		e.applyCrash(c)
+	case e.isEvacuation(c.Key()):
+		if !e.applyEvacuation(c, revision, copied) {
+			return
+		}
 	default:
 		return
 	}
@@ -139,23 +148,36 @@
 	}
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
 	e.scheduler.SetFleetSize(e.fleetSize())
-	e.scheduler.Lister().Tick(e.clock.Now())
+	changes := e.tickLeafs()
 	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
-	changes := e.scheduler.Lister().TakeChanges()
-	for _, c := range changes {
-		if c.State() == lister.StateGone {
-			e.scheduler.Balancer().Forget(c.Leaf().ID())
-		}
-	}
 	isolated := e.viewAge() > isolationViewAge && e.scheduler.Partitioner().MemberCount() > 1 && len(e.scheduler.Partitioner().HealthyPeers()) == 0
 	e.mu.Unlock()
 	e.leafClient.CloseExpired()
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("isolation", "isolated", isolated, "view-age-ms", int64(e.viewAge()))
 	}
+	e.reportLeafs(changes)
+}
+
+// tickLeafs continues what takes time in the list of leafs, and drops the state of removed ones.
+// It returns the changes since the last call, for reportLeafs. The caller holds the lock.
+func (e *Entry) tickLeafs() []lister.Change {
+	e.scheduler.Lister().Tick(e.clock.Now())
+	changes := e.scheduler.Lister().TakeChanges()
+	for _, c := range changes {
+		if c.State() == lister.StateGone {
+			e.scheduler.Balancer().Forget(c.Leaf().ID())
+		}
+	}
+	return changes
+}
+
+// reportLeafs logs the changes of leafs and closes the idle connections to those that are not
+// ready.
+func (e *Entry) reportLeafs(changes []lister.Change) {
 	for _, c := range changes {
-		if c.State() != lister.StateReady {
+		if c.State() != lister.StateReady && c.State() != lister.StateReturned {
 			e.leafClient.CloseIdle(c.Leaf().Address())
 		}
 	}
--- a/tier/lister/index.go
+++ b/tier/lister/index.go
@@ -27,7 +27,8 @@
 // setRegistration replaces the registration of a key, or removes it if r is nil. It
 // marks the services whose usable leafs may change.
 func (l *Lister) setRegistration(key string, r *registration) {
-	if old, ok := l.registrations[key]; ok {
+	old, known := l.registrations[key]
+	if known {
 		leaf := old.entry.leaf
 		l.markStale(leaf)
 		l.keysByAddress.remove(leaf.address, key)
@@ -35,8 +36,12 @@
 		delete(l.registrations, key)
 	}
 	if r == nil {
+		l.setLeftOut(key, false)
 		return
 	}
+	if !known || old.entry.leaf.dataCentre != r.entry.leaf.dataCentre {
+		l.placeRegistration(key, r)
+	}
 	l.registrations[key] = r
 	leaf := r.entry.leaf
 	l.keysByAddress.add(leaf.address, key)
@@ -61,7 +66,7 @@
 		var list []Leaf
 		for _, key := range l.keysByService[service] {
 			r := l.registrations[key]
-			if !r.leaving && l.isNewestAtAddress(r) {
+			if !r.leaving && !l.evacuations.leftOut[key] && l.isNewestAtAddress(r) {
 				list = append(list, r.entry.leaf)
 			}
 		}
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -57,6 +57,7 @@
 	storeDown       bool
 	storeBackAt     tier.Millis // end of the last outage
 	inReturnWindow  bool
+	evacuations     evacuations
 }
 
 // Change is a change of a leaf's state, for logs and for code that keeps state for
@@ -72,6 +73,9 @@
 	StateLeaving = "leaving"
 	StateGone    = "gone"
 	StateLapsed  = "lapsed" // missing after an outage, still used
+
+	StateEvacuated = "evacuated" // left out, as its data centre is evacuated
+	StateReturned  = "returned"  // used again after that
 )
 
 // Leaf is the leaf that changed.
@@ -85,6 +89,7 @@
 	return &Lister{
 		registrations: map[string]*registration{}, usableByService: map[string][]Leaf{},
 		keysByService: keysByName{}, keysByAddress: keysByName{}, staleServices: map[string]bool{},
+		evacuations: evacuations{byDataCentre: map[string]*evacuation{}, leftOut: map[string]bool{}},
 	}
 }
 
@@ -123,8 +128,10 @@
 	l.rebuildStale()
 }
 
-// Tick drops the lapsed entries once ReturnWindow is over.
+// Tick drops the lapsed entries once ReturnWindow is over, and continues the evacuations of
+// data centres.
 func (l *Lister) Tick(now tier.Millis) {
+	l.tickEvacuations(now)
 	if !l.inReturnWindow || l.storeDown || now-l.storeBackAt < ReturnWindow {
 		return
 	}
--- a/tier/partitioner/owners.go
+++ b/tier/partitioner/owners.go
@@ -54,6 +54,14 @@
 // own VM if that is excluded.
 func (p *Partitioner) eligible(region string) []Member { return p.large(region, false) }
 
+// eligibleIn is eligible for a request that is restricted to some regions.
+func (p *Partitioner) eligibleIn(region string, regions tier.RegionSet) []Member {
+	if !regions.Allows(region) {
+		return nil
+	}
+	return p.eligible(region)
+}
+
 // large lists the large VMs of a region, by name.
 func (p *Partitioner) large(region string, suspected bool) []Member {
 	maxCores := 0.0
--- a/tier/partitioner/partition.go
+++ b/tier/partitioner/partition.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"sort"
+
+	"cicadagrade.example/tier"
 )
 
 // Share is the subset of a request's shards that one VM queries.
@@ -34,12 +36,13 @@
 // Partition assigns each shard of a request to a VM. A shard with a leaf in this VM's
 // region goes to its owner there. The others go to a gateway in each further region,
 // which partitions them again, and those that no gateway is near to a stand-in. The share
-// of an excluded VM is what no VM can query. locationsOf lists the locations of a shard's
-// leafs; random returns numbers uniform in [0, 1).
-func (p *Partitioner) Partition(class string, shards []string, locationsOf func(string) []Location, random func() float64) []Share {
+// of an excluded VM is what no VM can query. Other VMs get shards only if their region is allowed.
+// locationsOf lists the locations of those of a shard's leafs that may be used; random returns
+// numbers uniform in [0, 1).
+func (p *Partitioner) Partition(class string, shards []string, regions tier.RegionSet, locationsOf func(string) []Location, random func() float64) []Share {
 	result := partition{shareIndex: map[string]int{}, self: p.self.vm.Name()}
 	var remote []int
-	eligible := p.eligible(p.self.region)
+	eligible := p.eligibleIn(p.self.region, regions)
 	for i, shard := range shards {
 		locations := locationsOf(shard)
 		switch {
@@ -50,7 +53,7 @@
 		}
 	}
 	for len(remote) > 0 {
-		region, found := p.pickRegion(class, shards, remote, locationsOf, random())
+		region, found := p.pickRegion(class, shards, remote, regions, locationsOf, random())
 		if !found {
 			break
 		}
@@ -67,14 +70,14 @@
 		remote = remaining
 	}
 	for _, i := range remote {
-		result.assign(p.standIn(shards[i], eligible), i)
+		result.assign(p.standIn(shards[i], regions, eligible), i)
 	}
 	return result.shares
 }
 
 // standIn is the VM that queries a shard whose leafs no other VM is near: this one or, if it is
 // excluded, one of its region or else of any other. It is this one if there is none.
-func (p *Partitioner) standIn(shard string, eligible []Member) Member {
+func (p *Partitioner) standIn(shard string, regions tier.RegionSet, eligible []Member) Member {
 	if !p.selfExcluded {
 		return p.self
 	}
@@ -82,7 +85,9 @@
 		if len(eligible) > 0 {
 			break
 		}
-		eligible = p.gateways(region)
+		if regions.Allows(region) {
+			eligible = p.gateways(region)
+		}
 	}
 	if len(eligible) == 0 {
 		return p.self
@@ -138,11 +143,11 @@
 // pickRegion picks another region with a gateway for some shards, among those with leafs
 // of the most of them, or of at least minShardsFraction as many. The pick is random, with
 // a higher weight for lower latency. It reports false if there is none.
-func (p *Partitioner) pickRegion(class string, shards []string, remote []int, locationsOf func(string) []Location, random float64) (string, bool) {
+func (p *Partitioner) pickRegion(class string, shards []string, remote []int, regions tier.RegionSet, locationsOf func(string) []Location, random float64) (string, bool) {
 	count := map[string]int{}
 	maxCount := 0
 	for _, region := range p.otherRegions() {
-		if len(p.eligible(region)) == 0 {
+		if len(p.eligibleIn(region, regions)) == 0 {
 			continue
 		}
 		for _, i := range remote {
--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -53,7 +53,7 @@
 	list := shards(30)
 	for name, p := range newFleet(2, 5) {
 		seen := map[int]bool{}
-		for _, share := range p.Partition("class", list, locationsOf, random.Float64) {
+		for _, share := range p.Partition("class", list, tier.RegionSet{}, locationsOf, random.Float64) {
 			if share.Self() != (share.Member().VM().Name() == name) {
 				t.Errorf("%s: a share reports self %v", name, share.Self())
 			}
@@ -83,7 +83,7 @@
 		if p.Self().Region() != "r1" {
 			continue
 		}
-		for _, share := range p.Partition("class", list, locationsOf, random.Float64) {
+		for _, share := range p.Partition("class", list, tier.RegionSet{}, locationsOf, random.Float64) {
 			m := share.Member()
 			if m.Cores() < 0.5 {
 				t.Errorf("the small VM %s gets a share", m.VM().Name())
@@ -122,7 +122,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	p := newFleet(3, 0)["r1-strong-0"]
 	getsShare := func() bool {
-		for _, share := range p.Partition("class", shards(30), locationsOf, random.Float64) {
+		for _, share := range p.Partition("class", shards(30), tier.RegionSet{}, locationsOf, random.Float64) {
 			if share.Member().VM().Name() == "r1-strong-1" {
 				return true
 			}
@@ -147,7 +147,7 @@
 	for name := range p.members {
 		p.Failed(9000, name)
 	}
-	for _, share := range p.Partition("class", shards(30), locationsOf, random.Float64) {
+	for _, share := range p.Partition("class", shards(30), tier.RegionSet{}, locationsOf, random.Float64) {
 		if !share.Self() {
 			t.Errorf("%s gets a share though all other VMs are suspected", share.Member().VM().Name())
 		}
@@ -269,7 +269,7 @@
 			t.Errorf("%s refreshes %d connections again at once", name, len(again))
 		}
 		for range 20 {
-			for _, share := range p.Partition("class", shards(30), locationsOf, random.Float64) {
+			for _, share := range p.Partition("class", shards(30), tier.RegionSet{}, locationsOf, random.Float64) {
 				if m := share.Member(); m.Region() != p.Self().Region() {
 					used[m.VM().Name()]++
 					if !warm[m.VM().Name()] {
@@ -302,7 +302,7 @@
 		p := New(self)
 		p.SetMembers(0, all, false)
 		expectDataCentre := func(want string) {
-			for _, share := range p.Partition("class", shards(100), locations, func() float64 { return 0 }) {
+			for _, share := range p.Partition("class", shards(100), tier.RegionSet{}, locations, func() float64 { return 0 }) {
 				m := share.Member().VM()
 				if m.DataCentre() != want {
 					t.Errorf("%s assigns a share to %s in %s", self.VM().Name(), m.Name(), m.DataCentre())
@@ -350,7 +350,7 @@
 				}
 			}
 			assigned := 0
-			for _, share := range p.Partition("class", list, locationsOf, random.Float64) {
+			for _, share := range p.Partition("class", list, tier.RegionSet{}, locationsOf, random.Float64) {
 				assigned += len(share.Parts())
 				if share.Self() && healthy > 0 {
 					t.Errorf("%s keeps %d shards, though %d others are healthy", name, len(share.Parts()), healthy)
--- a/tier/regions.go
+++ b/tier/regions.go
@@ -39,6 +39,11 @@
 // Names are the allowed regions of a restricted set, sorted.
 func (r RegionSet) Names() []string { return r.names }
 
+// Equal reports whether both sets allow the same regions.
+func (r RegionSet) Equal(other RegionSet) bool {
+	return r.restricted == other.restricted && slices.Equal(r.names, other.names)
+}
+
 // Intersect returns the set of the regions that both sets allow.
 func (r RegionSet) Intersect(other RegionSet) RegionSet {
 	switch {
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -149,19 +149,22 @@
 
 // Values of Cause.
 const (
-	Complete       Cause = "complete"       // every part arrived
-	AtTarget       Cause = "aim-reached"    // answered at the target, or once no further part can arrive
-	PastTarget     Cause = "past-aim"       // answered after the target, once the minimum of parts had arrived
-	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
-	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
-	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
-	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
-	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
-	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
-	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
-	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
-	OutcomeUnknown Cause = "outcome-unsure" // a call that must not be repeated brought no usable reply
-	CallerLeft     Cause = "caller-left"    // the caller has gone
+	Complete    Cause = "complete"     // every part arrived
+	AtTarget    Cause = "aim-reached"  // answered at the target, or once no further part can arrive
+	PastTarget  Cause = "past-aim"     // answered after the target, once the minimum of parts had arrived
+	LeafFailure Cause = "leaf-failure" // a leaf's failure reply is passed on
+	NoLeaf      Cause = "no-leaf"      // no call was made: too many services have no usable leaf
+	// NoLeafInRegions says that no call was made: too many services have no usable leaf in the
+	// regions in which the request may be served.
+	NoLeafInRegions Cause = "no-leaf-in-regions"
+	LeafsLimited    Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	Quarantined     Cause = "quarantined"    // no call was made: several leafs have ended under the request
+	LinksLost       Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
+	LeafsRefused    Cause = "leafs-refused"  // no call that ended has run
+	PartsLost       Cause = "parts-lost"     // too many parts can no longer arrive
+	OutOfTime       Cause = "out-of-time"    // the deadline or the route's timeout passed
+	OutcomeUnknown  Cause = "outcome-unsure" // a call that must not be repeated brought no usable reply
+	CallerLeft      Cause = "caller-left"    // the caller has gone
 )
 
 // Miss describes a missing part: its service, and the last call for it.
@@ -199,6 +202,8 @@
 	broken     []int
 	retryAfter tier.Millis
 	ended      []lister.Leaf
+	unplaced   bool
+	permanent  bool
 
 	endedElsewhere []string
 }
@@ -241,6 +246,14 @@
 // quarantine have ended the search, or 0.
 func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
 
+// Unplaced reports whether the search was not begun, because too few services have a leaf that the
+// request may use.
+func (o Outcome) Unplaced() bool { return o.unplaced }
+
+// Permanent reports whether the same request will fail until the configuration is changed,
+// because the deployment has none of the regions in which it may be served.
+func (o Outcome) Permanent() bool { return o.permanent }
+
 // Ended are the leafs that ended the connection while they had the request, if no leaf has
 // answered it: the request may have ended them.
 func (o Outcome) Ended() []lister.Leaf { return o.ended }
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -93,6 +93,8 @@
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
 		return LinksLost
+	case len(s.calls) == 0 && !s.mayHaveRun && s.lostForRegions():
+		return NoLeafInRegions
 	case len(s.calls) == 0 && !s.mayHaveRun:
 		return NoLeaf
 	case !s.mayHaveRun:
@@ -113,15 +115,15 @@
 		}
 	}
 	misses := s.misses(now)
-	if !s.terms.flushes && len(s.parts) > 1 && cause != CallerLeft {
+	if !s.terms.flushes && len(s.parts) > 1 && cause != CallerLeft && !s.unplaced {
 		s.recordArrivals(now)
 	}
 	actions = s.cancelAll(now, actions)
 	s.pending = nil
 	o := Outcome{
 		cause: cause, mayHaveRun: s.mayHaveRun, missing: len(s.parts) - s.arrived, misses: misses,
-		retryAfter: s.retryAfter,
-		callsSent:  len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
+		retryAfter: s.retryAfter, unplaced: s.unplaced, permanent: cause == NoLeafInRegions && !s.scheduler.knowsAny(s.terms.regions),
+		callsSent: len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
 	}
 	for k := range s.shares {
 		o.shares = append(o.shares, s.shares[k].replies...)
@@ -138,7 +140,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && (p.lossReason == noLeafReason && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
+		if p.lost && (isNoLeafReason(p.lossReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
@@ -168,7 +170,7 @@
 	var list []Miss
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.arrived {
+		if p.arrived || p.lossReason == notSentReason {
 			continue
 		}
 		if len(list) == maxMisses {
@@ -216,13 +218,14 @@
 
 // recordArrivals tells the forecaster which parts arrived by the target.
 func (s *Search) recordArrivals(now tier.Millis) {
+	f := s.scheduler.ForecasterOf(s.terms.regions)
 	for i := range s.parts {
 		p := &s.parts[i]
 		switch {
 		case p.arrived && !p.pastTarget:
-			s.scheduler.forecaster.RecordArrived(now, p.service)
+			f.RecordArrived(now, p.service)
 		case p.arrived || p.lost || now >= s.terms.target:
-			s.scheduler.forecaster.RecordMissed(now, p.service)
+			f.RecordMissed(now, p.service)
 		}
 	}
 }
--- a/tier/searcher/fleet_test.go
+++ b/tier/searcher/fleet_test.go
@@ -88,7 +88,7 @@
 	}
 	v := local[f.random.IntN(len(local))]
 	if f.shards[traffic.service] {
-		member := v.scheduler.Divide("class", []string{traffic.service})[0].Member()
+		member := v.scheduler.Divide("class", []string{traffic.service}, tier.RegionSet{})[0].Member()
 		for _, other := range f.vms {
 			if other.name == member.VM().Name() {
 				v = other
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -38,6 +38,9 @@
 			s.markLost(p, quarantinedReason)
 			continue
 		}
+		if s.loseUnplaced(p) {
+			continue
+		}
 		used := p.ranCalls + s.arrivedCalls(i)
 		if used >= s.terms.maxAttempts {
 			if p.inFlight == 0 {
--- /dev/null
+++ b/tier/searcher/placement_test.go
@@ -0,0 +1,74 @@
+package searcher
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// placesOf lists the leafs and VMs to which a transcript's search q was sent. The first letter
+// of a name is that of its region, f for the leafs of away.
+func placesOf(transcript string) []string {
+	var places []string
+	for _, match := range regexp.MustCompile(`q> (?:send|delegate).* to ([a-z0-9-]+),`).FindAllStringSubmatch(transcript, -1) {
+		places = append(places, match[1])
+	}
+	return places
+}
+
+// TestRestrictedRequestsStayInTheirRegions plays each path by which a request leaves the VM, of
+// testdata/placement/paths.txt. It guards against a path that does not ask where the request may
+// go: without the regions of search q, each of them reaches a place that they do not allow.
+func TestRestrictedRequestsStayInTheirRegions(t *testing.T) {
+	file, err := os.ReadFile("testdata/placement/paths.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	restriction := regexp.MustCompile(`(?m)^(search q .*)regions (\w+) `)
+	var table strings.Builder
+	for _, text := range strings.Split("\n"+string(file), "\n== ")[1:] {
+		path, lines, _ := strings.Cut(text, "\n")
+		allowed := restriction.FindStringSubmatch(lines)[2]
+		play := func(lines string) []string {
+			s := newScript(t)
+			for _, line := range strings.Split(lines, "\n") {
+				s.play(line)
+			}
+			return placesOf(s.out.String())
+		}
+		outside := func(place string) bool {
+			region := map[byte]string{'h': "home", 'f': "away", 'a': "away", 't': "third"}[place[0]]
+			return region != allowed
+		}
+		restricted, free := play(lines), play(restriction.ReplaceAllString(lines, "$1"))
+		if slices.ContainsFunc(restricted, outside) {
+			t.Errorf("%s: the request went to %v, only %s is allowed", path, restricted, allowed)
+		}
+		if !slices.ContainsFunc(free, outside) {
+			t.Errorf("%s: without regions the request went to %v, so that the case shows nothing", path, free)
+		}
+		fmt.Fprintf(&table, "%s: only %s: %v, without regions: %v\n", path, allowed, restricted, free)
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata/placement")).Assert(t, "paths", []byte(table.String()))
+}
+
+// TestUnrestrictedRequestsCostNothing guards against allocations for the regions of requests
+// that have none.
+func TestUnrestrictedRequestsCostNothing(t *testing.T) {
+	s := newScript(t)
+	s.play("leaf h1 s a")
+	s.play("search q target 100 deadline 500 s")
+	q := s.searches["q"]
+	if n := testing.AllocsPerRun(100, func() {
+		s.scheduler.usableLeafs("s", q.terms.regions)
+		q.refuseUnplaced()
+		s.scheduler.ForecasterOf(q.terms.regions)
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -34,7 +34,7 @@
 func (q queuedPart) missesTarget(now tier.Millis) bool {
 	scheduler := q.search.scheduler
 	p := &q.search.parts[q.part]
-	_, cost, found := scheduler.balancer.Pick(now, q.search.terms.class, scheduler.lister.Leafs(p.service), nil)
+	_, cost, found := scheduler.balancer.Pick(now, q.search.terms.class, scheduler.usableLeafs(p.service, q.search.terms.regions), nil)
 	return !found || now+tier.Millis(cost) > q.search.terms.target
 }
 
@@ -73,14 +73,18 @@
 // dispatchQueued sends queued parts of a service while its leafs have capacity and this VM
 // reaches leafs.
 func (sc *Scheduler) dispatchQueued(now tier.Millis, service string) {
+	var blocked []tier.RegionSet // sets of regions without a leaf with capacity
 	for len(sc.queue[service]) > 0 && !sc.balancer.LinksLost() {
 		list := sc.queue[service]
-		best := 0
-		for k := 1; k < len(list); k++ {
-			if list[k].precedes(list[best], now) {
+		best := -1
+		for k := range list {
+			if !list[k].isBlocked(blocked) && (best < 0 || list[k].precedes(list[best], now)) {
 				best = k
 			}
 		}
+		if best < 0 {
+			return
+		}
 		q := list[best]
 		if q.search.quarantined(now) {
 			sc.dequeue(q.search, q.part)
@@ -89,7 +93,14 @@
 			continue
 		}
 		leaf, _, found := sc.pickWithCapacity(now, q.search, &q.search.parts[q.part])
-		if !found {
+		switch {
+		case found:
+		case sc.dropUnplaced(q):
+			continue
+		case q.search.terms.regions.Restricted():
+			blocked = append(blocked, q.search.terms.regions)
+			continue
+		default:
 			return
 		}
 		sc.dequeue(q.search, q.part)
@@ -118,7 +129,7 @@
 func (sc *Scheduler) pickWithCapacity(now tier.Millis, s *Search, p *part) (lister.Leaf, float64, bool) {
 	owner := sc.ownerCount(now, p.service) > 0
 	allowTried := p.inFlight == 0 && !s.hasUntriedLeaf(now, p)
-	return sc.balancer.Pick(now, s.terms.class, sc.lister.Leafs(p.service), func(leaf lister.Leaf) bool {
+	return sc.balancer.Pick(now, s.terms.class, sc.usableLeafs(p.service, s.terms.regions), func(leaf lister.Leaf) bool {
 		return sc.balancer.HasCapacity(now, leaf, owner) && (allowTried || !contains(p.tried, leaf.ID()))
 	})
 }
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -73,9 +73,11 @@
 	queue       queue
 	active      map[*Search]bool // searches that have started and not finished
 	quarantiner *quarantiner.Quarantiner
-	fleetSize   int                       // VMs, registered or not, as far as known
-	isShard     func(service string) bool // whether a service is a shard of a route
-	woken       []*Search                 // searches with actions for Resume
+	fleetSize   int                               // VMs, registered or not, as far as known
+	isShard     func(service string) bool         // whether a service is a shard of a route
+	woken       []*Search                         // searches with actions for Resume
+	knowsRegion func(region string) bool          // whether the deployment has a region
+	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
 }
 
 // SchedulerOption changes a Scheduler.
@@ -97,7 +99,8 @@
 	sc := &Scheduler{
 		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(), quarantiner: quarantiner.New(),
 		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{}, active: map[*Search]bool{},
-		isShard: func(string) bool { return false },
+		isShard: func(string) bool { return false }, knowsRegion: func(string) bool { return true },
+		restricted: map[string]*forecaster.Forecaster{},
 	}
 	for _, set := range options {
 		set(sc)
@@ -106,17 +109,18 @@
 	return sc
 }
 
-// Divide assigns the shards of a request of a class to VMs near their leafs.
-func (sc *Scheduler) Divide(class string, shards []string) []partitioner.Share {
+// Divide assigns the shards of a request of a class to VMs near their leafs. It uses only VMs
+// and leafs in the regions in which the request may be served.
+func (sc *Scheduler) Divide(class string, shards []string, regions tier.RegionSet) []partitioner.Share {
 	locationsOf := func(shard string) []partitioner.Location {
-		leafs := sc.lister.Leafs(shard)
+		leafs := sc.usableLeafs(shard, regions)
 		list := make([]partitioner.Location, len(leafs))
 		for i, leaf := range leafs {
 			list[i] = partitioner.Location{DataCentre: leaf.DataCentre(), Region: sc.regionOf(leaf.DataCentre())}
 		}
 		return list
 	}
-	return sc.partitioner.Partition(class, shards, locationsOf, sc.random)
+	return sc.partitioner.Partition(class, shards, regions, locationsOf, sc.random)
 }
 
 // ownerCount is an upper bound on the number of VMs that own a service, that is,
@@ -172,6 +176,7 @@
 func (sc *Scheduler) LinksChanged(now tier.Millis) {
 	sc.partitioner.ExcludeSelf(now, sc.balancer.LinksLost())
 	sc.forecaster.Reset() // it has judged shards by links of this VM
+	clear(sc.restricted)
 	for s := range sc.active {
 		sc.wake(s)
 	}
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 
@@ -49,11 +48,13 @@
 // Its commands are:
 //
 //	budget RATIO SLACK              sets the retry budget
-//	leaf ID SERVICE DC [SLOTS]      registers a leaf; DC a or b is in the home region
+//	leaf ID SERVICE DC [SLOTS]      registers a leaf; DC a or b is in the home region, e in
+//	                                third, and any other one in away
+//	evacuate DC | return DC         an evacuation begins, or ends
 //	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
-//	    [cautious] [share PEER=PART,..] SERVICE ...
+//	    [cautious] [regions R,..] [share PEER=PART,..] [divided] SERVICE ...
 //	                                starts a search; its times count from now;
 //	                                once: not idempotent; peer: on behalf of another VM
 //	NAME answer CALL | fail CALL    the leaf replies, or reports a failure
@@ -103,14 +104,17 @@
 	}
 	self := partitioner.NewMember(tier.NewVM("self", "a", "self:1", tier.WithVMState(tier.VMLive)), "home", 1)
 	regionOf := func(dataCentre string) string {
-		if distance(dataCentre) == balancer.OtherRegion {
+		switch {
+		case dataCentre == "e":
+			return "third"
+		case distance(dataCentre) == balancer.OtherRegion:
 			return "away"
 		}
 		return "home"
 	}
 	random := func() float64 { return 0.5 }
 	s.scheduler = NewScheduler(s.lister, balancer.New(distance, balancer.WithRandom(random)), budgeter.New(0.2, 20, 1), partitioner.New(self),
-		WithRegions(regionOf), WithRandom(random))
+		WithRegions(regionOf), WithRandom(random), WithKnownRegions(func(region string) bool { return region != "unknown" }))
 	return s
 }
 
@@ -131,6 +135,11 @@
 		}
 		leaf := lister.NewLeaf(words[1], words[2], words[1]+":1", lister.InDataCentre(words[3]), lister.WithSlots(slots))
 		s.lister.Put(s.now, lister.NewEntry("servers/"+words[1], leaf, int64(s.sequence)))
+	case "evacuate":
+		s.sequence++
+		s.lister.Evacuate(s.now, words[1], int64(s.sequence))
+	case "return":
+		s.lister.EndEvacuation(s.now, words[1], 0)
 	case "quarantine":
 		s.scheduler.quarantiner.Heard(s.now, quarantiner.Fingerprint(words[1]), "vm", 1, quarantiner.Report{Leafs: []string{"x", "y", "z"}, Alone: true})
 	case "links":
@@ -167,7 +176,8 @@
 func (s *script) search(name string, words []string) {
 	var target, deadline tier.Millis
 	options := []TermsOption{Idempotent(), WithFingerprints(func() []quarantiner.Fingerprint { return []quarantiner.Fingerprint{quarantiner.Fingerprint(name)} })}
-	var once bool
+	var once, divided bool
+	var regions tier.RegionSet
 	var shares []partitioner.Share
 	var delegated []partitioner.Share
 	i := 0
@@ -188,6 +198,12 @@
 		case "rank":
 			i++
 			options = append(options, WithRank(s.number(words[i])))
+		case "divided":
+			divided = true
+		case "regions":
+			i++
+			regions = parseRegions(words[i])
+			options = append(options, InRegions(regions))
 		case "cautious":
 			options = append(options, Cautious())
 		case "once":
@@ -206,7 +222,9 @@
 	if once {
 		options = options[1:]
 	}
-	shares = append(shares, delegated...)
+	if shares = append(shares, delegated...); divided {
+		shares = s.scheduler.Divide("class", words[i:], regions)
+	}
 	terms := NewTerms("class", s.now+target, s.now+deadline, append(options, ForwardFailures())...)
 	search := NewSearch(s.scheduler, terms, words[i:], shares)
 	s.searches[name] = search
@@ -277,6 +295,7 @@
 			}
 		}
 		s.now = next
+		s.lister.Tick(s.now)
 		for _, name := range s.names {
 			if search := s.searches[name]; !search.done && search.NextTick() <= s.now {
 				s.print(name, search.Tick(s.now))
@@ -333,6 +352,9 @@
 		return fmt.Sprintf("flush %v", action.Arrived)
 	case Finish:
 		outcome := action.Outcome
+		if outcome.Unplaced() {
+			return fmt.Sprintf("finish %s: not begun, permanent %v, misses %v", outcome.Cause(), outcome.Permanent(), outcome.Misses())
+		}
 		if outcome.RetryAfter() > 0 {
 			return fmt.Sprintf("finish %s: may have run %v, retry after %d ms", outcome.Cause(), outcome.MayHaveRun(), outcome.RetryAfter())
 		}
@@ -359,23 +381,3 @@
 }
 
 func (s *script) float(word string) float64 { return parseFloat(s.t, word) }
-
-// parseInt parses a number of a script.
-func parseInt(t *testing.T, word string) int {
-	t.Helper()
-	value, err := strconv.Atoi(word)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return value
-}
-
-// parseFloat parses a decimal number of a script.
-func parseFloat(t *testing.T, word string) float64 {
-	t.Helper()
-	value, err := strconv.ParseFloat(word, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return value
-}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -88,6 +88,7 @@
 	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
 	caution             caution
 	startedAt           tier.Millis
+	unplaced            bool // it was not begun, as too few parts have a leaf that they may use
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
@@ -101,7 +102,7 @@
 		s.parts[i] = part{service: name, hedgeAt: never, retryAt: never, shareIndex: noShare, nextIsExtra: terms.repeated}
 	}
 	for _, sh := range shares {
-		if sh.Self() {
+		if sh.Self() || !scheduler.mayDelegate(sh.Member(), terms.regions) {
 			continue
 		}
 		for _, i := range sh.Parts() {
@@ -117,6 +118,9 @@
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
 	s.startedAt = now
+	if s.refuseUnplaced() {
+		return s.finish(now, s.failureCause(), nil)
+	}
 	actions := make([]Action, 0, len(s.parts)+1)
 	if s.terms.cautious && len(s.parts) > 1 {
 		for i := range s.parts {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -37,7 +37,7 @@
 	switch {
 	case !found:
 		if p.inFlight == 0 {
-			s.markLost(p, noLeafReason)
+			s.markLost(p, s.noLeafReason(p))
 		}
 		return actions
 	case !s.scheduler.balancer.HasCapacity(now, leaf, s.scheduler.ownerCount(now, p.service) > 0):
@@ -68,9 +68,6 @@
 	return s.startCall(now, partIndex, leaf, p.nextIsExtra, actions)
 }
 
-// noLeafReason is why a part is lost whose service has no usable leaf.
-const noLeafReason = "no-leaf"
-
 // limitReason is why a part is lost that could not be sent before the deadline, because of
 // the limits that all leafs of its service have named.
 const limitReason = "leafs-limited"
@@ -123,7 +120,7 @@
 // pickLeaf picks the leaf with the least expected cost, among those without a call
 // of the part if untriedOnly is set.
 func (s *Search) pickLeaf(now tier.Millis, p *part, untriedOnly bool) (lister.Leaf, float64, bool) {
-	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.lister.Leafs(p.service), func(leaf lister.Leaf) bool {
+	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.usableLeafs(p.service, s.terms.regions), func(leaf lister.Leaf) bool {
 		return !untriedOnly || !contains(p.tried, leaf.ID())
 	})
 }
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	for _, i := range s.shares[shareIndex].parts {
-		s.scheduler.forecaster.Forget(s.parts[i].service)
+		s.scheduler.ForecasterOf(s.terms.regions).Forget(s.parts[i].service)
 	}
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, false, nil)))
 }
@@ -203,13 +203,14 @@
 	for k, i := range parts {
 		services[k] = s.parts[i].service
 	}
-	for _, division := range s.scheduler.Divide(s.terms.class, services) {
+	for _, division := range s.scheduler.Divide(s.terms.class, services, s.terms.regions) {
+		other := !division.Self() && s.scheduler.mayDelegate(division.Member(), s.terms.regions)
 		sh := share{member: division.Member(), second: true, repeated: s.terms.repeated, attempts: attempts}
 		for _, index := range division.Parts() {
 			i := parts[index]
 			p := &s.parts[i]
 			switch {
-			case !division.Self():
+			case other:
 				p.shareIndex = len(s.shares)
 				sh.parts = append(sh.parts, i)
 				sh.repeated = sh.repeated || p.mayHaveRun
@@ -219,7 +220,7 @@
 				actions = s.send(now, i, actions)
 			}
 		}
-		if !division.Self() {
+		if other {
 			s.shares = append(s.shares, sh)
 			actions = s.delegate(now, len(s.shares)-1, actions)
 		}
