--- a/tier/searcher/placement_test.go
+++ b/tier/searcher/placement_test.go
@@ -9,6 +9,9 @@
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
 )
 
 // placesOf lists the leafs and VMs to which a transcript's search q was sent. The first letter
@@ -72,3 +75,31 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// TestLoadShiftsWithoutAStep guards against other data centres that get the load of an evacuated
+// one at once: the part of the calls that they get grows evenly within the time of the ramp.
+func TestLoadShiftsWithoutAStep(t *testing.T) {
+	const shards, step, tolerance = 90, 100 * tier.Millisecond, 0.2
+	s := newScript(t)
+	var services []string
+	for i := range shards {
+		services = append(services, fmt.Sprint("s", i))
+		s.play(fmt.Sprintf("leaf h%d s%d a 99", i, i))
+		s.play(fmt.Sprintf("leaf f%d s%d c 99", i, i))
+	}
+	s.play("evacuate a")
+	for s.now = 0; s.now <= lister.EvacuationRamp; s.now += step {
+		s.lister.Tick(s.now)
+		search := NewSearch(s.scheduler, NewTerms("class", s.now+200, s.now+500), services, nil)
+		elsewhere := 0.0
+		for _, action := range search.Start(s.now) {
+			if send, ok := action.(Send); ok && send.Leaf.DataCentre() == "c" {
+				elsewhere += 1.0 / shards
+			}
+		}
+		search.Abandon(s.now)
+		if even := float64(s.now) / float64(lister.EvacuationRamp); elsewhere < even-tolerance || elsewhere > even+tolerance {
+			t.Errorf("after %d ms the others get %.2f of the calls, %.2f would be even", s.now, elsewhere, even)
+		}
+	}
+}
