--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -372,3 +372,26 @@
 		}
 	}
 }
+
+// Shares of a restricted request that go to other VMs of the own region, or to a stand-in in a
+// region that is not allowed, would carry its body there.
+func TestRestrictedSharesGoToAllowedRegions(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for name, p := range newFleet(2, 2) {
+		for _, allowed := range []string{"r1", "r2", "none"} {
+			for _, excluded := range []bool{false, true} {
+				p.ExcludeSelf(0, excluded)
+				parts := 0
+				for _, share := range p.Partition("class", shards(30), tier.RestrictedTo(allowed), locationsOf, random.Float64) {
+					parts += len(share.Parts())
+					if !share.Self() && share.Member().Region() != allowed {
+						t.Errorf("%s: a share goes to %s, only %s is allowed", name, share.Member().VM().Name(), allowed)
+					}
+				}
+				if parts != 30 {
+					t.Errorf("%s: %d shards are assigned", name, parts)
+				}
+			}
+		}
+	}
+}
--- a/tier/searcher/placement_test.go
+++ b/tier/searcher/placement_test.go
@@ -103,3 +103,22 @@
 		}
 	}
 }
+
+// TestForecastsOfOtherRequests guards against requests that are refused because others, which may
+// use fewer regions, lacked the same shards.
+func TestForecastsOfOtherRequests(t *testing.T) {
+	s := newScript(t)
+	for _, leaf := range []string{"h1 s1 a 99", "h2 s2 a 99", "f1 s1 c 99", "f2 s2 c 99"} {
+		s.play("leaf " + leaf)
+	}
+	shards := []string{"s1", "s2"}
+	for i := range 30 {
+		s.play(fmt.Sprintf("search q%d target 50 deadline 60 minimum 2 regions away s1 s2", i))
+		s.play(fmt.Sprint("at ", 100*(i+1)))
+	}
+	restricted := s.scheduler.ForecasterOf(tier.RestrictedTo("away")).LikelyToFail(s.now, shards, 2, false, 0.9)
+	free := s.scheduler.ForecasterOf(tier.RegionSet{}).LikelyToFail(s.now, shards, 2, false, 0.9)
+	if !restricted || free {
+		t.Errorf("likely to fail: restricted requests %v, others %v", restricted, free)
+	}
+}
