Decode the load that leafs tell in their replies

Cause: leafs of some services tell their load and present service time, which no VM reads. Change: platform decodes the figures; the balancer keeps the latest of each start of a leaf with the time at which it was heard.

--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -184,10 +184,14 @@
 		}
 		result := classifyResult(reply, err)
 		notice := r.entry.rateNotice(a.Leaf, reply, err)
+		load, told := r.entry.replyLoad(a.Leaf, reply, err)
 		r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
 			if notice != nil {
 				r.entry.hearRateNotice(now, sentAt, a.Leaf, notice)
 			}
+			if told {
+				r.entry.scheduler.Balancer().HeardLoad(now, a.Leaf, load)
+			}
 			return s.CallEnded(now, a.Call, result)
 		})
 	})
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -131,6 +131,7 @@
 	repliedAt        tier.Millis // when it last replied
 	leaf             lister.Leaf
 	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
+	load             heardLoad
 }
 
 // Balancer holds what one VM has observed of leafs. It is not safe for concurrent
