Keep cold leafs within the rates that their services name

Cause: a cold leaf gets the usual load from all VMs, and a share for each VM would allow 300 calls at once. A whole read of the view did not tell the balancer that a leaf is cold, and a leaf that turns cold again was no change for VMs that copy the view. Change: two VMs for each cold leaf, found by hash of the list of large VMs, share 0.8 of its rate; others pass requests for single leafs on to them, as they do without links. A VM is a keeper 3.5 s after its registration, and has half of its share while its view is old. Log lines and gauges.

--- /dev/null
+++ b/cicadagraded/entry/cold_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"os"
+	"testing"
+
+	"cicadagrade.example/platform"
+	"cicadagrade.example/standin/responder"
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/storer"
+)
+
+// TestViewsTellWhichLeafsAreCold guards against VMs that send their usual load to a cold leaf,
+// because a whole read of the view or a copy from another VM did not tell that it is cold.
+func TestViewsTellWhichLeafsAreCold(t *testing.T) {
+	e, _ := newOfflineEntry(t)
+	raw, err := os.ReadFile("testdata/cold.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	configuration := storer.NewValue(platform.ConfigurationKey, raw, 1)
+	registration := func(sequence int64, remaining tier.Millis) storer.Value {
+		raw, err := responder.NewFixedLeaf("i-1", "a").ColdRegistration("orders", "127.0.0.1:1", "depot-a", sequence, remaining)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return storer.NewValue(platform.LeafsPrefix+"i-1", raw, sequence)
+	}
+	remaining := func() tier.Millis {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		leaf, _ := e.scheduler.Lister().Leaf(platform.LeafsPrefix + "i-1")
+		return e.scheduler.Balancer().ColdRemaining(e.clock.Now(), leaf)
+	}
+	known := func(after int64) int {
+		list, _ := e.relayer.ChangesSince(after)
+		return len(list)
+	}
+	e.replaceView([]storer.Value{registration(2, 9*tier.Second), configuration}, 2, false)
+	if got := remaining(); got < 8*tier.Second {
+		t.Errorf("after a whole read the leaf is cold for %d ms", got)
+	}
+	e.applyChange(registration(3, 8*tier.Second), 3, false)
+	if known(2) != 0 {
+		t.Error("a renewal is told to VMs that copy the view")
+	}
+	e.applyChange(registration(4, 20*tier.Second), 4, false)
+	if known(3) != 1 || remaining() < 19*tier.Second {
+		t.Error("VMs that copy the view are not told that the leaf is cold again")
+	}
+	e.replaceView([]storer.Value{registration(4, 20*tier.Second), configuration}, 5, false)
+	e.replaceView([]storer.Value{registration(6, 30*tier.Second), configuration}, 6, false)
+	if got := remaining(); got < 29*tier.Second {
+		t.Errorf("after a further whole read the leaf is cold for %d ms", got)
+	}
+	if e.scheduler.Balancer().MayCall(e.clock.Now(), lister.NewLeaf("i-1", "orders", "127.0.0.1:1", lister.StartedAt(1))) {
+		t.Error("a VM that nobody knows calls a cold leaf")
+	}
+	e.logColdChanges()
+}
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -43,6 +43,7 @@
 	storeUnreachable atomic.Bool  // the last read of the store failed
 	isolated         atomic.Bool  // neither the store nor any other VM answers
 	linksLost        atomic.Bool  // this VM reaches no leaf
+	heldByCold       int64        // calls that logColdChanges has logged, used by RunLimitLog only
 	stopping         atomic.Bool
 	rttFaultLogged   atomic.Bool   // a failure to measure round-trip times has been logged
 	loaded           chan struct{} // closed when the VM has a view
@@ -103,6 +104,7 @@
 	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
 		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
 		searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }))
+	e.limitCold()
 	options := []refresher.Option{refresher.WithSeeds(s.SeedAddresses())}
 	if s.Bootstrap() {
 		options = append(options, refresher.AtBootstrap())
@@ -138,6 +140,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.scheduler.Budgeter().Configure(s.RetryBudgetRatio(), s.RetryBudgetSlack())
+	e.limitCold()
 }
 
 // Ready reports whether the balancer may send callers to this VM.
--- a/cicadagraded/entry/limits.go
+++ b/cicadagraded/entry/limits.go
@@ -62,6 +62,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		e.logColdChanges()
 		e.mu.Lock()
 		uses := e.scheduler.Balancer().TakeLimitUse()
 		e.mu.Unlock()
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -32,6 +32,8 @@
 		{"cicadagrade.entry.leafs", "registrations of leafs, usable or not", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().Len()) })},
 		{"cicadagrade.entry.leafs.usable", "leafs that can be called", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().UsableCount()) })},
 		{"cicadagrade.entry.leafs.limited", "leafs that limit the rate of requests", withLock(func(e *Entry) int64 { return int64(e.scheduler.Balancer().LimitedCount()) })},
+		{"cicadagrade.entry.leafs.cold", "cold leafs whose service names a rate for them", withLock(func(e *Entry) int64 { return int64(e.scheduler.Balancer().ColdLimitedCount(e.clock.Now())) })},
+		{"cicadagrade.entry.calls.cold", "calls held back, passed on or refused because of the rates of cold leafs", withLock(func(e *Entry) int64 { return e.scheduler.HeldByCold() })},
 		{"cicadagrade.entry.leafs.unreachable", "1 if this VM reaches no leaf, whether or not other VMs do", withLock(func(e *Entry) int64 { return boolToInt(e.scheduler.Balancer().LinksLost()) })},
 		{"cicadagrade.entry.store.away", "1 if this VM's last read of the store failed", func(e *Entry) int64 { return boolToInt(e.storeUnreachable.Load()) }},
 		{"cicadagrade.entry.vms", "known VMs, including this one", withLock(func(e *Entry) int64 { return int64(e.scheduler.Partitioner().MemberCount()) })},
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"cicadagrade.example/platform"
@@ -44,7 +45,9 @@
 	}
 	e.mu.Lock()
 	e.relayer.Replace(kept, revision)
+	registered := slices.DeleteFunc(slices.Clone(entries), func(l lister.Entry) bool { return !e.scheduler.Lister().IsNewer(l) })
 	e.scheduler.Lister().Replace(e.clock.Now(), entries)
+	e.registerLeafs(registered)
 	e.mu.Unlock()
 	e.replaceMembers(members, afterOutage)
 }
@@ -123,8 +126,8 @@
 	}
 	entry := e.decodeLeaf(c)
 	changed := e.scheduler.Lister().Put(now, entry)
-	if entry.Readable() {
-		e.scheduler.Balancer().Registered(now, entry.Leaf())
+	if entry.Readable() && e.scheduler.Balancer().Registered(now, entry.Leaf()) {
+		return true // VMs that copy this view need to know that the leaf is cold again
 	}
 	return changed
 }
@@ -139,6 +142,7 @@
 	}
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
 	e.scheduler.SetFleetSize(e.fleetSize())
+	e.scheduler.SetContact(e.clock.Now(), e.registered.Load(), e.viewAge() > isolationViewAge)
 	e.scheduler.Lister().Tick(e.clock.Now())
 	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -13,6 +13,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"cicadagrade.example/tier"
 )
 
 // Header names of the protocol between callers, entry VMs and leafs.
@@ -77,11 +79,20 @@
 
 // Registration returns the entry with which the leaf registers in the store.
 func (l *FixedLeaf) Registration(service, address, dataCentre string) ([]byte, error) {
-	raw, err := json.Marshal(map[string]any{
+	return l.ColdRegistration(service, address, dataCentre, 1, 0)
+}
+
+// ColdRegistration returns an entry that says how much longer the leaf is cold.
+func (l *FixedLeaf) ColdRegistration(service, address, dataCentre string, sequence int64, remaining tier.Millis) ([]byte, error) {
+	fields := map[string]any{
 		"service": service, "address": address, "zone": dataCentre,
-		"slots": 2, "state": "ready", "sequence": 1, "born": 1,
-	})
-	return raw, errors.Wrap(err, "FixedLeaf.Registration")
+		"slots": 2, "state": "ready", "sequence": sequence, "born": 1,
+	}
+	if remaining > 0 {
+		fields["coldRemainingMs"] = remaining
+	}
+	raw, err := json.Marshal(fields)
+	return raw, errors.Wrap(err, "FixedLeaf.ColdRegistration")
 }
 
 // InvalidRegistration returns a registration that can't be parsed: its service is a
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -9,6 +9,7 @@
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/throttler"
 )
 
@@ -132,6 +133,7 @@
 	leaf             lister.Leaf
 	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
 	load             heardLoad
+	cold             cold
 }
 
 // Balancer holds what one VM has observed of leafs. It is not safe for concurrent
@@ -141,6 +143,8 @@
 	leafs         map[string]*leafState
 	baseLatencies map[latencyKey]float64
 	rateShare     RateShare
+	serviceOf     func(name string) router.Service // of the configuration, or nil
+	coldShare     RateShare
 	random        func() float64
 	links         links
 }
@@ -167,22 +171,15 @@
 func (b *Balancer) stateOf(leaf lister.Leaf) *leafState {
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
+		late := ok && leaf.StartTime() < s.startTime && b.ColdRate(leaf) > 0
 		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, repliedAt: longAgo, leaf: leaf}
-		b.leafs[leaf.ID()] = s
+		if !late { // the end of a call to the former process must not drop the cold time
+			b.leafs[leaf.ID()] = s
+		}
 	}
 	return s
 }
 
-// Registered handles a leaf's registration: it makes a misdirected leaf usable again
-// and starts a cold period.
-func (b *Balancer) Registered(now tier.Millis, leaf lister.Leaf) {
-	s := b.stateOf(leaf)
-	s.misdirectedUntil = 0
-	if leaf.ColdRemaining() > 0 {
-		s.coldUntil = now + leaf.ColdRemaining()
-	}
-}
-
 // Forget drops the state of a leaf that is gone.
 func (b *Balancer) Forget(id string) { delete(b.leafs, id) }
 
@@ -265,6 +262,9 @@
 	if s.throttle != nil {
 		s.throttle.Sent(now, b.rateShare(now, s.leaf))
 	}
+	if throttle, share := b.coldThrottle(now, s); throttle != nil {
+		throttle.Sent(now, share)
+	}
 }
 
 // Answered records a complete reply and its latency.
--- a/tier/balancer/limits.go
+++ b/tier/balancer/limits.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"math"
+
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/throttler"
@@ -13,22 +15,34 @@
 // DivideRates sets the shares. Without it, this VM uses the limits alone.
 func (b *Balancer) DivideRates(share RateShare) { b.rateShare = share }
 
-// permitWait is the time until the limit of a leaf, if it has one, allows a call.
+// permitWait is the time until the limit of a leaf and its cold rate, as far as it has them,
+// allow a call.
 func (b *Balancer) permitWait(now tier.Millis, s *leafState) tier.Millis {
+	wait := b.coldWait(now, s)
 	if s.throttle == nil {
-		return 0
+		return wait
 	}
-	return s.throttle.Wait(now, b.rateShare(now, s.leaf))
+	return max(wait, s.throttle.Wait(now, b.rateShare(now, s.leaf)))
 }
 
-// RateOf is the rate of calls, a second, that the limit of a leaf allows this VM. The second
-// result is false if the leaf has no limit.
+// RateOf is the rate of calls, a second, that the limit of a leaf and its cold rate allow this
+// VM. The second result is false if the leaf has neither.
 func (b *Balancer) RateOf(now tier.Millis, leaf lister.Leaf) (float64, bool) {
 	s, ok := b.leafs[leaf.ID()]
-	if !ok || s.startTime != leaf.StartTime() || s.throttle == nil {
+	if !ok || s.startTime != leaf.StartTime() {
 		return 0, false
 	}
-	return s.throttle.PerSecond() * b.rateShare(now, leaf), true
+	rate, limited := math.Inf(1), false
+	if s.throttle != nil {
+		rate, limited = s.throttle.PerSecond()*b.rateShare(now, leaf), true
+	}
+	switch throttle, share := b.coldThrottle(now, s); {
+	case throttle != nil:
+		rate, limited = min(rate, throttle.PerSecond()*share), true
+	case share == 0:
+		rate, limited = 0, true
+	}
+	return rate, limited
 }
 
 // LimitChange is a leaf's new limit of requests.
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -204,6 +204,16 @@
 	l.setRegistration(key, nil)
 }
 
+// IsNewer reports whether an entry is a registration that is not known yet.
+func (l *Lister) IsNewer(e Entry) bool {
+	old, known := l.registrations[e.key]
+	if !known || !e.readable {
+		return e.readable
+	}
+	start, oldStart := e.leaf.startTime, old.entry.leaf.startTime
+	return start > oldStart || start == oldStart && e.sequence > old.entry.sequence
+}
+
 // Leafs are the usable leafs of a service, by id. The caller must not modify the
 // slice.
 func (l *Lister) Leafs(service string) []Leaf { return l.usableByService[service] }
--- /dev/null
+++ b/tier/searcher/cold.go
@@ -0,0 +1,217 @@
+package searcher
+
+import (
+	"slices"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/lister"
+	"cicadagrade.example/tier/partitioner"
+	"cicadagrade.example/tier/router"
+)
+
+// Shares of the requests that a cold leaf takes from all VMs. A share of less than one request a
+// second still allows one call at any time, so few VMs have one, the keepers of the leaf. They are
+// found by hash from the list of VMs, and the others pass requests on to them.
+const (
+	// coldUse is the part of the rate that the keepers use together.
+	coldUse = 0.8
+	// maxKeepers is the number of keepers, so that half of the rate is left if one fails.
+	maxKeepers = 2
+	// ownerColdShare is the part of coldUse of the VM that owns a shard. The next one
+	// stands in for it.
+	ownerColdShare = 0.85
+	// coldSpan is in seconds how much of its rate a VM may use within one: a permit can be
+	// used for a quarter of a second.
+	coldSpan = 1.25
+	// staleFactor reduces the share of a VM whose view is old. Others may have taken its place
+	// since, if it is cut off. Both together use one and a half times coldUse.
+	staleFactor = 0.5
+	// minColdUse is used even if the bound allows less: a leaf that gets nothing is of no use.
+	minColdUse = 0.3
+	// keeperGrace is how long a VM must have been registered before it is a keeper. All others
+	// have read of it by then: views are up to 2.5 s old.
+	keeperGrace = 3500 * tier.Millisecond
+	// keeperCacheTTL bounds the age of the lists of keepers.
+	keeperCacheTTL = 200 * tier.Millisecond
+	// maxKeepersAsked is how many keepers in turn may get a part. Each may decline or fail.
+	maxKeepersAsked = 2
+	// keeperRetryAfter is when a caller may come back whose request a keeper could not send.
+	keeperRetryAfter = 1 * tier.Second
+)
+
+// coldState is what a VM needs to know to share the rates of cold leafs.
+type coldState struct {
+	overage, slack float64
+	registeredAt   tier.Millis // since when other VMs may know this one, or never
+	stale          bool        // the view is old
+	held           int64       // calls that the rates of cold leafs have held back
+	keepers        map[string]keeperList
+}
+
+// keeperList is a cached list of a leaf's keepers.
+type keeperList struct {
+	at   tier.Millis
+	list []partitioner.Member
+}
+
+// LimitCold makes cold leafs of services that name a rate get no more than that. The bound on
+// requests in a second is a multiple of the rate, and a number besides.
+func (sc *Scheduler) LimitCold(serviceOf func(name string) router.Service, overage, slack float64) {
+	if sc.cold.keepers == nil {
+		sc.cold.registeredAt = never
+	}
+	sc.cold.overage, sc.cold.slack, sc.cold.keepers = overage, slack, map[string]keeperList{}
+	sc.balancer.LimitCold(serviceOf, sc.coldShare)
+}
+
+// SetContact sets whether other VMs can know this one from the store, and whether this VM's view
+// is too old to rely on it.
+func (sc *Scheduler) SetContact(now tier.Millis, registered, stale bool) {
+	switch {
+	case !registered:
+		sc.cold.registeredAt = never
+	case sc.cold.registeredAt == never:
+		sc.cold.registeredAt = now
+	}
+	sc.cold.stale = stale
+}
+
+// HeldByCold is the number of calls that the rates of cold leafs have held back.
+func (sc *Scheduler) HeldByCold() int64 { return sc.cold.held }
+
+// coldUses returns the number of keepers of a cold leaf and the part of its rate that they use
+// together, so that those of two views, one of them old, stay within the bound: each may
+// send one call beyond its rate.
+func (sc *Scheduler) coldUses(perSecond float64) (int, float64) {
+	bound := max(sc.cold.overage, 1)*perSecond + sc.cold.slack
+	for count := maxKeepers; ; count-- {
+		use := (bound - float64(2*count)) / ((1 + staleFactor) * coldSpan * perSecond)
+		if use >= coldUse || count == 1 {
+			return count, min(coldUse, max(minColdUse, use))
+		}
+	}
+}
+
+// coldKeepers lists the keepers of a cold leaf.
+func (sc *Scheduler) coldKeepers(now tier.Millis, leaf lister.Leaf, count int) []partitioner.Member {
+	cached, ok := sc.cold.keepers[leaf.ID()]
+	if ok && now-cached.at < keeperCacheTTL {
+		return cached.list
+	}
+	key, preferred := leaf.ID(), func(string) bool { return true }
+	if sc.isShard(leaf.Service()) {
+		// The first keeper is the owner of the shard, which gets the requests anyway.
+		key, preferred = leaf.Service(), func(dataCentre string) bool { return dataCentre == leaf.DataCentre() }
+	}
+	list := sc.partitioner.Keepers(key, sc.regionOf(leaf.DataCentre()), preferred, count)
+	sc.cold.keepers[leaf.ID()] = keeperList{at: now, list: list}
+	return list
+}
+
+// coldShare is this VM's share of the requests that a cold leaf takes, or 0.
+func (sc *Scheduler) coldShare(now tier.Millis, leaf lister.Leaf) float64 {
+	if sc.cold.registeredAt == never || now-sc.cold.registeredAt < keeperGrace {
+		return 0
+	}
+	count, share := sc.coldUses(sc.balancer.ColdRate(leaf))
+	keepers := sc.coldKeepers(now, leaf, count)
+	self := sc.partitioner.Self().VM().Name()
+	rank := slices.IndexFunc(keepers, func(m partitioner.Member) bool { return m.VM().Name() == self })
+	switch {
+	case rank < 0:
+		return 0
+	case len(keepers) == 1:
+	case !sc.isShard(leaf.Service()):
+		share /= float64(len(keepers))
+	case rank == 0:
+		share *= ownerColdShare
+	default:
+		share *= 1 - ownerColdShare
+	}
+	if sc.cold.stale {
+		share *= staleFactor
+	}
+	return share
+}
+
+// keepersToAsk lists other VMs, not suspected, that are keepers of the cold leafs of a service
+// which this VM may not call.
+func (s *Search) keepersToAsk(now tier.Millis, service string) []partitioner.Member {
+	sc := s.scheduler
+	var list []partitioner.Member
+	for _, leaf := range sc.lister.Leafs(service) {
+		if sc.balancer.MayCall(now, leaf) || !s.terms.regions.Allows(sc.regionOf(leaf.DataCentre())) {
+			continue
+		}
+		count, _ := sc.coldUses(sc.balancer.ColdRate(leaf))
+		for _, m := range sc.coldKeepers(now, leaf, count) {
+			if m.VM().Name() != sc.partitioner.Self().VM().Name() && !sc.partitioner.Suspected(m.VM().Name()) && s.terms.regions.Allows(m.Region()) {
+				list = append(list, m)
+			}
+		}
+	}
+	return list
+}
+
+// askKeeper has a keeper of a cold leaf query a part, if this VM may call no leaf of its service
+// that could answer. Sweeps go to the keepers of their shards anyway. It reports whether a
+// keeper is asked.
+func (s *Search) askKeeper(now tier.Millis, partIndex int, actions []Action) ([]Action, bool) {
+	p, sc := &s.parts[partIndex], s.scheduler
+	used := p.ranCalls + p.inFlight
+	if s.terms.flushes || p.inFlight > 0 || p.keepersAsked >= maxKeepersAsked || used >= s.terms.maxAttempts || sc.isShard(p.service) {
+		return actions, false
+	}
+	list := s.keepersToAsk(now, p.service)
+	if len(list) == 0 {
+		return actions, false
+	}
+	sc.cold.held++
+	p.keepersAsked++
+	p.shareIndex, p.hedgeAt, p.retryAt = len(s.shares), never, never
+	s.retryAfter = max(s.retryAfter, keeperRetryAfter)
+	s.shares = append(s.shares, share{
+		member: list[int(sc.random()*float64(len(list)))%len(list)], parts: []int{partIndex},
+		second: true, repeated: p.nextIsExtra, attempts: s.terms.maxAttempts - used,
+	})
+	return s.delegate(now, len(s.shares)-1, actions), true
+}
+
+// coldWait is how long it takes until the first cold leaf of a service is warm, or 0 if it has no
+// leaf that is too cold for this VM to call it.
+func (sc *Scheduler) coldWait(now tier.Millis, service string) tier.Millis {
+	least := tier.Millis(0)
+	for _, leaf := range sc.lister.Leafs(service) {
+		if wait := sc.balancer.ColdRemaining(now, leaf); !sc.balancer.MayCall(now, leaf) && (least == 0 || wait < least) {
+			least = max(wait, 1)
+		}
+	}
+	return least
+}
+
+// giveUp loses a part without a leaf that this VM may call.
+func (s *Search) giveUp(now tier.Millis, p *part) {
+	wait := s.scheduler.coldWait(now, p.service)
+	if wait == 0 {
+		s.markLost(p, noLeafReason)
+		return
+	}
+	s.scheduler.cold.held++
+	s.retryAfter = max(s.retryAfter, wait)
+	s.markLost(p, limitReason)
+}
+
+// unqueueCold takes a part out of the queue whose leafs have all become too cold for this VM. It
+// reports false if it has none left.
+func (s *Search) unqueueCold(now tier.Millis, partIndex int) bool {
+	service := s.parts[partIndex].service
+	if s.scheduler.coldWait(now, service) == 0 || s.scheduler.mayCallAny(now, service) {
+		return false
+	}
+	s.scheduler.dequeue(s, partIndex)
+	return true
+}
+
+func (sc *Scheduler) mayCallAny(now tier.Millis, service string) bool {
+	return slices.ContainsFunc(sc.lister.Leafs(service), func(leaf lister.Leaf) bool { return sc.balancer.MayCall(now, leaf) })
+}
--- a/tier/searcher/fleet_test.go
+++ b/tier/searcher/fleet_test.go
@@ -12,8 +12,17 @@
 	"cicadagrade.example/tier/throttler"
 )
 
-func (f *fleet) addVM(region string) {
-	v := &fleetVM{name: fmt.Sprintf("%s-%d", region, len(f.vms)), region: region, told: map[string]tier.Millis{}, runs: map[*Search]*fleetRun{}}
+func (f *fleet) addVM(region string, cores float64) *fleetVM {
+	v := &fleetVM{name: fmt.Sprintf("%s-%d", region, len(f.vms)), region: region, cores: cores}
+	f.start(v)
+	f.vms = append(f.vms, v)
+	return v
+}
+
+// start begins a process of a VM, which knows nothing.
+func (f *fleet) start(v *fleetVM) {
+	region := v.region
+	v.told, v.runs = map[string]tier.Millis{}, map[*Search]*fleetRun{}
 	distance := func(dataCentre string) balancer.Distance {
 		if dataCentre == region {
 			return balancer.SameDataCentre
@@ -22,11 +31,10 @@
 	}
 	v.lister = lister.New()
 	v.scheduler = NewScheduler(v.lister, balancer.New(distance, balancer.WithRandom(f.random.Float64)), budgeter.New(0.2, 50, 10), partitioner.New(v.member()), WithRandom(f.random.Float64))
-	f.vms = append(f.vms, v)
 }
 
 func (v *fleetVM) member() partitioner.Member {
-	return partitioner.NewMember(tier.NewVM(v.name, v.region, v.name+":1", tier.WithVMState(tier.VMLive)), v.region, 1)
+	return partitioner.NewMember(tier.NewVM(v.name, v.region, v.name+":1", tier.WithVMState(tier.VMLive)), v.region, v.cores)
 }
 
 // suspectOwner makes all VMs but the owners of a service believe that these have failed.
@@ -51,10 +59,11 @@
 	for _, v := range f.vms {
 		v.scheduler.SetFleetSize(len(f.vms))
 		v.scheduler.SetShards(func(service string) bool { return f.shards[service] })
-		for _, other := range f.vms {
-			v.scheduler.partitioner.Put(other.member())
-		}
+		f.introduce(v)
 		for k, leaf := range f.leafs {
+			if leaf.coldRate > 0 {
+				continue
+			}
 			v.lister.Put(0, lister.NewEntry("servers/"+leaf.leaf.ID(), leaf.leaf, int64(k)))
 		}
 	}
@@ -82,7 +91,7 @@
 func (f *fleet) begin(traffic *fleetTraffic) {
 	var local []*fleetVM
 	for _, v := range f.vms {
-		if v.region == traffic.region {
+		if v.region == traffic.region && !v.dead {
 			local = append(local, v)
 		}
 	}
@@ -90,19 +99,27 @@
 	if f.shards[traffic.service] {
 		member := v.scheduler.Divide("class", []string{traffic.service})[0].Member()
 		for _, other := range f.vms {
-			if other.name == member.VM().Name() {
+			switch {
+			case other.name != member.VM().Name():
+			case other.dead:
+				v.scheduler.partitioner.Failed(f.now, other.name)
+				return
+			default:
 				v = other
 			}
 		}
 	}
 	terms := NewTerms("class", f.now+250, f.now+1000, Idempotent(), WithMaxAttempts(2))
 	search := NewSearch(v.scheduler, terms, []string{traffic.service}, nil)
-	v.runs[search] = &fleetRun{traffic: traffic, cancelled: map[int]bool{}}
+	v.runs[search] = &fleetRun{traffic: traffic, cancelled: map[int]bool{}, recalled: map[int]bool{}}
 	f.step(v, search, search.Start(f.now))
 }
 
 // step carries out the actions of a search, and those of the searches that they woke.
 func (f *fleet) step(v *fleetVM, search *Search, actions []Action) {
+	if v.runs[search] == nil {
+		return // it has finished, or its VM has been killed
+	}
 	for _, action := range actions {
 		f.execute(v, search, action)
 	}
@@ -128,7 +145,7 @@
 			latency = farLatency
 		}
 		f.at(f.now+latency, func() {
-			if r.cancelled[action.Call] {
+			if r.cancelled[action.Call] || v.runs[search] == nil {
 				return
 			}
 			f.hear(v, sentAt, action.Leaf)
@@ -136,8 +153,16 @@
 		})
 	case Cancel:
 		r.cancelled[action.Call] = true
+	case Delegate:
+		f.pass(v, search, action)
+	case Recall:
+		r.recalled[action.Share] = true
+	case Flush:
+		r.report(ShareReport{Parts: action.Arrived, Whole: "reply"})
 	case Finish:
-		if action.Outcome.Success() {
+		if r.report != nil {
+			r.report(ShareReport{Last: true, Calls: action.Outcome.CallsSent()})
+		} else if action.Outcome.Success() {
 			r.traffic.served++
 		}
 		delete(v.runs, search)
@@ -147,6 +172,9 @@
 // arrive counts a request at a leaf.
 func (f *fleet) arrive(v *fleetVM, leaf lister.Leaf) {
 	for _, other := range f.leafs {
+		if other.leaf.ID() == leaf.ID() && other.coldRate > 0 {
+			other.coldArrivals = append(other.coldArrivals, f.now)
+		}
 		if other.leaf.ID() != leaf.ID() || !other.limited(f.now) {
 			continue
 		}
--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -16,8 +16,11 @@
 // TestLimitedLeafsGetNoMoreThanTheyAskFor guards against a leaf that names a limit of
 // requests a second and gets more than that from all VMs together. Each script of
 // testdata/limits is a fleet of VMs with its traffic, in simulated time.
-func TestLimitedLeafsGetNoMoreThanTheyAskFor(t *testing.T) {
-	files, err := filepath.Glob("testdata/limits/*.txt")
+func TestLimitedLeafsGetNoMoreThanTheyAskFor(t *testing.T) { playFleets(t, "testdata/limits/*.txt") }
+
+// playFleets plays the scripts that match a pattern, each with a fleet of its own.
+func playFleets(t *testing.T, pattern string) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scripts: %v", err)
 	}
@@ -55,7 +58,7 @@
 
 // fleet simulates VMs that call leafs. Its commands are:
 //
-//	vms REGION COUNT                     adds VMs
+//	vms REGION COUNT [CORES]             adds VMs
 //	leaf ID SERVICE REGION [limit RATE FROM UNTIL]
 //	                                     adds a leaf, which names a limit in its replies
 //	                                     of that time in ms
@@ -84,6 +87,8 @@
 type fleetVM struct {
 	name      string
 	region    string
+	cores     float64
+	dead, cut bool
 	lister    *lister.Lister
 	scheduler *Scheduler
 	told      map[string]tier.Millis // by id of the leaf
@@ -93,6 +98,8 @@
 type fleetRun struct {
 	traffic   *fleetTraffic
 	cancelled map[int]bool
+	recalled  map[int]bool
+	report    func(ShareReport) // of a search for another VM, or nil
 }
 
 type fleetLeaf struct {
@@ -101,6 +108,11 @@
 	from, until tier.Millis
 	arrivals    []tier.Millis // while it names a limit, from VMs that know it
 	total       int           // arrivals while it names a limit
+
+	coldRate     float64 // of its service, or 0
+	coldArrivals []tier.Millis
+	registered   lister.Entry // the latest registration of a leaf with a cold rate
+	registeredAt tier.Millis
 }
 
 func (f *fleetLeaf) limited(now tier.Millis) bool {
@@ -151,13 +163,19 @@
 	}
 	switch words[0] {
 	case "vms":
+		cores := 1.0
+		if len(words) > 3 {
+			cores = parseFloat(f.t, words[3])
+		}
 		for range parseInt(f.t, words[2]) {
-			f.addVM(words[1])
+			f.addVM(words[1], cores)
 		}
 	case "leaf":
 		leaf := lister.NewLeaf(words[1], words[2], words[1]+":1", lister.InDataCentre(words[3]), lister.WithSlots(4))
 		added := &fleetLeaf{leaf: leaf}
-		if len(words) > 4 {
+		if len(words) > 4 && words[4] == "cold" {
+			f.addCold(added, words[5:])
+		} else if len(words) > 4 {
 			added.perSecond, added.from, added.until = parseFloat(f.t, words[5]), tier.Millis(parseInt(f.t, words[6])), tier.Millis(parseInt(f.t, words[7]))
 		}
 		f.leafs = append(f.leafs, added)
@@ -178,7 +196,7 @@
 	case "used":
 		f.checkUsed(words[1], parseFloat(f.t, words[2]))
 	default:
-		f.t.Fatalf("unknown command %q", words[0])
+		f.playCold(words)
 	}
 }
 
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -76,6 +76,7 @@
 	fleetSize   int                       // VMs, registered or not, as far as known
 	isShard     func(service string) bool // whether a service is a shard of a route
 	woken       []*Search                 // searches with actions for Resume
+	cold        coldState
 }
 
 // SchedulerOption changes a Scheduler.
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -38,6 +38,7 @@
 	queued       bool   // it waits for a leaf with capacity
 	pastTarget   bool   // it arrived after the target time
 	handOvers    int    // how often it was handed over to another VM
+	keepersAsked int    // how often a keeper of a cold leaf got it
 	mayHaveRun   bool   // another VM that had it may have made calls
 	held         bool   // it is not sent until a leaf has answered the request
 	lossReason   string // why it was marked as lost
@@ -215,7 +216,7 @@
 		}
 		if now >= p.retryAt {
 			p.retryAt = never
-			if p.queued {
+			if p.queued && !s.unqueueCold(now, i) {
 				p.retryAt = now + queuePollInterval
 				s.scheduler.dispatchQueued(now, p.service)
 			} else {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -31,13 +31,16 @@
 		return actions
 	}
 	leaf, _, found := s.pickLeaf(now, p, true)
-	if !found && len(p.tried) > 0 {
+	if !found {
+		if asked, ok := s.askKeeper(now, partIndex, actions); ok {
+			return asked
+		}
 		leaf, _, found = s.pickLeaf(now, p, false)
 	}
 	switch {
 	case !found:
 		if p.inFlight == 0 {
-			s.markLost(p, noLeafReason)
+			s.giveUp(now, p)
 		}
 		return actions
 	case !s.scheduler.balancer.HasCapacity(now, leaf, s.scheduler.ownerCount(now, p.service) > 0):
@@ -47,6 +50,9 @@
 			leaf = other
 			break
 		}
+		if s.scheduler.balancer.ColdBinds(now, leaf) {
+			s.scheduler.cold.held++
+		}
 		if wait := s.scheduler.limitWait(now, s, p.service); now+wait > s.terms.deadline && p.inFlight == 0 {
 			s.markLost(p, limitReason)
 			s.retryAfter = max(s.retryAfter, now+wait-s.terms.deadline)
@@ -124,7 +130,7 @@
 // of the part if untriedOnly is set.
 func (s *Search) pickLeaf(now tier.Millis, p *part, untriedOnly bool) (lister.Leaf, float64, bool) {
 	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.lister.Leafs(p.service), func(leaf lister.Leaf) bool {
-		return !untriedOnly || !contains(p.tried, leaf.ID())
+		return (!untriedOnly || !contains(p.tried, leaf.ID())) && s.scheduler.balancer.MayCall(now, leaf)
 	})
 }
 
--- a/tier/throttler/throttle.go
+++ b/tier/throttler/throttle.go
@@ -32,6 +32,9 @@
 // PerSecond is the limit for all VMs together, in requests a second.
 func (t *Throttle) PerSecond() float64 { return t.perSecond }
 
+// SetPerSecond changes the limit for all VMs together.
+func (t *Throttle) SetPerSecond(perSecond float64) { t.perSecond = perSecond }
+
 // Heard handles a further reply of the leaf, to a call that was sent at sentAt. It reports
 // false if the limit has ended. A reply without a limit counts only if it was asked for
 // after the limit was last heard: replies on several connections overtake each other.
