--- a/cicadagraded/entry/members.go
+++ b/cicadagraded/entry/members.go
@@ -151,11 +151,13 @@
 // the same meaning as in replaceView.
 func (e *Entry) replaceMembers(list []storer.Value, afterOutage bool) {
 	members := e.decodeMembers(list)
-	if !slices.ContainsFunc(members, func(m partitioner.Member) bool { return m.VM().Name() == e.settings.Load().Name() }) {
+	listed := slices.ContainsFunc(members, func(m partitioner.Member) bool { return m.VM().Name() == e.settings.Load().Name() })
+	if !listed {
 		e.registered.Store(false)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.scheduler.SetListed(listed)
 	e.scheduler.Partitioner().SetMembers(e.clock.Now(), members, afterOutage)
 }
 
@@ -190,6 +192,9 @@
 	if !v.Present() {
 		if isSelf {
 			e.registered.Store(false)
+			e.mu.Lock()
+			e.scheduler.SetListed(false)
+			e.mu.Unlock()
 			select {
 			case e.unregistered <- struct{}{}:
 			default:
--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -31,6 +31,9 @@
 	// keeperGrace is how long a VM must have been registered before it is a keeper. All others
 	// have read of it by then: views are up to 2.5 s old.
 	keeperGrace = 3500 * tier.Millisecond
+	// restartGrace takes its place for a VM that was on the list before it started. Calls of
+	// its former process and its own then are not within the same second.
+	restartGrace = 1250 * tier.Millisecond
 	// keeperCacheTTL bounds the age of the lists of keepers.
 	keeperCacheTTL = 200 * tier.Millisecond
 	// maxKeepersAsked is how many keepers in turn may get a part. Each may decline or fail.
@@ -43,6 +46,7 @@
 type coldState struct {
 	overage, slack float64
 	registeredAt   tier.Millis // since when other VMs may know this one, or never
+	listed         bool        // this VM was on the list before it registered
 	stale          bool        // the view is old
 	held           int64       // calls that the rates of cold leafs have held back
 	keepers        map[string]keeperList
@@ -70,12 +74,17 @@
 	switch {
 	case !registered:
 		sc.cold.registeredAt = never
+	case sc.cold.registeredAt == never && sc.cold.listed:
+		sc.cold.registeredAt = now + restartGrace - keeperGrace
 	case sc.cold.registeredAt == never:
 		sc.cold.registeredAt = now
 	}
 	sc.cold.stale = stale
 }
 
+// SetListed sets whether the list of VMs has this one, by its former process or this one.
+func (sc *Scheduler) SetListed(listed bool) { sc.cold.listed = listed }
+
 // HeldByCold is the number of calls that the rates of cold leafs have held back.
 func (sc *Scheduler) HeldByCold() int64 { return sc.cold.held }
 
--- a/tier/searcher/cold_test.go
+++ b/tier/searcher/cold_test.go
@@ -143,6 +143,7 @@
 	if f.now == 0 {
 		registeredAt = -keeperGrace
 	}
+	v.scheduler.SetListed(v.restarted)
 	v.scheduler.SetContact(registeredAt, 2*v.cores >= most, false)
 }
 
@@ -174,7 +175,7 @@
 			again = f.addVM(v.region, v.cores)
 		} else {
 			f.start(v)
-			v.dead = false
+			v.dead, v.restarted = false, true
 		}
 		f.introduce(again)
 		again.scheduler.SetFleetSize(len(f.vms))
--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -89,6 +89,7 @@
 	region    string
 	cores     float64
 	dead, cut bool
+	restarted bool
 	lister    *lister.Lister
 	scheduler *Scheduler
 	told      map[string]tier.Millis // by id of the leaf
