Let VMs without a share of a cold leaf join step by step

Cause: once a leaf is warm, the owner of a shard in another region joined with all its load: up to 31 calls in a quarter of a second after 3. Change: such a VM joins with 4 calls a second, which double every 250 ms.

--- a/tier/balancer/cold.go
+++ b/tier/balancer/cold.go
@@ -20,6 +20,9 @@
 	// slots of a leaf allow.
 	warmRamp     = 1250 * tier.Millisecond
 	warmDoubling = 250.0
+	// joinPerSecond is the rate with which a VM without a share joins, at a time of its own
+	// within warmRamp. It rises as long and as fast: a few VMs may have most of the load.
+	joinPerSecond = 4.0
 	// coldRise is by how much the end of a cold time must move for the leaf to count as cold
 	// again. Renewals of a registration move it by the time that they take to arrive.
 	coldRise = 500 * tier.Millisecond
@@ -31,7 +34,7 @@
 // cold is what one VM knows of a cold leaf whose service names a rate.
 type cold struct {
 	joinAt   float64             // when a VM without a share joins, as a part of warmRamp
-	throttle *throttler.Throttle // of a VM with a share
+	throttle *throttler.Throttle // of a VM with a share, or one that has joined
 	reported bool                // TakeColdChanges has returned that it is cold
 }
 
@@ -80,7 +83,7 @@
 		return false
 	}
 	rises := now+remaining > max(now, s.coldUntil)+coldRise
-	if now >= s.coldUntil+warmStagger+warmRamp {
+	if now >= s.coldUntil+warmStagger+2*warmRamp {
 		s.cold.throttle, s.cold.joinAt = nil, b.random()
 	}
 	s.coldUntil = now + remaining
@@ -107,20 +110,22 @@
 // coldThrottle returns the throttle of a cold leaf with a rate and this VM's share. Without a
 // throttle, the share is 1 if this VM may call the leaf, and 0 if not.
 func (b *Balancer) coldThrottle(now tier.Millis, s *leafState) (*throttler.Throttle, float64) {
-	if s.coldUntil == 0 || now >= s.coldUntil+warmStagger+warmRamp {
+	if s.coldUntil == 0 || now >= s.coldUntil+warmStagger+2*warmRamp {
 		return nil, 1
 	}
 	rate := b.ColdRate(s.leaf)
-	warming := now - s.warmAt()
-	if rate <= 0 || warming >= warmRamp {
+	if rate <= 0 {
 		return nil, 1
 	}
-	share := b.coldShare(now, s.leaf)
+	warming, share := now-s.warmAt(), b.coldShare(now, s.leaf)
 	if share <= 0 {
-		if float64(warming) >= s.cold.joinAt*float64(warmRamp) && warming > 0 {
-			return nil, 1
+		rate, share = joinPerSecond, 1
+		if warming -= tier.Millis(s.cold.joinAt * float64(warmRamp)); warming < 0 {
+			return nil, 0
 		}
-		return nil, 0
+	}
+	if warming >= warmRamp {
+		return nil, 1
 	}
 	if warming > 0 {
 		rate *= math.Exp2(float64(warming) / warmDoubling)
--- a/tier/searcher/fleet_test.go
+++ b/tier/searcher/fleet_test.go
@@ -95,6 +95,9 @@
 			local = append(local, v)
 		}
 	}
+	if len(local) == 0 {
+		return // all have been killed
+	}
 	v := local[f.random.IntN(len(local))]
 	if f.shards[traffic.service] {
 		member := v.scheduler.Divide("class", []string{traffic.service})[0].Member()
