Ask the other keeper when one has no share of a cold leaf

Cause: a request that was passed on to a VM which does not count itself as a keeper, as in its first seconds, was rejected at once though another keeper may take it. Change: such a VM reports the part as not called, and the next keeper is asked. A test over loopback passes requests of both kinds on to keepers.

--- a/cicadagraded/entry/cold_test.go
+++ b/cicadagraded/entry/cold_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"net/http"
 	"os"
+	"slices"
 	"testing"
 
 	"cicadagrade.example/platform"
@@ -59,3 +61,39 @@
 	}
 	e.logColdChanges()
 }
+
+// TestCallersOfVMsWithoutAShareAreServed guards against requests that fail because all leafs of
+// their service are cold, and only other VMs may call them.
+func TestCallersOfVMsWithoutAShareAreServed(t *testing.T) {
+	f := newLinkFleet(t, "depot-a", "depot-a", "depot-a", "depot-b", "depot-b")
+	f.putConfiguration("cold.json")
+	f.readStores()
+	for _, e := range f.entries {
+		e.registered.Store(true)
+		e.mu.Lock()
+		e.scheduler.SetContact(e.clock.Now()-tier.Minute, true, false)
+		for _, service := range []string{"orders", "ledger"} {
+			for _, leaf := range e.scheduler.Lister().Leafs(service) {
+				e.scheduler.Balancer().TurnedCold(e.clock.Now(), leaf, tier.Minute)
+			}
+		}
+		e.mu.Unlock()
+	}
+	passed := 0
+	for _, e := range f.entries {
+		for _, path := range []string{"/line/1", "/book/1"} {
+			if response := f.ask(e, path); response.Code != http.StatusOK {
+				t.Errorf("%s: %s: status %d, %s", e.settings.Load().Name(), path, response.Code, response.Body)
+			}
+		}
+		e.mu.Lock()
+		leafs := e.scheduler.Lister().Leafs("orders")
+		if !slices.ContainsFunc(leafs, func(l lister.Leaf) bool { return e.scheduler.Balancer().MayCall(e.clock.Now(), l) }) {
+			passed++
+		}
+		e.mu.Unlock()
+	}
+	if passed == 0 {
+		t.Error("all VMs have a share of a cold leaf; the test shows nothing")
+	}
+}
--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -42,6 +42,10 @@
 	keeperRetryAfter = 1 * tier.Second
 )
 
+// coldReason is why a part is lost of whose service this VM may call no leaf, as all are cold. For
+// another VM, it has not been called.
+const coldReason = "leafs-cold"
+
 // coldState is what a VM needs to know to share the rates of cold leafs.
 type coldState struct {
 	overage, slack float64
@@ -143,18 +147,22 @@
 	return share
 }
 
-// keepersToAsk lists other VMs, not suspected, that are keepers of the cold leafs of a service
-// which this VM may not call.
-func (s *Search) keepersToAsk(now tier.Millis, service string) []partitioner.Member {
+// keepersToAsk lists other VMs, not suspected and not yet asked, that are keepers of the cold leafs
+// of a part's service which this VM may not call.
+func (s *Search) keepersToAsk(now tier.Millis, partIndex int) []partitioner.Member {
 	sc := s.scheduler
+	asked := func(name string) bool {
+		return slices.ContainsFunc(s.shares, func(sh share) bool { return sh.member.VM().Name() == name && slices.Contains(sh.parts, partIndex) })
+	}
 	var list []partitioner.Member
-	for _, leaf := range sc.lister.Leafs(service) {
+	for _, leaf := range sc.lister.Leafs(s.parts[partIndex].service) {
 		if sc.balancer.MayCall(now, leaf) || !s.terms.regions.Allows(sc.regionOf(leaf.DataCentre())) {
 			continue
 		}
 		count, _ := sc.coldUses(sc.balancer.ColdRate(leaf))
 		for _, m := range sc.coldKeepers(now, leaf, count) {
-			if m.VM().Name() != sc.partitioner.Self().VM().Name() && !sc.partitioner.Suspected(m.VM().Name()) && s.terms.regions.Allows(m.Region()) {
+			name := m.VM().Name()
+			if name != sc.partitioner.Self().VM().Name() && !sc.partitioner.Suspected(name) && !asked(name) && s.terms.regions.Allows(m.Region()) {
 				list = append(list, m)
 			}
 		}
@@ -171,7 +179,7 @@
 	if s.terms.flushes || p.inFlight > 0 || p.keepersAsked >= maxKeepersAsked || used >= s.terms.maxAttempts || sc.isShard(p.service) {
 		return actions, false
 	}
-	list := s.keepersToAsk(now, p.service)
+	list := s.keepersToAsk(now, partIndex)
 	if len(list) == 0 {
 		return actions, false
 	}
@@ -207,7 +215,7 @@
 	}
 	s.scheduler.cold.held++
 	s.retryAfter = max(s.retryAfter, wait)
-	s.markLost(p, limitReason)
+	s.markLost(p, coldReason)
 }
 
 // unqueueCold takes a part out of the queue whose leafs have all become too cold for this VM. It
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -138,7 +138,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && (p.lossReason == noLeafReason && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
+		if p.lost && ((p.lossReason == noLeafReason || p.lossReason == coldReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
