Take parts out of the queue whose leafs have become cold

Cause: a part that waited for a leaf which then became cold waited until its deadline on a VM without a share. Change: such a part is passed on or rejected at its next turn. Result: TestQueuedPartsLeaveALeafThatTurnsCold; tests of tier pass.

--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -218,17 +218,15 @@
 	s.markLost(p, coldReason)
 }
 
-// unqueueCold takes a part out of the queue whose leafs have all become too cold for this VM. It
-// reports false if it has none left.
+// unqueueCold takes a part out of the queue if its leafs have all become too cold for this VM
+// meanwhile. It reports whether it has.
 func (s *Search) unqueueCold(now tier.Millis, partIndex int) bool {
-	service := s.parts[partIndex].service
-	if s.scheduler.coldWait(now, service) == 0 || s.scheduler.mayCallAny(now, service) {
+	sc, service := s.scheduler, s.parts[partIndex].service
+	if sc.coldWait(now, service) == 0 || slices.ContainsFunc(sc.lister.Leafs(service), func(leaf lister.Leaf) bool {
+		return sc.balancer.MayCall(now, leaf) && s.terms.regions.Allows(sc.regionOf(leaf.DataCentre()))
+	}) {
 		return false
 	}
-	s.scheduler.dequeue(s, partIndex)
+	sc.dequeue(s, partIndex)
 	return true
 }
-
-func (sc *Scheduler) mayCallAny(now tier.Millis, service string) bool {
-	return slices.ContainsFunc(sc.lister.Leafs(service), func(leaf lister.Leaf) bool { return sc.balancer.MayCall(now, leaf) })
-}
--- a/tier/searcher/cold_test.go
+++ b/tier/searcher/cold_test.go
@@ -1,6 +1,7 @@
 package searcher
 
 import (
+	"strings"
 	"testing"
 
 	"cicadagrade.example/tier"
@@ -41,6 +42,33 @@
 	observedRamp = 4 * tier.Second
 )
 
+// TestQueuedPartsLeaveALeafThatTurnsCold guards against parts that wait until their deadline for
+// a leaf that only other VMs may call now.
+func TestQueuedPartsLeaveALeafThatTurnsCold(t *testing.T) {
+	f := newFleet(t)
+	for _, line := range []string{"vms serra 1", "vms serra 1 0.2", "leaf a contas serra cold 5 0 0", "run 3000"} {
+		f.play(strings.Fields(line))
+	}
+	v, leaf := f.vms[1], f.leafNamed("a").registered.Leaf()
+	terms := NewTerms("class", f.now+500, f.now+1000, Idempotent())
+	var last *Search
+	for range leaf.Slots() + 1 {
+		last = NewSearch(v.scheduler, terms, []string{"contas"}, nil)
+		last.Start(f.now)
+	}
+	if v.scheduler.QueueLength() != 1 {
+		t.Fatalf("%d parts wait", v.scheduler.QueueLength())
+	}
+	v.scheduler.balancer.TurnedCold(f.now, leaf, 10*tier.Second)
+	actions := last.Tick(f.now + queuePollInterval)
+	if len(actions) != 1 || v.scheduler.QueueLength() != 0 || v.scheduler.HeldByCold() != 1 {
+		t.Fatalf("%d parts wait, actions %v", v.scheduler.QueueLength(), actions)
+	}
+	if asked, ok := actions[0].(Delegate); !ok || asked.Member.VM().Name() != f.vms[0].name {
+		t.Errorf("the part goes to %v", actions[0])
+	}
+}
+
 func (f *fleet) playCold(words []string) {
 	ms := func(k int) tier.Millis { return tier.Millis(parseInt(f.t, words[k])) }
 	switch words[0] {
