--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"cicadagrade.example/platform"
@@ -49,7 +50,9 @@
 	e.mu.Lock()
 	kept = append(kept, e.replaceEvacuations(evacuations, revision)...)
 	e.relayer.Replace(kept, revision)
+	registered := slices.DeleteFunc(slices.Clone(entries), func(l lister.Entry) bool { return !e.scheduler.Lister().IsNewer(l) })
 	e.scheduler.Lister().Replace(e.clock.Now(), entries)
+	e.registerLeafs(registered)
 	e.mu.Unlock()
 	e.replaceMembers(members, afterOutage)
 }
@@ -132,8 +135,8 @@
 	}
 	entry := e.decodeLeaf(c)
 	changed := e.scheduler.Lister().Put(now, entry)
-	if entry.Readable() {
-		e.scheduler.Balancer().Registered(now, entry.Leaf())
+	if entry.Readable() && e.scheduler.Balancer().Registered(now, entry.Leaf()) {
+		return true // VMs that copy this view need to know that the leaf is cold again
 	}
 	return changed
 }
@@ -148,6 +151,7 @@
 	}
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
 	e.scheduler.SetFleetSize(e.fleetSize())
+	e.scheduler.SetContact(e.clock.Now(), e.registered.Load(), e.viewAge() > isolationViewAge)
 	changes := e.tickLeafs()
 	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
@@ -166,8 +170,14 @@
 	e.scheduler.Lister().Tick(e.clock.Now())
 	changes := e.scheduler.Lister().TakeChanges()
 	for _, c := range changes {
-		if c.State() == lister.StateGone {
+		switch c.State() {
+		case lister.StateGone:
 			e.scheduler.Balancer().Forget(c.Leaf().ID())
+		case lister.StateReturned:
+			// The leafs of an evacuated data centre are cold when it returns.
+			if t := e.table.Load(); t != nil && t.Service(c.Leaf().Service()).ColdPerSecond() > 0 {
+				e.scheduler.Balancer().TurnedCold(e.clock.Now(), c.Leaf(), t.Service(c.Leaf().Service()).ColdFor())
+			}
 		}
 	}
 	return changes
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -140,7 +140,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && (isNoLeafReason(p.lossReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
+		if p.lost && ((isNoLeafReason(p.lossReason) || p.lossReason == coldReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -78,6 +78,7 @@
 	woken       []*Search                         // searches with actions for Resume
 	knowsRegion func(region string) bool          // whether the deployment has a region
 	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
+	cold        coldState
 	evenLoad    bool
 }
 
