Identify callers by the keys of their organisations

Requests on routes that are not public need a key as soon as the configuration has organisations. Keys are compared by keyed hashes, and refused before the body is read; the refusal does not wait for the body and keeps the connection open.

VMs copied the configuration from each other as it is in the store, with all keys.

--- a/cicadagrade/explain_test.go
+++ b/cicadagrade/explain_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	for _, request := range []string{"refused", "partial", "unsure", "nobody"} {
+	for _, request := range []string{"refused", "partial", "unsure", "keyless", "nobody"} {
 		var text bytes.Buffer
 		c := explainCommand()
 		c.SetArgs([]string{request, "--around"})
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -24,7 +24,6 @@
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/relayer"
-	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/storer"
 )
@@ -37,7 +36,8 @@
 	log              *eventlog.Log
 	leafClient       *leafclient.Client
 	store            *platform.Store
-	table            atomic.Pointer[router.Table]
+	table            inForce
+	keySecret        []byte       // of the authenticators
 	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
 	registered       atomic.Bool  // this VM's registration is in the store
 	storeUnreachable atomic.Bool  // the last read of the store failed
@@ -53,6 +53,7 @@
 	meter            *meter.Meter
 	leafCalls        atomic.Int64   // calls to leafs
 	extraCalls       atomic.Int64   // hedges and retries among leafCalls
+	unknownKeys      atomic.Int64   // requests refused because they have no known key
 	missingParts     atomic.Int64   // shard results not received by the end of their request
 	crossRegionBytes atomic.Int64   // bytes of replies received from other regions
 	crashReported    chan struct{}  // gets a value when crashReports has a new one
@@ -93,7 +94,7 @@
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
-		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
+		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -61,6 +61,7 @@
 	body    []byte
 	margin  tier.Millis // for merging and writing the response
 
+	needsKeys    bool                 // the configuration has organisations
 	organisation *router.Organisation // of the caller, or nil
 	weight       float64              // of the organisation's requests, relative to those of others
 
@@ -89,7 +90,7 @@
 	if e.stopping.Load() || e.isolated.Load() || connectionExpired(r.Context(), start) {
 		w.Header().Set("Connection", "close")
 	}
-	table := e.table.Load()
+	table, keys := e.table.LoadBoth()
 	attempt := platform.ParseAttempt(r.Header)
 	if table == nil {
 		e.refuse(w, attempt, http.StatusServiceUnavailable, "no-configuration", 0, startRetryAfter)
@@ -109,23 +110,23 @@
 		e.refuse(w, attempt, http.StatusNotFound, "no-route", table.Version(), 0)
 		return
 	}
+	q := &request{route: route, table: table, attempt: attempt, start: start}
+	if !e.identify(w, r, q, keys) {
+		return
+	}
 	body, status := readBody(w, r, table.Limits())
 	if status != 0 {
-		e.refuse(w, attempt, status, "bad-body", table.Version(), 0)
+		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, "organisation", q.organisationName())
 		return
 	}
-	q := &request{
-		route: route, table: table, attempt: attempt, start: start, body: body,
-		arrival:      e.recordArrival(r.Context(), start, route, attempt),
-		fingerprints: newFingerprints(r, path, body),
-		margin:       responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
-	}
+	q.body, q.arrival, q.fingerprints = body, e.recordArrival(r.Context(), start, route, attempt), newFingerprints(r, path, body)
+	q.margin = responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards()))
 	if left, quarantined := e.quarantined(q); quarantined {
-		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
+		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left, "organisation", q.organisationName())
 		return
 	}
 	q.cautious = e.wantsCaution(q)
-	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
+	template := leafclient.NewTemplate(r.Method, path, r.Host, q.leafHeader(r.Header), body)
 	if route.IsScatterGather() {
 		e.serveScatterGather(w, r, q, template)
 		return
@@ -156,16 +157,18 @@
 }
 
 // refuse responds to a request that was not sent to any leaf. The caller may return after
-// retryAfter and up to refusalRetryAfter more, unless it is 0.
-func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis) {
+// retryAfter and up to refusalRetryAfter more, unless it is 0. attrs are further keys and
+// values of the log line.
+func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis, attrs ...any) {
 	if retryAfter > 0 {
 		platform.WriteRetryAfter(w.Header(), retryAfter+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	e.meter.RecordRequest("", "", cause, 0)
-	e.log.RateLimitedInfo("refused", "request", attempt.ID(), "status", status, "cause", cause, "version", version,
-		"view-age-ms", int64(e.viewAge()))
+	e.log.RateLimitedInfo("refused", append([]any{
+		"request", attempt.ID(), "status", status, "cause", cause, "version", version, "view-age-ms", int64(e.viewAge()),
+	}, attrs...)...)
 }
 
 // regions are the regions in which the request may be served: those that both its route and
@@ -241,7 +244,7 @@
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		e.log.RateLimitedInfo("refused", "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
-			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
+			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name(), "organisation", q.organisationName())
 		return
 	}
 	var shares []partitioner.Share
@@ -358,7 +361,7 @@
 		return
 	}
 	e.log.RateLimitedInfo("request-ended", "request", q.attempt.ID(), "route", q.route.Name(),
-		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
+		"organisation", q.organisationName(), "version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
 		"aim-ms", int64(q.route.LatencyTarget()), "spent-ms", int64(q.arrival.Elapsed()), "trip-ms", int64(q.arrival.RoundTrip()),
 		"missing", outcome.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(outcome.Shares()), "calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(),
--- a/cicadagraded/entry/links_test.go
+++ b/cicadagraded/entry/links_test.go
@@ -112,6 +112,12 @@
 
 // newLinkFleet starts VMs, one in each of the data centres that are named.
 func newLinkFleet(t *testing.T, dataCentres ...string) *linkFleet {
+	t.Helper()
+	return newWrappedLinkFleet(t, func(h http.Handler) http.Handler { return h }, dataCentres...)
+}
+
+// newWrappedLinkFleet starts VMs whose handlers of calls from other VMs are wrapped.
+func newWrappedLinkFleet(t *testing.T, wrap func(http.Handler) http.Handler, dataCentres ...string) *linkFleet {
 	t.Helper()
 	f := &linkFleet{testFleet: newTestFleet(t, 0), links: map[*Entry]*cutLinks{}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -125,7 +131,7 @@
 		links := &cutLinks{}
 		f.links[e] = links
 		e.leafClient = leafclient.New(leafclient.WithDial(links.dial))
-		peers := httptest.NewUnstartedServer(e.PeerHandler())
+		peers := httptest.NewUnstartedServer(wrap(e.PeerHandler()))
 		peers.Config.Protocols = PeerProtocols()
 		peers.Start()
 		t.Cleanup(peers.Close)
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -50,6 +50,7 @@
 		{"cicadagrade.entry.connections.opened", "connections opened to leafs", func(e *Entry) int64 { return e.leafClient.Counts().Dials }},
 		{"cicadagrade.entry.connections.spoiled", "connections to leafs closed because of bytes that belong to no request", func(e *Entry) int64 { return e.leafClient.Counts().OutOfSync }},
 		{"cicadagrade.entry.replies.stray", "late replies of leafs to earlier requests, which were skipped", func(e *Entry) int64 { return e.leafClient.Counts().StaleReplies }},
+		{"cicadagrade.entry.keys.unknown", "requests refused because they have no known key", func(e *Entry) int64 { return e.unknownKeys.Load() }},
 		{"cicadagrade.entry.memory", "memory of the process, in bytes", func(*Entry) int64 { return readRuntimeMetric("/memory/classes/total:bytes") }},
 		{"cicadagrade.entry.processor.time", "CPU time used by the process, in milliseconds", func(*Entry) int64 { return processCPUTime() }},
 		{"cicadagrade.entry.goroutines", "goroutines", func(*Entry) int64 { return readRuntimeMetric("/sched/goroutines:goroutines") }},
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -5,6 +5,7 @@
 
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/authenticator"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/storer"
 )
@@ -26,6 +27,7 @@
 	var members []storer.Value
 	kept := make([]storer.Value, 0, len(list))
 	for _, c := range list {
+		c = e.redactKeys(c)
 		switch {
 		case c.Key() == platform.ConfigurationKey:
 			e.applyConfiguration(c)
@@ -53,6 +55,7 @@
 // was read from another VM.
 func (e *Entry) applyChange(c storer.Value, revision int64, copied bool) {
 	affectsUse := true
+	c = e.redactKeys(c)
 	switch {
 	case c.Key() == platform.ConfigurationKey:
 		if c.Present() {
@@ -88,7 +91,8 @@
 	if old != nil && t.Version() <= old.Version() {
 		return
 	}
-	e.table.Store(t)
+	keys := authenticator.New(e.keySecret, t.Organisations())
+	e.table.Store(t, keys)
 	e.mu.Lock()
 	e.scheduler.Budgeter().ForgetUnused(e.clock.Now(), t.Uses)
 	e.scheduler.SetShards(t.IsShard)
@@ -99,6 +103,7 @@
 	}
 	e.log.Info("configuration-in-force", "version", t.Version(), "previous", previous,
 		"routes", t.RouteCount(), "revision", c.Revision())
+	e.logOrganisations(t, keys)
 }
 
 // decodeLeaf decodes a leaf's registration. If that fails, it logs the error and returns an
--- a/tier/router/organisation.go
+++ b/tier/router/organisation.go
@@ -6,6 +6,7 @@
 type Organisation struct {
 	name      string
 	keys      []string
+	digests   [][]byte
 	rank      int
 	hasRank   bool
 	perSecond float64
@@ -36,6 +37,11 @@
 	return func(o *Organisation) { o.perSecond, o.burst = perSecond, burst }
 }
 
+// WithKeyDigests adds keys of which only the SHA-256 digests are known.
+func WithKeyDigests(digests ...[]byte) OrganisationOption {
+	return func(o *Organisation) { o.digests = digests }
+}
+
 // ServedIn sets the regions in which the organisation's requests may be served.
 func ServedIn(regions tier.RegionSet) OrganisationOption {
 	return func(o *Organisation) { o.regions = regions }
@@ -48,6 +54,9 @@
 // sent to other processes.
 func (o *Organisation) Keys() []string { return o.keys }
 
+// KeyDigests are the SHA-256 digests of further keys.
+func (o *Organisation) KeyDigests() [][]byte { return o.digests }
+
 // Rank is the rank of its requests. The second result is false if that of the route applies.
 func (o *Organisation) Rank() (int, bool) { return o.rank, o.hasRank }
 
