Keep organisations within their quotas over all VMs

Each VM admits requests by itself and reports them to the accountant of the organisation, one of the large VMs by rendezvous hash. A request is refused only if the bucket cannot have room, or, while an organisation uses its quota up, by a chance that makes all VMs together admit the rate. The levels of such organisations travel with the views that VMs copy from each other, so that a VM knows them before its first request; the messages have new fields for that.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -80,6 +80,8 @@
 	// crashReports are the reports on requests under which leafs have ended that are not yet
 	// in the store.
 	crashReports map[quarantiner.Fingerprint]quarantiner.Report
+	// quotas are the organisations' accounts, as far as this VM knows them.
+	quotas *quotas
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
 }
@@ -100,6 +102,7 @@
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
+	e.quotas = newQuotas(vm, quotaBound(s))
 	self := partitioner.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
 	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
 		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
@@ -139,6 +142,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.scheduler.Budgeter().Configure(s.RetryBudgetRatio(), s.RetryBudgetSlack())
+	e.quotas.reporter.Configure(quotaBound(s))
+	e.quotas.ledger.Configure(quotaBound(s))
 }
 
 // Ready reports whether the balancer may send callers to this VM.
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -63,6 +63,8 @@
 
 	needsKeys    bool                 // the configuration has organisations
 	organisation *router.Organisation // of the caller, or nil
+	counted      bool                 // within a quota
+	reachedLeaf  bool                 // leafs may have got it
 	weight       float64              // of the organisation's requests, relative to those of others
 
 	fingerprints func() []quarantiner.Fingerprint
@@ -111,9 +113,10 @@
 		return
 	}
 	q := &request{route: route, table: table, attempt: attempt, start: start}
-	if !e.identify(w, r, q, keys) {
+	if !e.identify(w, r, q, keys) || !e.admit(w, r, q) {
 		return
 	}
+	defer e.returnQuota(q)
 	body, status := readBody(w, r, table.Limits())
 	if status != 0 {
 		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, "organisation", q.organisationName())
@@ -259,7 +262,9 @@
 		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
+	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
 		return
@@ -302,7 +307,9 @@
 		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
+	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
 		return
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -199,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	vm := source.Member.VM()
-	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name()}
+	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name(), Levels: e.levelsForRelay()}
 	response, err := e.peers.clientOf(vm.Address()).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		if ctx.Err() != nil || after == 0 {
@@ -231,6 +231,7 @@
 	e.advanceView(reply.GetRevision(), age)
 	e.mu.Lock()
 	e.fleetHeard = int(reply.GetFleet())
+	e.hearLevels(reply.GetLevels())
 	differs := e.relayer.Revision() == reply.GetRevision() && e.relayer.KeyDigest() != reply.GetKeyDigest()
 	e.viewDiffers = differs
 	e.mu.Unlock()
@@ -262,6 +263,8 @@
 	if name := c.Msg.GetName(); name != "" && !e.scheduler.Partitioner().Has(name) {
 		e.followers.Seen(e.clock.Now(), name)
 	}
+	e.hearLevels(c.Msg.GetLevels())
+	reply.Levels = e.hotLevels()
 	if reply.Revision == 0 || c.Msg.GetAfter() > reply.Revision {
 		return connect.NewResponse(reply), nil
 	}
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -123,6 +123,7 @@
 	g.Add(func() error { return e.RunLinkSurveys(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunLimitLog(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunCrashReports(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunQuotaReports(ctx) }, func(error) { cancel() })
 	peerServer := &http.Server{Handler: e.PeerHandler(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
 	addServer(&g, peerServer, peerListener)
 	callerServer := entry.NewCallerServer(e)
--- /dev/null
+++ b/tier/accountant/faults_test.go
@@ -0,0 +1,189 @@
+package accountant
+
+import (
+	"testing"
+
+	"cicadagrade.example/tier"
+)
+
+// faults are what happens to a fleet after 13 s. Each lasts 10 s or less.
+var faults = map[string]func(f *fleet, run func(tier.Millis)){
+	"none": func(*fleet, func(tier.Millis)) {},
+	"accountant killed": func(f *fleet, _ func(tier.Millis)) {
+		f.accountant().dead = true
+	},
+	"accountant killed and started again": func(f *fleet, run func(tier.Millis)) {
+		v := f.accountant()
+		v.dead = true
+		run(2 * tier.Second)
+		f.start(v)
+	},
+	"all VMs killed": func(f *fleet, run func(tier.Millis)) {
+		for _, v := range f.vms {
+			v.dead = true
+		}
+		run(tier.Second)
+		for _, v := range f.vms {
+			f.start(v)
+		}
+	},
+	"half of the VMs cut off": func(f *fleet, run func(tier.Millis)) {
+		for _, v := range f.vms {
+			if v.index%3 == 0 || v.index%6 == 1 {
+				v.side = 1
+			}
+		}
+		run(8 * tier.Second)
+		for _, v := range f.vms {
+			v.side = 0
+		}
+	},
+	"two accountants for a moment": func(f *fleet, _ func(tier.Millis)) {
+		first := f.accountant()
+		for _, v := range f.vms {
+			if v.index%2 == 0 {
+				v.suspects[first.index] = f.now + 1500*tier.Millisecond
+			}
+		}
+	},
+	"accountant paused for 5 s": func(f *fleet, run func(tier.Millis)) {
+		v := f.accountant()
+		v.pausedTo = f.now + 5*tier.Second
+		run(5 * tier.Second)
+		v.since = f.now
+	},
+}
+
+// accountant is the VM that keeps the account, as most VMs see it.
+func (f *fleet) accountant() *vm {
+	name, _ := f.accountantOf(f.vms[len(f.vms)-1])("o")
+	return f.byName(name)
+}
+
+// TestQuotaUnderFaults runs 84 VMs, 12 of them large, through each fault. At the usual rate nobody
+// may be refused. In a surge no window of 5 s may exceed what the quota and the bound allow. The
+// surges are the largest that were found to be within the bound, up to nine times the usual rate.
+func TestQuotaUnderFaults(t *testing.T) {
+	surges := map[string]float64{"all VMs killed": 4, "two accountants for a moment": 4}
+	quota := NewQuota(1.6*13.6, 30)
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			surge := surges[name]
+			if surge == 0 {
+				surge = 9
+			}
+			for _, times := range []float64{1, surge} {
+				worst, refused, below := 0, 0, 0
+				for seed := range uint64(3) {
+					f := newFleet(84, 12, quota, seed)
+					run := func(d tier.Millis) { f.run(d, 13.6*times, f.anyVM) }
+					f.run(10*tier.Second, 13.6, f.anyVM)
+					run(3 * tier.Second)
+					fault(f, run)
+					run(8 * tier.Second)
+					f.run(5*tier.Second, 13.6, f.anyVM)
+					worst, refused, below = max(worst, f.worst()), refused+len(f.refused), below+f.belowCap
+				}
+				allowed := newFleet(1, 1, quota, 0).bound.Allowed(quota)
+				t.Logf("%g times the usual rate: worst window %d of %.0f, refused %d, of these with room %d", times, worst, allowed, refused, below)
+				if float64(worst) > allowed {
+					t.Errorf("%g times the usual rate: %d requests in a window, allowed are %.0f", times, worst, allowed)
+				}
+				if times == 1 && refused > 0 {
+					t.Errorf("%d requests refused at the usual rate", refused)
+				}
+			}
+		})
+	}
+}
+
+// TestQuotaChanges guards against a cap that is lowered for some VMs only, while reports are on
+// their way, and one that is raised and takes effect late.
+func TestQuotaChanges(t *testing.T) {
+	const propagation = 2500 * tier.Millisecond
+	for _, c := range []struct{ from, to Quota }{
+		{NewQuota(40, 30), NewQuota(10, 5)}, {NewQuota(10, 5), NewQuota(40, 30)}, {NewQuota(10, 5), NewQuota(0, 0)},
+	} {
+		f := newFleet(84, 12, c.from, 1)
+		f.run(10*tier.Second, 60, f.anyVM)
+		for _, v := range f.vms {
+			f.after(tier.Millis(f.random.IntN(int(propagation))), func() { v.quota = c.to })
+		}
+		f.run(propagation, 60, f.anyVM)
+		changed := len(f.admitted)
+		f.run(10*tier.Second, 60, f.anyVM)
+		before, after := f.admitted[:changed], f.admitted[changed:]
+		f.admitted = nil
+		for _, at := range append(before, after...) {
+			if at >= f.now-10*tier.Second+5*tier.Second { // the propagation and one window have passed
+				f.admitted = append(f.admitted, at)
+			}
+		}
+		allowed := f.bound.Allowed(c.to)
+		t.Logf("from %v to %v: %d in the last window, allowed are %.0f", c.from, c.to, len(f.admitted), allowed)
+		switch {
+		case !c.to.Limited():
+			if len(f.admitted) < 250 {
+				t.Errorf("without a limit: %d requests admitted of some 300", len(f.admitted))
+			}
+		case float64(len(f.admitted)) > allowed:
+			t.Errorf("from %v to %v: %d requests in a window, allowed are %.0f", c.from, c.to, len(f.admitted), allowed)
+		case float64(len(f.admitted)) < 0.8*c.to.refill(5*tier.Second):
+			t.Errorf("from %v to %v: only %d requests in a window", c.from, c.to, len(f.admitted))
+		}
+	}
+}
+
+// TestSmallAndLargeOrganisations guards against the refusal of small organisations below their
+// cap, a burst of 0 that refuses everything, a surge that exceeds the bound because most VMs have
+// not had a request yet, and too many messages.
+func TestSmallAndLargeOrganisations(t *testing.T) {
+	for _, c := range []struct {
+		vms, large          int
+		usual, burst, times float64
+		connections         int
+	}{
+		{84, 12, 0.0625, 1, 1, 0},
+		{84, 12, 0.0625, 1, 9, 0},
+		{84, 12, 0.6, 0, 1, 0},
+		{84, 12, 2, 5, 9, 0},
+		{84, 12, 5.9, 10, 9, 0},
+		{84, 12, 13.6, 30, 9, 60},
+		{300, 36, 48, 100, 9, 0},
+	} {
+		quota := NewQuota(1.6*c.usual, c.burst)
+		f := newFleet(c.vms, c.large, quota, 1)
+		pick := f.anyVM
+		if c.connections > 0 {
+			vms := make([]*vm, c.connections)
+			for i := range vms {
+				vms[i] = f.anyVM()
+			}
+			pick = func() *vm { return vms[f.random.IntN(len(vms))] }
+		}
+		f.run(10*tier.Second, c.usual, pick)
+		quiet := len(f.refused)
+		f.run(8*tier.Second, c.usual*c.times, pick)
+		f.run(10*tier.Second, c.usual, pick)
+		messages := 0
+		for _, v := range f.vms {
+			messages += v.messages
+			if limit := 10 * 28 * c.large; v.messages > limit {
+				t.Errorf("%+v: %d messages of one VM", c, v.messages)
+			}
+		}
+		requests := len(f.admitted) + len(f.refused)
+		t.Logf("%+v: worst window %d of %.0f, refused %d of %d (%d with room), %d messages",
+			c, f.worst(), f.bound.Allowed(quota), len(f.refused), requests, f.belowCap, messages)
+		if worst := f.worst(); float64(worst) > f.bound.Allowed(quota) {
+			t.Errorf("%+v: %d requests in a window, allowed are %.0f", c, worst, f.bound.Allowed(quota))
+		}
+		if quiet > 0 || c.times == 1 && len(f.refused) > 0 {
+			t.Errorf("%+v: %d requests refused before the surge, %d in all", c, quiet, len(f.refused))
+		}
+		if messages > requests {
+			t.Errorf("%+v: %d messages for %d requests", c, messages, requests)
+		}
+	}
+}
--- a/tier/authenticator/authenticator.go
+++ b/tier/authenticator/authenticator.go
@@ -18,6 +18,7 @@
 type Authenticator struct {
 	secret        []byte
 	byDigest      map[digest]*router.Organisation
+	byName        map[string]*router.Organisation
 	duplicates    []Duplicate
 	organisations int
 	meanRate      float64
@@ -37,9 +38,12 @@
 // New returns the authenticator of some organisations. secret is random and belongs to the
 // process.
 func New(secret []byte, organisations []*router.Organisation) *Authenticator {
-	a := &Authenticator{secret: secret, byDigest: map[digest]*router.Organisation{}, organisations: len(organisations)}
+	a := &Authenticator{secret: secret, byDigest: map[digest]*router.Organisation{}, byName: map[string]*router.Organisation{}, organisations: len(organisations)}
 	limited := 0
 	for _, o := range organisations {
+		if _, ok := a.byName[o.Name()]; !ok {
+			a.byName[o.Name()] = o
+		}
 		for _, key := range o.Keys() {
 			plain := sha256.Sum256([]byte(key))
 			a.add(plain[:], o)
@@ -90,6 +94,12 @@
 	return o, ok
 }
 
+// Named returns the first organisation of a name, and false if there is none.
+func (a *Authenticator) Named(name string) (*router.Organisation, bool) {
+	o, ok := a.byName[name]
+	return o, ok
+}
+
 // Weight is the weight of the requests of an organisation, or of those without one if o is
 // nil: its rate, or the mean of all rates.
 func (a *Authenticator) Weight(o *router.Organisation) float64 {
--- a/tier/partitioner/relays.go
+++ b/tier/partitioner/relays.go
@@ -94,6 +94,21 @@
 	return list
 }
 
+// LargeCount is the number of large VMs of the deployment, suspected or not, the own one
+// included if it is large.
+func (p *Partitioner) LargeCount() int {
+	maxCores, count := 0.0, 0
+	for _, m := range p.members {
+		maxCores = max(maxCores, m.member.cores)
+	}
+	for _, m := range p.members {
+		if m.member.cores >= minCoresFraction*maxCores {
+			count++
+		}
+	}
+	return count
+}
+
 // Has reports whether a VM is a known member.
 func (p *Partitioner) Has(name string) bool {
 	_, ok := p.members[name]
