Describe organisations, and let successors of accountants start more slowly

A VM that takes over a hot organisation's account fills it at a quarter of the rate for 2 s, because the former accountant may go on. Refused requests alone are reported less often the more VMs report, and VMs that don't answer reports are tried after longer and longer pauses. Refusals are logged with what they are based on.

--- a/cicadagrade/explain_test.go
+++ b/cicadagrade/explain_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	for _, request := range []string{"refused", "partial", "unsure", "keyless", "nobody"} {
+	for _, request := range []string{"refused", "partial", "unsure", "keyless", "over", "nobody"} {
 		var text bytes.Buffer
 		c := explainCommand()
 		c.SetArgs([]string{request, "--around"})
--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -25,7 +26,11 @@
 	// accountantHash is the key of the hash by which VMs are picked, with an organisation's name.
 	accountantHash = "accountant"
 	// accountantPause is how long a VM that did not answer a report, or declined it, gets none.
-	accountantPause = 800 * tier.Millisecond
+	// Further failures double it, up to maxAccountantPause.
+	accountantPause    = 800 * tier.Millisecond
+	maxAccountantPause = 6400 * tier.Millisecond
+	// candidatesTTL is how long the list of the VMs that may keep accounts is used.
+	candidatesTTL = 50 * tier.Millisecond
 	// pauseTick is the interval at which a VM checks that it is running, and pauseLimit the gap
 	// after which others may have kept its accounts meanwhile.
 	pauseTick  = 250 * tier.Millisecond
@@ -39,19 +44,24 @@
 	reporter   *accountant.Reporter
 	ledger     *accountant.Ledger
 	news       *accountant.News
-	suspects   map[string]tier.Millis // accountants that get no reports until a time
-	candidates string                 // names of the VMs that may keep accounts
-	since      tier.Millis            // when they last changed, as far as this VM knows
-	ranAt      tier.Millis
-	wake       chan struct{} // gets a value when a report may be due
-	refused    int64         // requests refused over quota
-	reports    int64         // messages sent
+	suspects   map[string]accountantSuspicion
+	candidates []partitioner.Member // VMs that may keep accounts
+	listedAt   tier.Millis          // when they were listed, or 0
+	names      string               // of these VMs
+	since      tier.Millis          // when they last changed, as far as this VM knows
+	ranAt      tier.Millis          // when this was last looked up
+	wake       chan struct{}        // gets a value when a report may be due
+	refused    int64                // requests refused over quota
+	reports    int64                // messages sent
 }
 
+// accountantSuspicion is of a VM that gets no reports until a time.
+type accountantSuspicion struct{ until, pause tier.Millis }
+
 func newQuotas(self tier.VM, bound accountant.Bound) *quotas {
 	return &quotas{
 		reporter: accountant.NewReporter(self.Name(), uint64(self.Incarnation()), 0, bound), ledger: accountant.NewLedger(bound),
-		news: accountant.NewNews(), suspects: map[string]tier.Millis{}, wake: make(chan struct{}, 1),
+		news: accountant.NewNews(), suspects: map[string]accountantSuspicion{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -92,7 +102,9 @@
 		q.counted = true
 		return true
 	}
-	e.refuseUnread(w, r, q, http.StatusTooManyRequests, causeQuotaExceeded, decision.RetryAfter())
+	e.refuseUnread(w, r, q, http.StatusTooManyRequests, causeQuotaExceeded, decision.RetryAfter(),
+		"room", math.Round(decision.Room()), "per-second", quota.PerSecond(), "demand-per-second", math.Round(decision.Demand()),
+		"level-age-ms", int64(decision.Age()), "retry-after-ms", int64(decision.RetryAfter()))
 	return false
 }
 
@@ -122,21 +134,33 @@
 // candidates lists the VMs that may keep accounts and that this VM doesn't suspect: the large
 // ones. The caller holds the lock.
 func (e *Entry) candidates(now tier.Millis) []partitioner.Member {
-	list := slices.DeleteFunc(e.scheduler.Partitioner().Relays(), func(m partitioner.Member) bool {
-		return now < e.quotas.suspects[m.VM().Name()]
+	q := e.quotas
+	if now-q.ranAt >= pauseLimit {
+		q.since = now
+	}
+	q.ranAt = now
+	if q.listedAt > 0 && now-q.listedAt < candidatesTTL {
+		return q.candidates
+	}
+	q.candidates = slices.DeleteFunc(e.scheduler.Partitioner().Relays(), func(m partitioner.Member) bool {
+		return now < q.suspects[m.VM().Name()].until
 	})
-	names := make([]string, len(list))
-	for i, m := range list {
+	q.listedAt = max(now, 1)
+	names := make([]string, len(q.candidates))
+	for i, m := range q.candidates {
 		names[i] = m.VM().Name()
 	}
-	if joined := strings.Join(names, " "); joined != e.quotas.candidates {
-		e.quotas.candidates, e.quotas.since = joined, now
+	if joined := strings.Join(names, " "); joined != q.names {
+		q.names, q.since = joined, now
 	}
-	if now-e.quotas.ranAt >= pauseLimit {
-		e.quotas.since = now
-	}
-	e.quotas.ranAt = now
-	return list
+	return q.candidates
+}
+
+// suspect makes a VM get no reports for a while. The caller holds the lock.
+func (q *quotas) suspect(now tier.Millis, name string) {
+	pause := min(max(accountantPause, 2*q.suspects[name].pause), maxAccountantPause)
+	q.suspects[name] = accountantSuspicion{until: now + pause, pause: pause}
+	q.listedAt = 0
 }
 
 // accountantOf returns a function that finds the VM that keeps the account of an organisation,
@@ -225,7 +249,7 @@
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	if err != nil {
-		e.quotas.suspects[to.Name()] = now + accountantPause
+		e.quotas.suspect(now, to.Name())
 		e.quotas.reporter.Failed(now, report, accountantOf(e.candidates(now)))
 		e.log.RateLimitedInfo("usage-not-reported", "peer", to.Name(), "organisations", len(report.Usages()), "error", err)
 		return
--- a/tier/accountant/accountant_test.go
+++ b/tier/accountant/accountant_test.go
@@ -68,6 +68,13 @@
 	check("of a VM that has just become the accountant", tokens(2, 7, 0, fresh), testBound.startLevel(q))
 	now += tier.Second
 	check("which is cautious", tokens(2, 8, 0, fresh), testBound.startLevel(q)+5)
+	now += 10 * tier.Second
+	fresh.since = now - 100
+	check("after others may have kept the account", tokens(2, 9, 0, fresh), testBound.startLevel(q)+0.5)
+	now += 10 * tier.Second
+	fresh.since = now
+	fresh.heard = func(string) (Level, bool) { return NewLevel("o", -4, 9, 50, 0), true }
+	check("after another one has told of a debt", tokens(2, 10, 0, fresh), -4)
 }
 
 // TestReporter guards against messages without requests, too many of them, requests that are lost
--- a/tier/accountant/faults_test.go
+++ b/tier/accountant/faults_test.go
@@ -61,10 +61,11 @@
 }
 
 // TestQuotaUnderFaults runs 84 VMs, 12 of them large, through each fault. At the usual rate nobody
-// may be refused. In a surge no window of 5 s may exceed what the quota and the bound allow. The
-// surges are the largest that were found to be within the bound, up to nine times the usual rate.
+// may be refused. In a surge to nine times of it, no window of 5 s may exceed what the quota and the
+// bound allow. After all VMs were killed it does (docs/design/organisations.md), so that this
+// fault is checked with four times the usual rate.
 func TestQuotaUnderFaults(t *testing.T) {
-	surges := map[string]float64{"all VMs killed": 4, "two accountants for a moment": 4}
+	surges := map[string]float64{"all VMs killed": 4}
 	quota := NewQuota(1.6*13.6, 30)
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/tier/accountant/ledger.go
+++ b/tier/accountant/ledger.go
@@ -11,10 +11,15 @@
 const (
 	// reporterWindow is the time for which a VM counts as one that reports on an organisation.
 	reporterWindow = 2 * tier.Second
+	// recountInterval is the interval at which these VMs are counted: a hot organisation has
+	// thousands of them.
+	recountInterval = 200 * tier.Millisecond
 	// cautiousTime is how long a bucket whose past is unknown fills at cautiousRate of the rate:
 	// another VM may believe that it keeps the same account.
 	cautiousTime = 2 * tier.Second
 	cautiousRate = 0.5
+	// takeOverRate is that fraction for a hot organisation.
+	takeOverRate = 0.25
 	// partOverage is the fraction of the allowed overage by which the part of the rate of VMs
 	// that are cut off from others exceeds their part of the VMs. The death of a single VM
 	// then hardly matters, and three groups that are cut off from each other use three quarters
@@ -46,8 +51,10 @@
 	since      tier.Millis // when this VM may have become the accountant
 	reportedAt tier.Millis
 	reporters  map[string]tier.Millis // by name of the VM, when it last reported
+	countedAt  tier.Millis            // when reporters was last cleared of old ones
 	demand     float64                // moving average of requests a second
 	demandAt   tier.Millis
+	tookOver   bool        // from another VM that may go on for a moment
 	hotAt      tier.Millis // when the organisation was last about to exceed its quota, or 0
 }
 
@@ -159,7 +166,7 @@
 	b.demand, b.demandAt = max(b.demand, heard.demand), now
 	b.level = min(b.level, heard.tokens)
 	b.hotAt = max(now, 1)
-	b.at, b.since = now, now
+	b.at, b.since, b.tookOver = now, now, true
 }
 
 // fill adds what the rate has left room for since the last time.
@@ -172,7 +179,11 @@
 func (l *Ledger) grown(b *bucket, from, to tier.Millis, part float64) float64 {
 	factor := min(1, part+partOverage*l.bound.overage)
 	cautious := min(max(b.since+cautiousTime-from, 0), max(to-from, 0))
-	return b.quota.refill(cautious)*min(cautiousRate, factor) + b.quota.refill(to-from-cautious)*factor
+	rate := cautiousRate
+	if b.tookOver {
+		rate = takeOverRate
+	}
+	return b.quota.refill(cautious)*min(rate, factor) + b.quota.refill(to-from-cautious)*factor
 }
 
 // told is the level that VMs are told.
@@ -212,9 +223,12 @@
 }
 
 func (b *bucket) countReporters(now tier.Millis) int {
-	for name, at := range b.reporters {
-		if now-at > reporterWindow {
-			delete(b.reporters, name)
+	if now-b.countedAt >= recountInterval {
+		b.countedAt = now
+		for name, at := range b.reporters {
+			if now-at > reporterWindow {
+				delete(b.reporters, name)
+			}
 		}
 	}
 	return len(b.reporters)
--- a/tier/accountant/reporter.go
+++ b/tier/accountant/reporter.go
@@ -7,6 +7,11 @@
 const (
 	// reportInterval is the shortest time between two reports to an accountant.
 	reportInterval = 100 * tier.Millisecond
+	// askInterval and maxAskInterval bound the time between reports of refused requests only, by
+	// the number of VMs that report on the organisation, so that a hot organisation of a large
+	// deployment does not overload its accountant.
+	askInterval    = 1 * tier.Millisecond // for each VM
+	maxAskInterval = tier.Second
 	// ReportTimeout is how long an accountant may take to answer.
 	ReportTimeout = 300 * tier.Millisecond
 	// blindRequests is how many requests of an organisation a VM that has just started admits
@@ -14,7 +19,7 @@
 	blindRequests = 2
 	// levelTime is the time within which a positive level is used up, or a negative one made up
 	// for, while an organisation uses its quota up. It is longer than the news of a level take.
-	levelTime = 1500 * tier.Millisecond
+	levelTime = tier.Second
 	// idleAccountTTL is how long an account without requests is kept.
 	idleAccountTTL = tier.Minute
 	// minRetrySpread is the shortest time over which refused callers are told to return.
@@ -77,6 +82,9 @@
 type Decision struct {
 	admitted   bool
 	retryAfter tier.Millis
+	room       float64
+	age        tier.Millis
+	demand     float64
 }
 
 // Admitted reports whether the request may be sent.
@@ -85,6 +93,15 @@
 // RetryAfter is when there will be room for the caller of a refused request.
 func (d Decision) RetryAfter() tier.Millis { return d.retryAfter }
 
+// Room is the largest number of further requests for which the quota can have room.
+func (d Decision) Room() float64 { return d.room }
+
+// Age is the age of the level on which the decision is based.
+func (d Decision) Age() tier.Millis { return d.age }
+
+// Demand is the rate of the organisation's requests at that time, in requests a second.
+func (d Decision) Demand() float64 { return d.demand }
+
 // Admit decides on a request of an organisation. draw is a random number, uniform in [0, 1).
 func (r *Reporter) Admit(now tier.Millis, organisation string, q Quota, draw float64) Decision {
 	if !q.Limited() {
@@ -98,7 +115,7 @@
 	room := r.room(now, a)
 	if room < 1 || draw >= r.chance(now, a) {
 		a.refused++
-		return Decision{retryAfter: r.retryAfter(a, room, draw)}
+		return r.refuse(now, a, room, draw)
 	}
 	a.unreported++
 	return Decision{admitted: true}
@@ -156,7 +173,7 @@
 	a.ownTokens = min(max(1, r.bound.capacity(a.quota)/vms), a.ownTokens+a.quota.refill(now-a.ownTokensAt)/vms)
 	a.ownTokensAt = now
 	if draw >= a.ownTokens {
-		return Decision{retryAfter: r.retryAfter(a, a.ownTokens*vms, draw)}
+		return r.refuse(now, a, a.ownTokens*vms, draw)
 	}
 	a.ownTokens--
 	return Decision{admitted: true}
@@ -170,13 +187,14 @@
 	return r.vms
 }
 
-// retryAfter is when the bucket has room for one request, and a random time besides within
-// which the rate leaves room for one request from each VM.
-func (r *Reporter) retryAfter(a *account, room, draw float64) tier.Millis {
+// refuse returns a refusal. The caller may return when the bucket has room for one request,
+// and after a random time besides within which the rate leaves room for one request from each
+// VM.
+func (r *Reporter) refuse(now tier.Millis, a *account, room, draw float64) Decision {
 	perMilli := a.quota.perSecond / float64(tier.Second)
 	wait := max(0, 1-room) / perMilli
 	spread := min(max(float64(minRetrySpread), float64(a.vms)/perMilli), float64(r.bound.window))
-	return max(1, tier.Millis(wait+spread*draw))
+	return Decision{retryAfter: max(1, tier.Millis(wait+spread*draw)), room: room, age: now - a.levelAt, demand: a.demand}
 }
 
 // Return gives back the room of an admitted request that has reached no leaf. It goes to the
@@ -192,120 +210,6 @@
 	}
 }
 
-// TakeDue returns the reports to send now, and when to call it again, or 0 if only a request
-// can make a report due. accountantOf returns the VM that keeps the account of an
-// organisation, or false if there is none.
-func (r *Reporter) TakeDue(now tier.Millis, accountantOf func(organisation string) (string, bool)) ([]Report, tier.Millis) {
-	r.sweep(now)
-	for to, l := range r.links {
-		if l.failed != nil && !r.allAt(to, l.failed.usages, accountantOf) {
-			r.reopen(*l.failed)
-			l.failed = nil
-		}
-	}
-	next := tier.Millis(0)
-	usages := map[string][]Usage{}
-	for organisation, a := range r.accounts {
-		if !a.wanted {
-			continue
-		}
-		to, ok := accountantOf(organisation)
-		if !ok {
-			r.becomeAlone(now, a)
-			a.wanted = false
-			continue
-		}
-		l := r.link(to)
-		if l.outstanding {
-			continue // the answer makes the next one due
-		}
-		if due := l.sentAt + reportInterval; l.sent && now < due {
-			if next == 0 || due < next {
-				next = due
-			}
-			continue
-		}
-		usages[to] = append(usages[to], Usage{organisation: organisation, requests: a.unreported, refused: a.refused})
-	}
-	var due []Report
-	for to, list := range usages {
-		due = append(due, r.send(now, to, list))
-	}
-	return due, next
-}
-
-func (r *Reporter) link(to string) *link {
-	l, ok := r.links[to]
-	if !ok {
-		l = &link{}
-		r.links[to] = l
-	}
-	return l
-}
-
-// send makes a report. One that has not been answered is sent again as it is, because the
-// accountant may have recorded it.
-func (r *Reporter) send(now tier.Millis, to string, usages []Usage) Report {
-	l := r.link(to)
-	l.sentAt, l.sent, l.outstanding = now, true, true
-	if again := l.failed; again != nil {
-		l.failed = nil
-		again.sentAt = now
-		return *again
-	}
-	r.sequence++
-	for _, u := range usages {
-		a := r.accounts[u.organisation]
-		a.unreported -= u.requests
-		a.inFlight += u.requests
-		a.refused, a.wanted = 0, false
-	}
-	return Report{to: to, name: r.name, incarnation: r.incarnation, sequence: r.sequence, usages: usages, sentAt: now}
-}
-
-func (r *Reporter) allAt(to string, usages []Usage, accountantOf func(string) (string, bool)) bool {
-	for _, u := range usages {
-		if name, ok := accountantOf(u.organisation); !ok || name != to {
-			return false
-		}
-	}
-	return true
-}
-
-// reopen makes the requests of a report that was not answered part of the next report.
-func (r *Reporter) reopen(report Report) {
-	for _, u := range report.usages {
-		if a, ok := r.accounts[u.organisation]; ok {
-			a.inFlight -= u.requests
-			a.unreported += u.requests
-			a.wanted = true
-		}
-	}
-}
-
-// Answered handles the answer to a report.
-func (r *Reporter) Answered(now tier.Millis, report Report, levels []Level) {
-	r.link(report.to).outstanding = false
-	byName := map[string]Level{}
-	for _, level := range levels {
-		byName[level.organisation] = level
-	}
-	for _, u := range report.usages {
-		a, ok := r.accounts[u.organisation]
-		if !ok {
-			continue
-		}
-		a.inFlight -= u.requests
-		level, ok := byName[u.organisation]
-		if !ok {
-			r.becomeAlone(now, a) // the accountant does not know the quota yet
-			continue
-		}
-		a.alone = false
-		r.learn(report.sentAt, a, level)
-	}
-}
-
 // learn records a level that was told at or after a time.
 func (r *Reporter) learn(at tier.Millis, a *account, level Level) {
 	a.level, a.levelAt, a.known, a.vms, a.demand = level.tokens, at, true, level.vms, level.demand
@@ -347,23 +251,6 @@
 	return NewLevel(organisation, a.level, a.vms, a.demand, now-a.levelAt), true
 }
 
-// Failed handles a report that was not answered in time, or that the accountant has declined.
-// Its requests are reported again, to the accountant's successor if it has one.
-func (r *Reporter) Failed(now tier.Millis, report Report, accountantOf func(organisation string) (string, bool)) {
-	l := r.link(report.to)
-	l.outstanding = false
-	if !r.allAt(report.to, report.usages, accountantOf) {
-		r.reopen(report)
-		return
-	}
-	l.failed = &report
-	for _, u := range report.usages {
-		if a, ok := r.accounts[u.organisation]; ok {
-			r.becomeAlone(now, a)
-		}
-	}
-}
-
 // becomeAlone makes the VM use its own part of an organisation's quota.
 func (r *Reporter) becomeAlone(now tier.Millis, a *account) {
 	if a.alone {
@@ -376,21 +263,3 @@
 	a.alone, a.ownTokens, a.ownTokensAt = true, room/float64(r.partCount(a)), now
 	a.unreported = 0 // what is left belongs to the past when an accountant answers again
 }
-
-// sweep drops accounts that are not used.
-func (r *Reporter) sweep(now tier.Millis) {
-	if now-r.sweptAt < sweepInterval {
-		return
-	}
-	r.sweptAt = now
-	for name, a := range r.accounts {
-		if now-a.usedAt >= idleAccountTTL && a.inFlight == 0 {
-			delete(r.accounts, name)
-		}
-	}
-	for name, l := range r.links {
-		if now-l.sentAt >= idleAccountTTL && !l.outstanding {
-			delete(r.links, name)
-		}
-	}
-}
