Decide exactly where only one VM has a hot organisation's requests

The chance by which VMs share what is left of a quota refused requests with room also where a single VM gets them all, which knows the level. Deployments without organisations no longer list the VMs that may keep accounts.

--- a/cicadagraded/entry/organisations.go
+++ b/cicadagraded/entry/organisations.go
@@ -61,6 +61,12 @@
 	}{table, keys})
 }
 
+// needsKeys reports whether the configuration in force has organisations.
+func (e *Entry) needsKeys() bool {
+	_, keys := e.table.LoadBoth()
+	return keys != nil && keys.Required()
+}
+
 // redactKeys returns a value of the store without keys of callers. A configuration that can't
 // be redacted can't be decoded either, and is returned empty.
 func (e *Entry) redactKeys(c storer.Value) storer.Value {
--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -199,9 +199,11 @@
 		case <-e.quotas.wake:
 		case <-timer.C:
 		case <-ticker.C:
-			e.mu.Lock()
-			e.candidates(e.clock.Now())
-			e.mu.Unlock()
+			if e.needsKeys() {
+				e.mu.Lock()
+				e.candidates(e.clock.Now())
+				e.mu.Unlock()
+			}
 			continue
 		}
 		if next := e.sendReports(ctx); next > 0 {
@@ -278,8 +280,7 @@
 // hotLevels lists the levels of organisations that use their quotas up, for other VMs. The caller
 // holds the lock.
 func (e *Entry) hotLevels() []*gatherv1.Level {
-	_, keys := e.table.LoadBoth()
-	if keys == nil || !keys.Required() {
+	if !e.needsKeys() {
 		return nil
 	}
 	now := e.clock.Now()
@@ -292,6 +293,9 @@
 // levelsForRelay lists the same levels for the VM from which this one copies its view. Small
 // VMs keep no accounts.
 func (e *Entry) levelsForRelay() []*gatherv1.Level {
+	if !e.needsKeys() {
+		return nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.scheduler.Partitioner().IsLarge() {
--- a/tier/accountant/reporter.go
+++ b/tier/accountant/reporter.go
@@ -152,13 +152,13 @@
 }
 
 // chance is the probability with which a request is admitted for which there may be room. It
-// is 1 unless the organisation uses its quota up. Then all VMs see the same room, and the
-// chance is such that they admit, together, the rate and the level within levelTime. What is
-// known is forgotten within a window, so that an organisation which is below its cap again is
-// not refused for longer.
+// is 1 unless the organisation uses its quota up through several VMs. Then all of them see the
+// same room, and the chance is such that they admit, together, the rate and the level within
+// levelTime. What is known is forgotten within a window, so that an organisation which is below
+// its cap again is not refused for longer.
 func (r *Reporter) chance(now tier.Millis, a *account) float64 {
 	age := now - a.levelAt
-	if !a.hot || age >= r.bound.window || a.demand <= 0 {
+	if !a.hot || age >= r.bound.window || a.demand <= 0 || a.vms <= 1 {
 		return 1
 	}
 	chance := min(1, max(0, a.quota.perSecond+a.level*float64(tier.Second)/float64(levelTime))/a.demand)
