--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -24,7 +24,6 @@
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/relayer"
-	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/storer"
 )
@@ -37,7 +36,8 @@
 	log               *eventlog.Log
 	leafClient        *leafclient.Client
 	store             *platform.Store
-	table             atomic.Pointer[router.Table]
+	table             inForce
+	keySecret         []byte       // of the authenticators
 	storeAnsweredAt   atomic.Int64 // time of the store's answer that the view is based on
 	registered        atomic.Bool  // this VM's registration is in the store
 	storeUnreachable  atomic.Bool  // the last read of the store failed
@@ -54,6 +54,7 @@
 	meter             *meter.Meter
 	leafCalls         atomic.Int64   // calls to leafs
 	extraCalls        atomic.Int64   // hedges and retries among leafCalls
+	unknownKeys       atomic.Int64   // requests refused because they have no known key
 	missingParts      atomic.Int64   // shard results not received by the end of their request
 	crossRegionBytes  atomic.Int64   // bytes of replies received from other regions
 	refusedForRegions atomic.Int64   // requests refused because no leaf is in their regions
@@ -81,6 +82,8 @@
 	// crashReports are the reports on requests under which leafs have ended that are not yet
 	// in the store.
 	crashReports map[quarantiner.Fingerprint]quarantiner.Report
+	// quotas are the organisations' accounts, as far as this VM knows them.
+	quotas *quotas
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
 }
@@ -95,12 +98,13 @@
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
-		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
+		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
+	e.quotas = newQuotas(vm, quotaBound(s))
 	self := partitioner.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
 	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
 		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
@@ -143,6 +147,8 @@
 	defer e.mu.Unlock()
 	e.scheduler.Budgeter().Configure(s.RetryBudgetRatio(), s.RetryBudgetSlack())
 	e.limitCold()
+	e.quotas.reporter.Configure(quotaBound(s))
+	e.quotas.ledger.Configure(quotaBound(s))
 }
 
 // Ready reports whether the balancer may send callers to this VM.
