Divide short capacity among organisations by weight

Single requests that cannot be served by their deadline are refused at once. Metrics and lines name organisations. Without organisations the order is the same; a queue is searched only if a leaf has capacity.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -81,6 +81,8 @@
 	crashReports map[quarantiner.Fingerprint]quarantiner.Report
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
+	// organisationUse counts what organisations ask for and what becomes of it.
+	organisationUse *organisationUse
 }
 
 // New returns an entry VM that has read nothing from the store and serves no requests yet.
@@ -94,6 +96,7 @@
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
+		organisationUse: newOrganisationUse(),
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -121,9 +121,10 @@
 		margin:       responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
 	}
 	if left, quarantined := e.quarantined(q); quarantined {
-		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, string(searcher.Quarantined), left)
 		return
 	}
+	e.recordOrganisationRequest(q)
 	q.cautious = e.wantsCaution(q)
 	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
 	if route.IsScatterGather() {
@@ -158,14 +159,32 @@
 // refuse responds to a request that was not sent to any leaf. The caller may return after
 // retryAfter and up to refusalRetryAfter more, unless it is 0.
 func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis) {
+	writeRetryAfter(w, retryAfter)
+	e.writeRefusal(w, attempt, "", status, cause, version)
+}
+
+// refuseRequest is refuse for a request whose caller has been identified.
+func (e *Entry) refuseRequest(w http.ResponseWriter, q *request, status int, cause string, retryAfter tier.Millis) {
+	writeRetryAfter(w, retryAfter)
+	e.recordOrganisationRefusal(q.organisationName(), cause)
+	e.writeRefusal(w, q.attempt, q.organisationName(), status, cause, q.table.Version())
+}
+
+// writeRetryAfter tells the caller to return after retryAfter and up to refusalRetryAfter more,
+// unless it is 0.
+func writeRetryAfter(w http.ResponseWriter, retryAfter tier.Millis) {
 	if retryAfter > 0 {
 		platform.WriteRetryAfter(w.Header(), retryAfter+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
 	}
+}
+
+// writeRefusal writes and logs the response to a request that was not sent to any leaf.
+func (e *Entry) writeRefusal(w http.ResponseWriter, attempt platform.Attempt, organisation string, status int, cause string, version int64) {
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	e.meter.RecordRequest("", "", cause, 0)
-	e.log.RateLimitedInfo("refused", "request", attempt.ID(), "status", status, "cause", cause, "version", version,
-		"view-age-ms", int64(e.viewAge()))
+	e.log.RateLimitedInfo("refused", withOrganisation(organisation, "request", attempt.ID(), "status", status, "cause", cause, "version", version,
+		"view-age-ms", int64(e.viewAge()))...)
 }
 
 // regions are the regions in which the request may be served: those that both its route and
@@ -233,15 +252,16 @@
 func (e *Entry) serveScatterGather(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	shards := q.route.Shards()
 	e.mu.Lock()
-	likelyToFail := e.scheduler.Forecaster().LikelyToFail(q.start, shards, q.route.MinimumParts(), q.arrival.IsRetry(), rand.Float64())
+	likelyToFail := e.likelyToFail(q, shards)
 	e.mu.Unlock()
 	if likelyToFail {
 		e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
 		platform.WriteRetryAfter(w.Header(), shardOutageRetryAfter+tier.Millis(rand.Int64N(int64(shardOutageRetryAfter))))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		e.log.RateLimitedInfo("refused", "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
-			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
+		e.recordOrganisationRefusal(q.organisationName(), "shards-missing")
+		e.log.RateLimitedInfo("refused", withOrganisation(q.organisationName(), "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
+			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())...)
 		return
 	}
 	var shares []partitioner.Share
@@ -337,7 +357,7 @@
 	switch {
 	case !outcome.MayHaveRun():
 		status = http.StatusServiceUnavailable
-		platform.WriteRetryAfter(w.Header(), max(refusalRetryAfter, outcome.RetryAfter())+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
+		platform.WriteRetryAfter(w.Header(), max(refusalRetryAfter, outcome.RetryAfter())+tier.Millis(rand.Int64N(int64(retrySpread(outcome)))))
 	case outcome.Cause() == searcher.OutOfTime:
 		status = http.StatusGatewayTimeout
 	}
@@ -352,17 +372,20 @@
 	took := e.clock.Now() - q.start
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
+	if !outcome.MayHaveRun() && status == http.StatusServiceUnavailable {
+		e.recordOrganisationRefusal(q.organisationName(), cause)
+	}
 	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
-	e.log.RateLimitedInfo("request-ended", "request", q.attempt.ID(), "route", q.route.Name(),
+	e.log.RateLimitedInfo("request-ended", withOrganisation(q.organisationName(), "request", q.attempt.ID(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
 		"aim-ms", int64(q.route.LatencyTarget()), "spent-ms", int64(q.arrival.Elapsed()), "trip-ms", int64(q.arrival.RoundTrip()),
 		"missing", outcome.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(outcome.Shares()), "calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(),
-		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome))
+		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome))...)
 }
 
 // describeMisses lists the missing parts, as the value of a log key.
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -110,6 +110,11 @@
 			return errors.Wrap(err, "Entry.registerGauges")
 		}
 	}
+	for _, g := range organisationGauges() {
+		if err := e.meter.RegisterGauge(g.name, g.description, func() []meter.Point { return g.read(e) }); err != nil {
+			return errors.Wrap(err, "Entry.registerGauges")
+		}
+	}
 	return nil
 }
 
--- a/cicadagraded/entry/metrics_test.go
+++ b/cicadagraded/entry/metrics_test.go
@@ -12,8 +12,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var rows []string
 	for _, g := range gauges() {
-		if row := "| " + g.name + " | " + g.description + " |"; !strings.Contains(string(page), row) {
+		rows = append(rows, "| "+g.name+" | "+g.description+" |")
+	}
+	for _, g := range organisationGauges() {
+		rows = append(rows, "| "+g.name+" | "+g.description+" |")
+	}
+	for _, row := range rows {
+		if !strings.Contains(string(page), row) {
 			t.Errorf("the page lacks %q", row)
 		}
 	}
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -108,9 +108,9 @@
 	outcome, cancelled := run.execute(ctx)
 	e.countCalls(outcome)
 	if outcome.Missing() > 0 {
-		e.log.RateLimitedInfo("share-ended", "request", request.GetAttempt(), "route", request.GetRoute(), "recalled", cancelled,
+		e.log.RateLimitedInfo("share-ended", withOrganisation(request.GetOrganisation(), "request", request.GetAttempt(), "route", request.GetRoute(), "recalled", cancelled,
 			"took-ms", int64(e.clock.Now()-now), "aim-ms", request.GetAimMs(), "missing", outcome.Missing(), "of", len(request.GetShards()),
-			"calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(), "misses", describeMisses(outcome))
+			"calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(), "misses", describeMisses(outcome))...)
 	}
 	if cancelled {
 		return ctx.Err()
--- a/tier/forecaster/forecaster.go
+++ b/tier/forecaster/forecaster.go
@@ -7,6 +7,7 @@
 	"math"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/apportioner"
 )
 
 const (
@@ -42,10 +43,13 @@
 // for concurrent use.
 type Forecaster struct {
 	shards map[string]*shardStats
+	demand *apportioner.Demand
 }
 
 // New returns a forecaster without observations.
-func New() *Forecaster { return &Forecaster{shards: map[string]*shardStats{}} }
+func New() *Forecaster {
+	return &Forecaster{shards: map[string]*shardStats{}, demand: apportioner.NewDemand()}
+}
 
 // Reset drops all observations.
 func (f *Forecaster) Reset() { clear(f.shards) }
@@ -81,7 +85,12 @@
 // not to get them. Retries of callers and a fraction of the other requests are tried
 // nevertheless; random is uniform in [0, 1).
 func (f *Forecaster) LikelyToFail(now tier.Millis, shards []string, minimum int, isRetry bool, random float64) bool {
-	if len(f.shards) == 0 || isRetry {
+	return !isRetry && f.tooFew(now, shards, minimum) && random >= trialFraction
+}
+
+// tooFew reports whether fewer than minimum of the shards are likely to answer.
+func (f *Forecaster) tooFew(now tier.Millis, shards []string, minimum int) bool {
+	if len(f.shards) == 0 {
 		return false
 	}
 	allowedMisses := len(shards) - minimum
@@ -99,5 +108,5 @@
 			dead++
 		}
 	}
-	return (dead > allowedMisses || expectedMisses > float64(allowedMisses)+expectedMissSlack) && random >= trialFraction
+	return dead > allowedMisses || expectedMisses > float64(allowedMisses)+expectedMissSlack
 }
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -89,6 +89,8 @@
 		return LeafFailure
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == quarantinedReason:
 		return Quarantined
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == queueReason:
+		return QueueTooLong
 	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
@@ -105,6 +107,7 @@
 
 func (s *Search) finish(now tier.Millis, cause Cause, actions []Action) []Action {
 	s.done = true
+	s.endFairShare()
 	delete(s.scheduler.active, s)
 	// A leaf may be working on a call that has not ended.
 	for i := range s.calls {
--- a/tier/searcher/fleet_test.go
+++ b/tier/searcher/fleet_test.go
@@ -70,7 +70,7 @@
 
 // schedule begins the next request of a stream after a random pause.
 func (f *fleet) schedule(traffic *fleetTraffic) {
-	pause := tier.Millis(f.random.ExpFloat64() * float64(tier.Second) / traffic.perSecond)
+	pause := tier.Millis(f.random.ExpFloat64() * float64(tier.Second) / (traffic.perSecond * traffic.load.factor(f.now)))
 	f.at(f.now+pause, func() {
 		traffic.asked++
 		f.begin(traffic)
@@ -95,8 +95,11 @@
 			}
 		}
 	}
-	terms := NewTerms("class", f.now+250, f.now+1000, Idempotent(), WithMaxAttempts(2))
-	search := NewSearch(v.scheduler, terms, []string{traffic.service}, nil)
+	terms, services := NewTerms("class", f.now+250, f.now+1000, Idempotent(), WithMaxAttempts(2)), []string{traffic.service}
+	if traffic.load != nil {
+		terms, services = traffic.load.request(f.now)
+	}
+	search := NewSearch(v.scheduler, terms, services, nil)
 	v.runs[search] = &fleetRun{traffic: traffic, cancelled: map[int]bool{}}
 	f.step(v, search, search.Start(f.now))
 }
@@ -127,6 +130,9 @@
 		if action.Leaf.DataCentre() != v.region {
 			latency = farLatency
 		}
+		if r.traffic.load != nil {
+			latency = r.traffic.load.sent(f, search, action)
+		}
 		f.at(f.now+latency, func() {
 			if r.cancelled[action.Call] {
 				return
@@ -140,6 +146,9 @@
 		if action.Outcome.Success() {
 			r.traffic.served++
 		}
+		if r.traffic.load != nil {
+			r.traffic.load.finished(f.now, search, action.Outcome)
+		}
 		delete(v.runs, search)
 	}
 }
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -45,7 +45,7 @@
 			}
 			continue
 		}
-		s.scheduler.dequeue(s, i)
+		s.scheduler.dequeue(now, s, i)
 		if p.inFlight > 0 {
 			s.mayHaveRun = true
 			actions = s.cancelPart(now, i, actions)
--- a/tier/searcher/limits_test.go
+++ b/tier/searcher/limits_test.go
@@ -113,6 +113,8 @@
 	region    string
 	asked     int
 	served    int
+
+	load *organisationLoad // of a fairRun, or nil
 }
 
 type fleetEvent struct {
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -15,27 +15,29 @@
 type queue map[string][]queuedPart
 
 // precedes orders queued parts: first those that can still be answered by their
-// target, then by rank, then by target. All parts of a search have the same target,
-// so they take the same place in the queues of all services, and older searches
-// complete first.
-func (q queuedPart) precedes(other queuedPart, now tier.Millis) bool {
-	misses, otherMisses := q.missesTarget(now), other.missesTarget(now)
-	if misses != otherMisses {
-		return otherMisses
+// target, then by rank, then by the start tag, which follows the service that their
+// organisations have had, then by target. All parts of a search have the same target, so they take the same place in the
+// queues of all services, and older searches complete first.
+func (p place) precedes(other place) bool {
+	if p.missesTarget != other.missesTarget {
+		return other.missesTarget
 	}
-	if q.search.terms.rank != other.search.terms.rank {
-		return q.search.terms.rank < other.search.terms.rank
+	if p.rank != other.rank {
+		return p.rank < other.rank
 	}
-	return q.search.terms.target < other.search.terms.target
+	if p.startTag != other.startTag {
+		return p.startTag < other.startTag
+	}
+	return p.target < other.target
 }
 
-// missesTarget reports whether the reply would arrive after the target even if the
-// call were sent now, to the leaf with the least expected cost.
-func (q queuedPart) missesTarget(now tier.Millis) bool {
+// soonestReply is when the reply would arrive if the call were sent now, to the leaf with
+// the least expected cost. The second result is false if there is no usable leaf.
+func (q queuedPart) soonestReply(now tier.Millis) (tier.Millis, bool) {
 	scheduler := q.search.scheduler
 	p := &q.search.parts[q.part]
 	_, cost, found := scheduler.balancer.Pick(now, q.search.terms.class, scheduler.lister.Leafs(p.service), nil)
-	return !found || now+tier.Millis(cost) > q.search.terms.target
+	return now + tier.Millis(cost), found
 }
 
 // enqueue queues a part until a leaf of its service has capacity.
@@ -47,16 +49,18 @@
 	p.queued = true
 	// Capacity may also appear without the end of a call, as when a leaf registers.
 	p.retryAt = now + queuePollInterval
+	p.queuedAt = now
 	sc.queue[p.service] = append(sc.queue[p.service], queuedPart{s, partIndex})
 }
 
 // dequeue removes a part from the queue of its service.
-func (sc *Scheduler) dequeue(s *Search, partIndex int) {
+func (sc *Scheduler) dequeue(now tier.Millis, s *Search, partIndex int) {
 	p := &s.parts[partIndex]
 	if !p.queued {
 		return
 	}
 	p.queued = false
+	sc.stopsWaiting(now, s, partIndex)
 	list := sc.queue[p.service]
 	for k, q := range list {
 		if q.search == s && q.part == partIndex {
@@ -67,6 +71,7 @@
 	}
 	if len(sc.queue[p.service]) == 0 {
 		delete(sc.queue, p.service)
+		delete(sc.drains, p.service)
 	}
 }
 
@@ -74,25 +79,24 @@
 // reaches leafs.
 func (sc *Scheduler) dispatchQueued(now tier.Millis, service string) {
 	for len(sc.queue[service]) > 0 && !sc.balancer.LinksLost() {
-		list := sc.queue[service]
-		best := 0
-		for k := 1; k < len(list); k++ {
-			if list[k].precedes(list[best], now) {
-				best = k
-			}
+		if sc.quarantiner.Empty() && !sc.anyCapacity(now, service) {
+			return // without a pass over a long queue, as each of its parts polls
 		}
-		q := list[best]
+		q, _ := sc.first(now, service, nil)
 		if q.search.quarantined(now) {
-			sc.dequeue(q.search, q.part)
+			sc.dequeue(now, q.search, q.part)
 			q.search.markLost(&q.search.parts[q.part], quarantinedReason)
 			sc.wake(q.search)
 			continue
 		}
 		leaf, _, found := sc.pickWithCapacity(now, q.search, &q.search.parts[q.part])
 		if !found {
-			return
+			if q, leaf, found = sc.firstWithLeaf(now, service); !found {
+				return
+			}
 		}
-		sc.dequeue(q.search, q.part)
+		sc.drained(now, service)
+		sc.dequeue(now, q.search, q.part)
 		p := &q.search.parts[q.part]
 		if p.nextIsExtra && !sc.budgeter.Take(service) {
 			p.retryAt = now + retryDelay
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/apportioner"
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/forecaster"
@@ -71,7 +72,10 @@
 	regionOf    func(dataCentre string) string
 	random      func() float64
 	queue       queue
-	active      map[*Search]bool // searches that have started and not finished
+	shares      map[fairKey]*apportioner.Apportioner // of services with requests of organisations
+	drains      map[string]*drain                    // of services with queued parts
+	waits       map[string]Wait                      // by organisation, since the last TakeWaits
+	active      map[*Search]bool                     // searches that have started and not finished
 	quarantiner *quarantiner.Quarantiner
 	fleetSize   int                       // VMs, registered or not, as far as known
 	isShard     func(service string) bool // whether a service is a shard of a route
@@ -96,7 +100,8 @@
 func NewScheduler(l *lister.Lister, b *balancer.Balancer, budget *budgeter.Budgeter, p *partitioner.Partitioner, options ...SchedulerOption) *Scheduler {
 	sc := &Scheduler{
 		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(), quarantiner: quarantiner.New(),
-		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{}, active: map[*Search]bool{},
+		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{},
+		shares: map[fairKey]*apportioner.Apportioner{}, drains: map[string]*drain{}, waits: map[string]Wait{}, active: map[*Search]bool{},
 		isShard: func(string) bool { return false },
 	}
 	for _, set := range options {
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -31,11 +31,12 @@
 	hedgeAt      tier.Millis // when to send a hedge, or never
 	retryAt      tier.Millis // when to send again or, if queued, to look for capacity; or never
 	failureReply any
-	nextIsExtra  bool   // a first call was made, or may have been made by another VM
-	counted      bool   // the retry budget has counted the request
-	shareIndex   int    // the share that it belongs to, or noShare
-	flushed      bool   // handed on by a Flush
-	queued       bool   // it waits for a leaf with capacity
+	nextIsExtra  bool // a first call was made, or may have been made by another VM
+	counted      bool // the retry budget has counted the request
+	shareIndex   int  // the share that it belongs to, or noShare
+	flushed      bool // handed on by a Flush
+	queued       bool // it waits for a leaf with capacity
+	queuedAt     tier.Millis
 	pastTarget   bool   // it arrived after the target time
 	handOvers    int    // how often it was handed over to another VM
 	mayHaveRun   bool   // another VM that had it may have made calls
@@ -88,6 +89,7 @@
 	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
 	caution             caution
 	startedAt           tier.Millis
+	fair                fairShare
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
@@ -117,6 +119,7 @@
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
 	s.startedAt = now
+	s.beginFairShare(now)
 	actions := make([]Action, 0, len(s.parts)+1)
 	if s.terms.cautious && len(s.parts) > 1 {
 		for i := range s.parts {
@@ -325,7 +328,7 @@
 
 func (s *Search) cancelAll(now tier.Millis, actions []Action) []Action {
 	for i := range s.parts {
-		s.scheduler.dequeue(s, i)
+		s.scheduler.dequeue(now, s, i)
 	}
 	for k := range s.calls {
 		if !s.calls[k].ended {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -52,6 +52,11 @@
 			s.retryAfter = max(s.retryAfter, now+wait-s.terms.deadline)
 			return actions
 		}
+		if excess := s.scheduler.queueExcess(now, s, partIndex); excess > 0 {
+			s.markLost(p, queueReason)
+			s.retryAfter = max(s.retryAfter, excess)
+			return actions
+		}
 		s.scheduler.enqueue(now, s, partIndex)
 		return actions
 	}
@@ -144,6 +149,7 @@
 	}
 	alone := s.callsAlone()
 	p.inFlight++
+	s.chargeFairShare(now, leaf)
 	s.scheduler.balancer.Sent(now, s.terms.class, leaf)
 	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra, alone: alone})
 	p.hedgeAt = never
