Test fair shares against idleness, surges of small organisations and blocked leafs

Cause: changes of the virtual time, of the least fraction of trials and of the search beyond the first queued part passed the tests.

--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -53,7 +53,7 @@
 //	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
-//	    [cautious] [share PEER=PART,..] SERVICE ...
+//	    [cautious] [organisation NAME WEIGHT] [share PEER=PART,..] SERVICE ...
 //	                                starts a search; its times count from now;
 //	                                once: not idempotent; peer: on behalf of another VM
 //	NAME answer CALL | fail CALL    the leaf replies, or reports a failure
@@ -188,6 +188,9 @@
 		case "rank":
 			i++
 			options = append(options, WithRank(s.number(words[i])))
+		case "organisation":
+			options = append(options, WithOrganisation(words[i+1], s.float(words[i+2])))
+			i += 2
 		case "cautious":
 			options = append(options, Cautious())
 		case "once":
