Count only what waits on this VM as waiting in fair shares

Cause: a search got its start tag when it began, also on a VM that had delegated all its parts, and placed later requests of its organisation there behind others. Change: the start tag is given when the first part is sent or queued on this VM.

--- a/tier/searcher/fairness.go
+++ b/tier/searcher/fairness.go
@@ -17,14 +17,21 @@
 
 // fairShare is the state of a search in the fair queueing.
 type fairShare struct {
+	begun    bool
 	shares   *apportioner.Apportioner // nil if no organisation uses the resource
 	startTag float64
+	parts    int  // that this VM queries itself
 	waiting  bool // no call was sent yet
 }
 
-// beginFairShare gives a search its start tag. The parts of a sweep have the same one, so that
-// they have the same place in the queues of all shards: a sweep is of use only with most of them.
+// beginFairShare gives a search its start tag, when its first part is sent or queued on this VM.
+// The parts of a sweep have the same one, so that they have the same place in the queues of all
+// shards: a sweep is of use only with most of them.
 func (s *Search) beginFairShare(now tier.Millis) {
+	if s.fair.begun {
+		return
+	}
+	s.fair.begun = true
 	key := fairKey{rank: s.terms.rank}
 	if len(s.parts) == 1 && !s.scheduler.isShard(s.parts[0].service) {
 		key.service = s.parts[0].service
@@ -41,7 +48,12 @@
 	if leafs := s.scheduler.lister.Leafs(s.parts[0].service); len(leafs) > 0 {
 		cost = s.scheduler.balancer.BaseLatency(s.terms.class, leafs[0])
 	}
-	s.fair = fairShare{shares: shares, waiting: true}
+	for i := range s.parts {
+		if s.parts[i].shareIndex == noShare {
+			s.fair.parts++
+		}
+	}
+	s.fair.shares, s.fair.waiting = shares, true
 	s.fair.startTag = shares.Begin(now, s.terms.target, s.terms.organisation, s.terms.weight, cost)
 }
 
@@ -50,11 +62,12 @@
 // organisation for the pauses of a leaf. The calls of a sweep cost together as much as one of
 // them, because each shard serves one.
 func (s *Search) chargeFairShare(now tier.Millis, leaf lister.Leaf) {
+	s.beginFairShare(now)
 	if s.fair.shares == nil {
 		return
 	}
 	s.endFairShare()
-	cost := s.scheduler.balancer.BaseLatency(s.terms.class, leaf) / float64(len(s.parts))
+	cost := s.scheduler.balancer.BaseLatency(s.terms.class, leaf) / float64(max(s.fair.parts, 1))
 	s.fair.shares.Served(now, s.terms.organisation, s.terms.weight, cost)
 }
 
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -50,6 +50,7 @@
 	// Capacity may also appear without the end of a call, as when a leaf registers.
 	p.retryAt = now + queuePollInterval
 	p.queuedAt = now
+	s.beginFairShare(now)
 	sc.queue[p.service] = append(sc.queue[p.service], queuedPart{s, partIndex})
 }
 
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -119,7 +119,6 @@
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
 	s.startedAt = now
-	s.beginFairShare(now)
 	actions := make([]Action, 0, len(s.parts)+1)
 	if s.terms.cautious && len(s.parts) > 1 {
 		for i := range s.parts {
