Refuse no request for a queue whose leafs are silent

Cause: while all leafs of a service were silent, the rate at which its queue is served went to 0, and requests were refused that leafs might have served once they were back. Change: the rate holds only if a part was served within the last second.

--- a/tier/searcher/patience.go
+++ b/tier/searcher/patience.go
@@ -8,8 +8,8 @@
 
 const (
 	// minDrainTime and minDrained are how long, and for how many parts, a queue must have
-	// been served without running empty before its rate is relied on. Leafs pause for up to
-	// 300 ms.
+	// been served without running empty before its rate is relied on, and how lately. Leafs
+	// pause for up to 300 ms; those that are silent for longer may be back before the deadline.
 	minDrainTime = 1 * tier.Second
 	minDrained   = 8
 	// drainWindow is about the time over which the rate is averaged.
@@ -21,20 +21,21 @@
 
 // drain measures how fast parts leave the queue of a service, while some wait.
 type drain struct {
-	since tier.Millis
-	count float64
+	since, last tier.Millis
+	count       float64
 }
 
 // drained records that a part was taken from the queue of a service.
 func (sc *Scheduler) drained(now tier.Millis, service string) {
 	d, ok := sc.drains[service]
 	if !ok {
-		sc.drains[service] = &drain{since: now}
+		sc.drains[service] = &drain{since: now, last: now}
 		return
 	}
 	if age := now - d.since; age > 2*drainWindow {
 		d.since, d.count = now-drainWindow, d.count*float64(drainWindow)/float64(age)
 	}
+	d.last = now
 	d.count++
 }
 
@@ -46,7 +47,7 @@
 	p := &s.parts[partIndex]
 	d := sc.drains[p.service]
 	if s.terms.organisation == "" || len(s.parts) > 1 || s.terms.flushes || len(s.calls) > 0 || s.mayHaveRun ||
-		d == nil || now-d.since < minDrainTime || d.count < minDrained {
+		d == nil || now-d.since < minDrainTime || now-d.last > minDrainTime || d.count < minDrained {
 		return 0
 	}
 	perMilli := drainOptimism * d.count / float64(now-d.since)
