--- a/tier/searcher/fairness_test.go
+++ b/tier/searcher/fairness_test.go
@@ -46,6 +46,9 @@
 				for lines := bufio.NewScanner(in); lines.Scan(); {
 					r.play(strings.Fields(lines.Text()))
 				}
+				if r.checked == 0 {
+					t.Error("no part has waited")
+				}
 				for _, l := range r.loads {
 					t.Logf("%-8s %-8s asked %5d in time %.2f served %.2f refused %.2f mean wait %5.0f ms, longest %d ms", l.organisation, l.profile.name,
 						l.asked, l.share(l.inTime), l.share(l.served), l.share(l.refused), l.meanWait(), l.longest)
