--- a/cicadagraded/entry/evacuation.go
+++ b/cicadagraded/entry/evacuation.go
@@ -149,5 +149,6 @@
 	case outcome.Unplaced():
 		wait = shardOutageRetryAfter
 	}
-	return max(wait, outcome.RetryAfter()) + tier.Millis(rand.Int64N(int64(wait))), true
+	spread := max(wait, retrySpread(outcome))
+	return max(wait, outcome.RetryAfter()) + tier.Millis(rand.Int64N(int64(spread))), true
 }
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -119,15 +119,16 @@
 	defer e.returnQuota(q)
 	body, status := readBody(w, r, table.Limits())
 	if status != 0 {
-		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, "organisation", q.organisationName())
+		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, withOrganisation(q.organisationName())...)
 		return
 	}
 	q.body, q.arrival, q.fingerprints = body, e.recordArrival(r.Context(), start, route, attempt), newFingerprints(r, path, body)
 	q.margin = responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards()))
 	if left, quarantined := e.quarantined(q); quarantined {
-		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left, "organisation", q.organisationName())
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, string(searcher.Quarantined), left)
 		return
 	}
+	e.recordOrganisationRequest(q)
 	q.cautious = e.wantsCaution(q)
 	template := leafclient.NewTemplate(r.Method, path, r.Host, q.leafHeader(r.Header), body)
 	if route.IsScatterGather() {
@@ -163,9 +164,26 @@
 // retryAfter and up to refusalRetryAfter more, unless it is 0. attrs are further keys and
 // values of the log line.
 func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis, attrs ...any) {
+	writeRetryAfter(w, retryAfter)
+	e.writeRefusal(w, attempt, status, cause, version, attrs...)
+}
+
+// refuseRequest is refuse for a request whose caller has been identified.
+func (e *Entry) refuseRequest(w http.ResponseWriter, q *request, status int, cause string, retryAfter tier.Millis) {
+	e.recordOrganisationRefusal(q.organisationName(), cause)
+	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter, withOrganisation(q.organisationName())...)
+}
+
+// writeRetryAfter tells the caller to return after retryAfter and up to refusalRetryAfter more,
+// unless it is 0.
+func writeRetryAfter(w http.ResponseWriter, retryAfter tier.Millis) {
 	if retryAfter > 0 {
 		platform.WriteRetryAfter(w.Header(), retryAfter+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
 	}
+}
+
+// writeRefusal writes and logs the response to a request that was not sent to any leaf.
+func (e *Entry) writeRefusal(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, attrs ...any) {
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	e.meter.RecordRequest("", "", cause, 0)
@@ -239,15 +257,16 @@
 func (e *Entry) serveScatterGather(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	shards := q.route.Shards()
 	e.mu.Lock()
-	likelyToFail := e.scheduler.ForecasterOf(q.regions()).LikelyToFail(q.start, shards, q.route.MinimumParts(), q.arrival.IsRetry(), rand.Float64())
+	likelyToFail := e.likelyToFail(q, shards)
 	e.mu.Unlock()
 	if likelyToFail {
 		e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
 		platform.WriteRetryAfter(w.Header(), shardOutageRetryAfter+tier.Millis(rand.Int64N(int64(shardOutageRetryAfter))))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		e.log.RateLimitedInfo("refused", "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
-			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name(), "organisation", q.organisationName())
+		e.recordOrganisationRefusal(q.organisationName(), "shards-missing")
+		e.log.RateLimitedInfo("refused", withOrganisation(q.organisationName(), "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
+			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())...)
 		return
 	}
 	var shares []partitioner.Share
@@ -364,6 +383,9 @@
 	took := e.clock.Now() - q.start
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
+	if !outcome.MayHaveRun() && status == http.StatusServiceUnavailable {
+		e.recordOrganisationRefusal(q.organisationName(), cause)
+	}
 	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
 	if outcome.Cause() == searcher.NoLeafInRegions {
@@ -372,14 +394,12 @@
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
-	fields := []any{
-		"request", q.attempt.ID(), "route", q.route.Name(),
-		"organisation", q.organisationName(), "version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
+	fields := withOrganisation(q.organisationName(), "request", q.attempt.ID(), "route", q.route.Name(),
+		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
 		"aim-ms", int64(q.route.LatencyTarget()), "spent-ms", int64(q.arrival.Elapsed()), "trip-ms", int64(q.arrival.RoundTrip()),
 		"missing", outcome.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(outcome.Shares()), "calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(),
-		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome),
-	}
+		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome))
 	if regions := q.regions(); regions.Restricted() {
 		fields = append(fields, "regions", strings.Join(regions.Names(), " "))
 	}
--- a/cicadagraded/entry/organisations.go
+++ b/cicadagraded/entry/organisations.go
@@ -154,6 +154,7 @@
 		w.Header().Set("Connection", "close")
 		discard = false
 	}
+	e.recordOrganisationRefusal(q.organisationName(), cause)
 	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter,
 		append([]any{"route", q.route.Name(), "organisation", q.organisationName()}, attrs...)...)
 	if !discard {
--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -227,6 +227,6 @@
 	}) {
 		return false
 	}
-	sc.dequeue(s, partIndex)
+	sc.dequeue(now, s, partIndex)
 	return true
 }
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -158,6 +158,7 @@
 	// regions in which the request may be served.
 	NoLeafInRegions Cause = "no-leaf-in-regions"
 	LeafsLimited    Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	QueueTooLong    Cause = "queue-too-long" // no call was made: too many parts wait before it
 	Quarantined     Cause = "quarantined"    // no call was made: several leafs have ended under the request
 	LinksLost       Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
 	LeafsRefused    Cause = "leafs-refused"  // no call that ended has run
--- a/tier/searcher/placement.go
+++ b/tier/searcher/placement.go
@@ -91,11 +91,11 @@
 }
 
 // dropUnplaced gives up a queued part that regions or evacuations leave without a usable leaf.
-func (sc *Scheduler) dropUnplaced(q queuedPart) bool {
+func (sc *Scheduler) dropUnplaced(now tier.Millis, q queuedPart) bool {
 	if p := &q.search.parts[q.part]; p.inFlight > 0 || !q.search.loseUnplaced(p) {
 		return false
 	}
-	sc.dequeue(q.search, q.part)
+	sc.dequeue(now, q.search, q.part)
 	sc.wake(q.search)
 	return true
 }
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -31,11 +31,12 @@
 	hedgeAt      tier.Millis // when to send a hedge, or never
 	retryAt      tier.Millis // when to send again or, if queued, to look for capacity; or never
 	failureReply any
-	nextIsExtra  bool   // a first call was made, or may have been made by another VM
-	counted      bool   // the retry budget has counted the request
-	shareIndex   int    // the share that it belongs to, or noShare
-	flushed      bool   // handed on by a Flush
-	queued       bool   // it waits for a leaf with capacity
+	nextIsExtra  bool // a first call was made, or may have been made by another VM
+	counted      bool // the retry budget has counted the request
+	shareIndex   int  // the share that it belongs to, or noShare
+	flushed      bool // handed on by a Flush
+	queued       bool // it waits for a leaf with capacity
+	queuedAt     tier.Millis
 	pastTarget   bool   // it arrived after the target time
 	handOvers    int    // how often it was handed over to another VM
 	keepersAsked int    // how often a keeper of a cold leaf got it
@@ -91,6 +92,7 @@
 	caution             caution
 	startedAt           tier.Millis
 	unplaced            bool // it was not begun, as too few parts have a leaf that they may use
+	fair                fairShare
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
@@ -331,7 +333,7 @@
 
 func (s *Search) cancelAll(now tier.Millis, actions []Action) []Action {
 	for i := range s.parts {
-		s.scheduler.dequeue(s, i)
+		s.scheduler.dequeue(now, s, i)
 	}
 	for k := range s.calls {
 		if !s.calls[k].ended {
