--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -32,36 +32,36 @@
 // Entry is an entry VM: its view of the platform, its connections to leafs and other
 // VMs, and the searches in progress. It is safe for concurrent use.
 type Entry struct {
-	settings          atomic.Pointer[platform.Settings]
-	clock             *tier.Clock
-	log               *eventlog.Log
-	leafClient        *leafclient.Client
-	store             *platform.Store
-	table             atomic.Pointer[router.Table]
-	storeAnsweredAt   atomic.Int64 // time of the store's answer that the view is based on
-	registered        atomic.Bool  // this VM's registration is in the store
-	storeUnreachable  atomic.Bool  // the last read of the store failed
-	isolated          atomic.Bool  // neither the store nor any other VM answers
-	linksLost         atomic.Bool  // this VM reaches no leaf
-	stopping          atomic.Bool
-	rttFaultLogged    atomic.Bool   // a failure to measure round-trip times has been logged
-	loaded            chan struct{} // closed when the VM has a view
-	loadedOnce        sync.Once
-	unregistered      chan struct{} // gets a value when this VM's registration has ended
-	shutdown          chan struct{} // closed when the VM begins to shut down
-	peers             *peerClients
-	meter             *meter.Meter
-	leafCalls         atomic.Int64   // calls to leafs
-	extraCalls        atomic.Int64   // hedges and retries among leafCalls
-	missingParts      atomic.Int64   // shard results not received by the end of their request
-	crossRegionBytes  atomic.Int64   // bytes of replies received from other regions
-	refusedForRegions atomic.Int64   // requests refused because no leaf is in their regions
-	crashReported     chan struct{}  // gets a value when crashReports has a new one
-	crashLease        storer.LeaseID // of reports in the store, used by RunCrashReports only
-	crashLeaseAt      tier.Millis    // when it was granted
-	reachMu           sync.Mutex     // serialises reachesLeafs
-	unreachedAt       time.Time      // when reachesLeafs last began to find that no leaf can be reached
-	background        sync.WaitGroup // calls to leafs and other VMs in progress
+	settings         atomic.Pointer[platform.Settings]
+	clock            *tier.Clock
+	log              *eventlog.Log
+	leafClient       *leafclient.Client
+	store            *platform.Store
+	table            atomic.Pointer[router.Table]
+	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
+	registered       atomic.Bool  // this VM's registration is in the store
+	storeUnreachable atomic.Bool  // the last read of the store failed
+	isolated         atomic.Bool  // neither the store nor any other VM answers
+	linksLost        atomic.Bool  // this VM reaches no leaf
+	stopping         atomic.Bool
+	rttFaultLogged   atomic.Bool   // a failure to measure round-trip times has been logged
+	loaded           chan struct{} // closed when the VM has a view
+	loadedOnce       sync.Once
+	unregistered     chan struct{} // gets a value when this VM's registration has ended
+	shutdown         chan struct{} // closed when the VM begins to shut down
+	peers            *peerClients
+	meter            *meter.Meter
+	leafCalls        atomic.Int64   // calls to leafs
+	extraCalls       atomic.Int64   // hedges and retries among leafCalls
+	missingParts     atomic.Int64   // shard results not received by the end of their request
+	crossRegionBytes atomic.Int64   // bytes of replies received from other regions
+	refusedRegions   atomic.Int64   // requests refused because no leaf is in their regions
+	crashReported    chan struct{}  // gets a value when crashReports has a new one
+	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
+	crashLeaseAt     tier.Millis    // when it was granted
+	reachMu          sync.Mutex     // serialises reachesLeafs
+	unreachedAt      time.Time      // when reachesLeafs last began to find that no leaf can be reached
+	background       sync.WaitGroup // calls to leafs and other VMs in progress
 
 	// mu serialises the steps of all searches and guards the state they share.
 	mu        sync.Mutex
--- a/cicadagraded/entry/evacuation_test.go
+++ b/cicadagraded/entry/evacuation_test.go
@@ -232,7 +232,7 @@
 	}
 	expect("/sweep/1", http.StatusServiceUnavailable, true)
 	expect("/book/1", http.StatusServiceUnavailable, false)
-	if calls, refused := e.leafClient.Counts().Requests, e.refusedForRegions.Load(); calls != 0 || refused != 2 {
+	if calls, refused := e.leafClient.Counts().Requests, e.refusedRegions.Load(); calls != 0 || refused != 2 {
 		t.Errorf("%d calls were made, %d requests are counted as refused", calls, refused)
 	}
 	expect("/line/1", http.StatusOK, false)
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -357,7 +357,7 @@
 	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
 	if outcome.Cause() == searcher.NoLeafInRegions {
-		e.refusedForRegions.Add(1)
+		e.refusedRegions.Add(1)
 	}
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -33,7 +33,7 @@
 		{"cicadagrade.entry.leafs.usable", "leafs that can be called", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().UsableCount()) })},
 		{"cicadagrade.entry.leafs.limited", "leafs that limit the rate of requests", withLock(func(e *Entry) int64 { return int64(e.scheduler.Balancer().LimitedCount()) })},
 		{"cicadagrade.entry.evacuations", "data centres whose leafs are not used, because operators have evacuated them", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().Evacuations()) })},
-		{"cicadagrade.entry.refused.regions", "requests refused because too few leafs are in the regions in which they may be served", func(e *Entry) int64 { return e.refusedForRegions.Load() }},
+		{"cicadagrade.entry.refused.regions", "requests refused because too few leafs are in the regions in which they may be served", func(e *Entry) int64 { return e.refusedRegions.Load() }},
 		{"cicadagrade.entry.leafs.unreachable", "1 if this VM reaches no leaf, whether or not other VMs do", withLock(func(e *Entry) int64 { return boolToInt(e.scheduler.Balancer().LinksLost()) })},
 		{"cicadagrade.entry.store.away", "1 if this VM's last read of the store failed", func(e *Entry) int64 { return boolToInt(e.storeUnreachable.Load()) }},
 		{"cicadagrade.entry.vms", "known VMs, including this one", withLock(func(e *Entry) int64 { return int64(e.scheduler.Partitioner().MemberCount()) })},
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -149,22 +149,23 @@
 
 // Values of Cause.
 const (
-	Complete    Cause = "complete"     // every part arrived
-	AtTarget    Cause = "aim-reached"  // answered at the target, or once no further part can arrive
-	PastTarget  Cause = "past-aim"     // answered after the target, once the minimum of parts had arrived
-	LeafFailure Cause = "leaf-failure" // a leaf's failure reply is passed on
-	NoLeaf      Cause = "no-leaf"      // no call was made: too many services have no usable leaf
+	Complete       Cause = "complete"       // every part arrived
+	AtTarget       Cause = "aim-reached"    // answered at the target, or once no further part can arrive
+	PastTarget     Cause = "past-aim"       // answered after the target, once the minimum of parts had arrived
+	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
+	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
+	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
+	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
+	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
+	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
+	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
+	OutcomeUnknown Cause = "outcome-unsure" // a call that must not be repeated brought no usable reply
+	CallerLeft     Cause = "caller-left"    // the caller has gone
+
 	// NoLeafInRegions says that no call was made: too many services have no usable leaf in the
 	// regions in which the request may be served.
 	NoLeafInRegions Cause = "no-leaf-in-regions"
-	LeafsLimited    Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
-	Quarantined     Cause = "quarantined"    // no call was made: several leafs have ended under the request
-	LinksLost       Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
-	LeafsRefused    Cause = "leafs-refused"  // no call that ended has run
-	PartsLost       Cause = "parts-lost"     // too many parts can no longer arrive
-	OutOfTime       Cause = "out-of-time"    // the deadline or the route's timeout passed
-	OutcomeUnknown  Cause = "outcome-unsure" // a call that must not be repeated brought no usable reply
-	CallerLeft      Cause = "caller-left"    // the caller has gone
 )
 
 // Miss describes a missing part: its service, and the last call for it.
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -73,9 +73,10 @@
 	queue       queue
 	active      map[*Search]bool // searches that have started and not finished
 	quarantiner *quarantiner.Quarantiner
-	fleetSize   int                               // VMs, registered or not, as far as known
-	isShard     func(service string) bool         // whether a service is a shard of a route
-	woken       []*Search                         // searches with actions for Resume
+	fleetSize   int                       // VMs, registered or not, as far as known
+	isShard     func(service string) bool // whether a service is a shard of a route
+	woken       []*Search                 // searches with actions for Resume
+
 	knowsRegion func(region string) bool          // whether the deployment has a region
 	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
 }
