Draw leafs by what they can do, as an option of the balancer

Change: WithEvenLoad draws by slots and learned speed, less of leafs that are expected to reply later, in a low-discrepancy order with a phase of each VM. A leaf that is slow is told to other VMs as a tip. Calls to the slowest and fastest leaf, and late replies while another leaf replies as usual, are counted. Without the option, picks are as before.

--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -132,6 +132,7 @@
 	leaf             lister.Leaf
 	throttle         *throttler.Throttle // of a leaf that limits its requests, or nil
 	load             heardLoad
+	even             evenState
 }
 
 // Balancer holds what one VM has observed of leafs. It is not safe for concurrent
@@ -143,6 +144,12 @@
 	rateShare     RateShare
 	random        func() float64
 	links         links
+	even          bool // draws leafs evenly
+	references    map[string]reference
+	roundTrips    map[string]float64 // by data centre, in milliseconds
+	services      map[string]*serviceState
+	useCounts     UseCounts
+	signs         map[string]sign // by id
 }
 
 // Option changes a Balancer.
@@ -157,6 +164,7 @@
 	b := &Balancer{
 		distance: distance, leafs: map[string]*leafState{}, baseLatencies: map[latencyKey]float64{},
 		rateShare: func(tier.Millis, lister.Leaf) float64 { return 1 }, random: rand.Float64, links: newLinks(),
+		references: map[string]reference{}, roundTrips: map[string]float64{}, services: map[string]*serviceState{}, signs: map[string]sign{},
 	}
 	for _, set := range options {
 		set(b)
@@ -167,7 +175,7 @@
 func (b *Balancer) stateOf(leaf lister.Leaf) *leafState {
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
-		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, repliedAt: longAgo, leaf: leaf}
+		s = &leafState{startTime: leaf.StartTime(), refusedAt: longAgo, resetAt: longAgo, repliedAt: longAgo, leaf: leaf, even: newEvenState()}
 		b.leafs[leaf.ID()] = s
 	}
 	return s
@@ -184,7 +192,13 @@
 }
 
 // Forget drops the state of a leaf that is gone.
-func (b *Balancer) Forget(id string) { delete(b.leafs, id) }
+func (b *Balancer) Forget(id string) {
+	if s, ok := b.leafs[id]; ok {
+		b.forgetUse(s)
+		delete(b.leafs, id)
+		delete(b.signs, id)
+	}
+}
 
 // InRegion reports whether a leaf is in this VM's region.
 func (b *Balancer) InRegion(leaf lister.Leaf) bool {
@@ -212,34 +226,46 @@
 // ExpectedCost is the expected latency of a call to the leaf now, in milliseconds,
 // with the costs of failures and refusals added.
 func (b *Balancer) ExpectedCost(now tier.Millis, class string, leaf lister.Leaf) float64 {
+	if b.even {
+		return b.expectedEvenly(now, class, leaf)
+	}
 	base := b.baseLatency(class, leaf)
 	s, ok := b.leafs[leaf.ID()]
 	if !ok || s.startTime != leaf.StartTime() {
 		return base
 	}
 	cost := base + decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs)
+	silence := 0.0
+	if s.inFlight > 0 {
+		// Detects a stalled leaf before a call to it ends.
+		silence = max(0, float64(now-s.silentSince)-clipFactor*base-clipSlackMs)
+	}
+	return b.addCosts(now, s, leaf, cost, base, silence)
+}
+
+// addCosts adds the costs of a leaf's failures, refusals, calls in flight, silence, coldness and
+// limit. usual is its usual latency.
+func (b *Balancer) addCosts(now tier.Millis, s *leafState, leaf lister.Leaf, cost, usual, silence float64) float64 {
 	cost += failureCostMs * decayed(s.failureRate, now-s.failureRateAt, failureHalfLifeMs)
 	cost += refusalRateCostMs * decayed(s.refusalRate, now-s.refusalRateAt, refusalHalfLifeMs)
 	if excessCalls := s.inFlight + 1 - leaf.Slots(); excessCalls > 0 {
-		cost += base * float64(excessCalls) / float64(leaf.Slots())
-	}
-	if s.inFlight > 0 {
-		// Detects a stalled leaf before a call to it ends.
-		cost += max(0, float64(now-s.silentSince)-clipFactor*base-clipSlackMs)
+		cost += usual * float64(excessCalls) / float64(leaf.Slots())
 	}
+	cost += silence
 	if now-s.refusedAt < recentRefusalWindow {
 		cost += recentRefusalCostMs
 	}
 	if now < s.coldUntil {
-		cost += base * coldLatencyFactor
+		cost += usual * coldLatencyFactor
 	}
 	return cost + float64(b.permitWait(now, s))
 }
 
 // Pick returns the leaf of the list with the least expected cost, among those that
-// usable accepts (nil accepts all), with its cost.
+// usable accepts (nil accepts all), with its cost. With WithEvenLoad it draws one of them.
 func (b *Balancer) Pick(now tier.Millis, class string, list []lister.Leaf, usable func(lister.Leaf) bool) (lister.Leaf, float64, bool) {
 	best, lowestCost, found := lister.Leaf{}, 0.0, false
+	var candidates []lister.Leaf
 	for _, leaf := range list {
 		if s, ok := b.leafs[leaf.ID()]; ok && s.startTime == leaf.StartTime() && now < s.misdirectedUntil {
 			continue
@@ -247,10 +273,17 @@
 		if usable != nil && !usable(leaf) {
 			continue
 		}
+		if b.even {
+			candidates = append(candidates, leaf)
+			continue
+		}
 		if cost := b.ExpectedCost(now, class, leaf); !found || cost < lowestCost {
 			best, lowestCost, found = leaf, cost, true
 		}
 	}
+	if b.even {
+		return b.drawEvenly(now, class, candidates)
+	}
 	return best, lowestCost, found
 }
 
@@ -261,6 +294,7 @@
 		s.silentSince = now
 	}
 	s.inFlight++
+	b.sentEvenly(now, s)
 	b.links.called(now, leaf.ID(), b.baseLatency(class, leaf)+decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs))
 	if s.throttle != nil {
 		s.throttle.Sent(now, b.rateShare(now, s.leaf))
@@ -269,6 +303,7 @@
 
 // Answered records a complete reply and its latency.
 func (b *Balancer) Answered(now tier.Millis, class string, leaf lister.Leaf, latency tier.Millis) {
+	b.learnEvenly(now, class, b.stateOf(leaf), latency)
 	s := b.endRepliedCall(now, leaf)
 	key := latencyKey{class, leaf.DataCentre()}
 	base, ok := b.baseLatencies[key]
@@ -335,6 +370,7 @@
 func (b *Balancer) Cancelled(now tier.Millis, class string, leaf lister.Leaf, waited tier.Millis) {
 	s := b.stateOf(leaf)
 	since := s.silentSince
+	b.cancelledEvenly(now, class, s, waited)
 	b.decrementInFlight(s)
 	// The time waited is a lower bound of the latency.
 	excess := decayed(s.excessMs, now-s.excessAt, excessHalfLifeMs)
@@ -345,39 +381,3 @@
 		s.silentSince = since
 	}
 }
-
-// endRepliedCall ends a call with a reply.
-func (b *Balancer) endRepliedCall(now tier.Millis, leaf lister.Leaf) *leafState {
-	s := b.endCall(now, leaf)
-	s.repliedAt = now
-	b.links.replied(leaf.ID())
-	return s
-}
-
-// endBrokenCall ends a call without a reply.
-func (b *Balancer) endBrokenCall(now tier.Millis, leaf lister.Leaf) *leafState {
-	b.links.brokenOff(now, leaf.ID())
-	return b.endCall(now, leaf)
-}
-
-// endCall ends a call with a reply or failure.
-func (b *Balancer) endCall(now tier.Millis, leaf lister.Leaf) *leafState {
-	s := b.stateOf(leaf)
-	b.decrementInFlight(s)
-	s.silentSince = now
-	return s
-}
-
-func (b *Balancer) decrementInFlight(s *leafState) {
-	if s.inFlight > 0 {
-		s.inFlight--
-	}
-}
-
-// decayed halves a value for each half-life of its age, in milliseconds.
-func decayed(value float64, age tier.Millis, halfLifeMs float64) float64 {
-	if value == 0 || age <= 0 {
-		return value
-	}
-	return value * math.Exp2(-float64(age)/halfLifeMs)
-}
--- a/tier/balancer/links.go
+++ b/tier/balancer/links.go
@@ -174,5 +174,6 @@
 	for _, s := range b.leafs {
 		s.excessMs, s.failureRate, s.refusalRate = 0, 0, 0
 		s.refusedAt, s.resetAt = longAgo, longAgo
+		s.even.delayMs = 0
 	}
 }
