--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -84,7 +84,7 @@
 }
 
 // New returns an entry VM that has read nothing from the store and serves no requests yet.
-func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) (*Entry, error) {
+func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log, arguments ...Option) (*Entry, error) {
 	m, err := meter.New()
 	if err != nil {
 		return nil, errors.Wrap(err, "New")
@@ -100,7 +100,11 @@
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
 	self := partitioner.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
-	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
+	var o options
+	for _, set := range arguments {
+		set(&o)
+	}
+	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity, o.balancerOptions()...),
 		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
 		searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }))
 	options := []refresher.Option{refresher.WithSeeds(s.SeedAddresses())}
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -199,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	vm := source.Member.VM()
-	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name()}
+	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name(), Delays: e.leafDelays()}
 	response, err := e.peers.clientOf(vm.Address()).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		if ctx.Err() != nil || after == 0 {
@@ -214,6 +214,7 @@
 		return 0, errors.Wrap(err, "Entry.fetchFrom")
 	}
 	reply := response.Msg
+	e.hearLeafDelays(reply.GetDelays())
 	if reply.GetRevision() == 0 {
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
@@ -252,9 +253,11 @@
 // Fetch returns the changes that this VM has read since the revision that the caller has.
 func (p *peerService) Fetch(_ context.Context, c *connect.Request[gatherv1.FetchRequest]) (*connect.Response[gatherv1.FetchReply], error) {
 	e := p.entry
+	delays := e.leafDelays()
+	e.hearLeafDelays(c.Msg.GetDelays())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := &gatherv1.FetchReply{Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
+	reply := &gatherv1.FetchReply{Delays: delays, Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
 	if c.Msg.GetVmsOnly() {
 		reply.Items = encodeItems(e.relayer.WithPrefix(vmsPrefix))
 		return connect.NewResponse(reply), nil
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -57,6 +57,7 @@
 
 func frontCommand() *cobra.Command {
 	var metricsPort int
+	var balance string
 	c := &cobra.Command{
 		Use:   "front",
 		Short: "Run an entry VM on the users' platform",
@@ -72,15 +73,21 @@
 					tier.NewFieldProblem("--metrics-port", metricsPort, "1 to 65535"),
 				}), "front")
 			}
-			return errors.Wrap(front(c.Context(), s, metricsPort), "front")
+			if !entry.Balance(balance).Valid() {
+				return errors.Wrap(tier.NewInvalidError("command line", []tier.FieldProblem{
+					tier.NewFieldProblem("--balance", balance, "even or latency"),
+				}), "front")
+			}
+			return errors.Wrap(front(c.Context(), s, metricsPort, entry.Balance(balance)), "front")
 		},
 	}
 	c.Flags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port on the VM's address that serves metrics")
+	c.Flags().StringVar(&balance, "balance", string(entry.LatencyBalance), "how the leaf of a call is chosen: latency (least expected latency) or even (a draw by what the leafs can do)")
 	return c
 }
 
 // front runs an entry VM until its graceful shutdown is finished.
-func front(ctx context.Context, s *platform.Settings, metricsPort int) error {
+func front(ctx context.Context, s *platform.Settings, metricsPort int, balance entry.Balance) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -89,8 +96,8 @@
 	log := eventlog.New(os.Stdout, clock, "vm", s.Name())
 	log.Info("starting", "callers", s.CallerAddress(), "readiness", s.ReadinessAddress(),
 		"data-centre", s.DataCentre(), "store", s.StoreAddress(),
-		"seeds", strings.Join(s.SeedAddresses(), ","), "bootstrap", s.Bootstrap())
-	e, err := entry.New(s, clock, log)
+		"seeds", strings.Join(s.SeedAddresses(), ","), "bootstrap", s.Bootstrap(), "balance", string(balance))
+	e, err := entry.New(s, clock, log, entry.WithBalance(balance))
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
@@ -122,6 +129,7 @@
 	g.Add(func() error { return e.RunProbes(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunLinkSurveys(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunLimitLog(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunUnevenLog(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunCrashReports(ctx) }, func(error) { cancel() })
 	peerServer := &http.Server{Handler: e.PeerHandler(), Protocols: entry.PeerProtocols(), ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
 	addServer(&g, peerServer, peerListener)
--- a/cicadagraded/root_test.go
+++ b/cicadagraded/root_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -14,6 +17,7 @@
 	for _, args := range [][]string{
 		{"cicadagraded", "front", "--bogus"},
 		{"cicadagraded", "front", "--metrics-port", "0"},
+		{"cicadagraded", "front", "--balance", "fastest"},
 		{"cicadagraded", "front"},
 		{"cicadagraded", "serve", "--bogus"},
 	} {
@@ -23,3 +27,22 @@
 		}
 	}
 }
+
+// A value of --balance that is not known must not be taken for the default.
+func TestUnknownBalanceIsAnError(t *testing.T) {
+	raw, err := os.ReadFile("entry/testdata/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, bytes.ReplaceAll(raw, []byte("STORE"), []byte("127.0.0.1:9")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("CICADAGRADE_CONFIG", path)
+	c := frontCommand()
+	c.SetArgs([]string{"--balance", "fastest"})
+	c.SilenceErrors, c.SilenceUsage = true, true
+	if err := c.Execute(); err == nil || !strings.Contains(err.Error(), "--balance") || !strings.Contains(err.Error(), "even or latency") {
+		t.Errorf("the error is %v", err)
+	}
+}
