--- a/tier/balancer/balancer_test.go
+++ b/tier/balancer/balancer_test.go
@@ -174,3 +174,35 @@
 		t.Error("the limit lasts longer than resetWindow")
 	}
 }
+
+// Leafs pause for a fraction of a second. A farther leaf must not get the calls for longer than
+// that: each shard that is called far away delays a whole sweep.
+func TestPausedLeafKeepsItsCalls(t *testing.T) {
+	s := newSimulation(WithEvenLoad())
+	s.run(3*tier.Second, healthyLatency, nil)
+	s.b.Sent(s.now, "class", s.leafs[0])
+	s.b.Sent(s.now, "class", s.leafs[0])
+	s.b.Cancelled(s.now+150, "class", s.leafs[0], 150)
+	s.b.Answered(s.now+250, "class", s.leafs[0], 250)
+	s.now += 600
+	if near, all := s.run(tier.Second, healthyLatency, nil); near != all {
+		t.Errorf("%d of %d calls went to the near leaf after its pause", near, all)
+	}
+}
+
+// A hedged call to a slow leaf is cancelled before it shows how slow the leaf is.
+func TestLeafOfCancelledCallsIsAvoided(t *testing.T) {
+	s := newSimulation(WithEvenLoad())
+	s.leafs[1] = lister.NewLeaf("far", "s", "far:1", lister.InDataCentre("near"), lister.WithSlots(2))
+	usual := func(string) tier.Millis { return 60 }
+	s.run(3*tier.Second, usual, nil)
+	s.b.Sent(s.now, "class", s.leafs[0])
+	s.now += 200
+	s.b.Cancelled(s.now, "class", s.leafs[0], 200)
+	if near, all := s.run(300, usual, nil); near > 0 {
+		t.Errorf("%d of %d calls went to the slow leaf", near, all)
+	}
+	if near, all := s.run(5*tier.Second, usual, nil); near < all/3 {
+		t.Errorf("%d of %d calls went to the leaf again", near, all)
+	}
+}
--- a/tier/balancer/even.go
+++ b/tier/balancer/even.go
@@ -15,6 +15,9 @@
 	// slow leaf or the leaf was slow lately. A queue of usual length says little once it is heard of.
 	chanceWeight = 0.2
 	slowWeight   = 0.7
+	// minSureServiceMs is the usual service time from which a cancelled call has slowWeight. Leafs
+	// that reply sooner are called more often, and most of their cancelled calls are due to pauses.
+	minSureServiceMs = 30.0
 	// softnessFraction is the difference of two expected delays, as a fraction of the usual
 	// service time, that reduces the weight of the later leaf by the factor e. Below
 	// minSoftnessMs, latencies differ by chance; beyond maxSoftnessMs, callers would notice.
@@ -195,16 +198,16 @@
 		observed = (ratio - s.even.factor) * r.serviceMs // the queue is in the figures
 	}
 	b.countReply(now, now-latency, s, s.even.factor*r.serviceMs, observed)
-	b.observeDelay(now, s, max(0, observed), r.serviceMs)
+	b.observeDelay(now, s, max(0, observed), r.serviceMs, false)
 }
 
 const percent = 100.0
 
-// observeDelay adds a latency beyond the usual one to a leaf's delay.
-func (b *Balancer) observeDelay(now tier.Millis, s *leafState, observed, serviceMs float64) {
+// observeDelay adds a latency beyond the usual one to a leaf's delay. sure says that it is no chance.
+func (b *Balancer) observeDelay(now tier.Millis, s *leafState, observed, serviceMs float64, sure bool) {
 	weight := chanceWeight
 	slow := serviceMs > 0 && observed >= max(slowFactor*serviceMs, minSlowMs)
-	if slow || b.isSlow(now, s.leaf.ID()) {
+	if slow || sure || b.isSlow(now, s.leaf.ID()) {
 		weight = slowWeight
 	}
 	b.noteSlow(now, s.leaf.ID(), slow)
@@ -220,7 +223,8 @@
 		expected += b.roundTrip(s.leaf)
 	}
 	if observed := float64(waited) - expected; observed > decayed(s.even.delayMs, now-s.even.delayAt, excessHalfLifeMs) {
-		b.observeDelay(now, s, observed, b.serviceMs(class, s))
+		serviceMs := b.serviceMs(class, s)
+		b.observeDelay(now, s, observed, serviceMs, serviceMs >= minSureServiceMs)
 	}
 }
 
