--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -91,7 +91,7 @@
 }
 
 // New returns an entry VM that has read nothing from the store and serves no requests yet.
-func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) (*Entry, error) {
+func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log, arguments ...Option) (*Entry, error) {
 	m, err := meter.New()
 	if err != nil {
 		return nil, errors.Wrap(err, "New")
@@ -109,10 +109,15 @@
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
 	e.quotas = newQuotas(vm, quotaBound(s))
 	self := partitioner.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
-	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
-		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
-		searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }),
-		searcher.WithKnownRegions(func(region string) bool { return e.settings.Load().HasRegion(region) }))
+	var o options
+	for _, set := range arguments {
+		set(&o)
+	}
+	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity, o.balancerOptions()...),
+		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs, o.budgeterOptions(s)...), partitioner.New(self),
+		append(o.schedulerOptions(),
+			searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }),
+			searcher.WithKnownRegions(func(region string) bool { return e.settings.Load().HasRegion(region) }))...)
 	e.limitCold()
 	options := []refresher.Option{refresher.WithSeeds(s.SeedAddresses())}
 	if s.Bootstrap() {
--- a/tier/balancer/connections.go
+++ b/tier/balancer/connections.go
@@ -6,40 +6,31 @@
 )
 
 const (
-	// connectCostMs is about what opening a connection to another region adds to a call.
-	connectCostMs = defaultFarLatencyMs - defaultNearLatencyMs
-	// connectedFor is how long a connection without calls is counted on. The client keeps it
-	// for longer.
-	connectedFor = 3 * tier.Second
+	// freshFor is how long after a reply a connection is counted on without calls. The client
+	// keeps it for longer.
+	freshFor = 3 * tier.Second
 	// connectRetry is the pause before a connection that was not opened is asked for again.
 	connectRetry = 500 * tier.Millisecond
 )
 
-// WithConnectionCosts adds the time to open a connection to the expected cost of a call to another
-// region, unless there is an open one.
-func WithConnectionCosts() Option { return func(b *Balancer) { b.connectionCosts = true } }
-
-// connectCost is the expected time to open a connection to a leaf, in milliseconds. s is nil if
-// nothing is known of the leaf.
-func (b *Balancer) connectCost(now tier.Millis, leaf lister.Leaf, s *leafState) float64 {
-	if !b.connectionCosts || b.InRegion(leaf) || s != nil && now < s.connectedUntil {
-		return 0
-	}
-	return connectCostMs
-}
-
-// ShouldConnect reports whether a connection to the leaf should be opened before it is called.
-// The caller opens one; until Connected, the leaf is not reported again for connectRetry.
+// ShouldConnect reports whether a connection to a leaf of another region should be opened before
+// the leaf is called. The caller opens one; until Connected, the leaf is not reported again
+// for connectRetry.
 func (b *Balancer) ShouldConnect(now tier.Millis, leaf lister.Leaf) bool {
+	if !b.even || b.InRegion(leaf) {
+		return false
+	}
 	s := b.stateOf(leaf)
-	if b.connectCost(now, leaf, s) == 0 || now < s.connectAt {
+	fresh := s.even.idle > 0 && now-max(s.repliedAt, s.even.connectedAt) < freshFor
+	if fresh || now < s.connectAt {
 		return false
 	}
 	s.connectAt = now + connectRetry
 	return true
 }
 
-// Connected records that there is an open connection to a leaf.
+// Connected records that a connection to a leaf was opened, or is open.
 func (b *Balancer) Connected(now tier.Millis, leaf lister.Leaf) {
-	b.stateOf(leaf).connectedUntil = now + connectedFor
+	s := b.stateOf(leaf)
+	s.even.idle, s.even.connectedAt = max(1, s.even.idle), now
 }
