--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -24,7 +24,6 @@
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/relayer"
-	"cicadagrade.example/tier/router"
 	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/storer"
 )
@@ -37,12 +36,14 @@
 	log              *eventlog.Log
 	leafClient       *leafclient.Client
 	store            *platform.Store
-	table            atomic.Pointer[router.Table]
+	table            inForce
+	keySecret        []byte       // of the authenticators
 	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
 	registered       atomic.Bool  // this VM's registration is in the store
 	storeUnreachable atomic.Bool  // the last read of the store failed
 	isolated         atomic.Bool  // neither the store nor any other VM answers
 	linksLost        atomic.Bool  // this VM reaches no leaf
+	heldByCold       int64        // calls that logColdChanges has logged, used by RunLimitLog only
 	stopping         atomic.Bool
 	rttFaultLogged   atomic.Bool   // a failure to measure round-trip times has been logged
 	loaded           chan struct{} // closed when the VM has a view
@@ -53,8 +54,10 @@
 	meter            *meter.Meter
 	leafCalls        atomic.Int64   // calls to leafs
 	extraCalls       atomic.Int64   // hedges and retries among leafCalls
+	unknownKeys      atomic.Int64   // requests refused because they have no known key
 	missingParts     atomic.Int64   // shard results not received by the end of their request
 	crossRegionBytes atomic.Int64   // bytes of replies received from other regions
+	refusedRegions   atomic.Int64   // requests refused because no leaf is in their regions
 	crashReported    chan struct{}  // gets a value when crashReports has a new one
 	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
 	crashLeaseAt     tier.Millis    // when it was granted
@@ -79,12 +82,16 @@
 	// crashReports are the reports on requests under which leafs have ended that are not yet
 	// in the store.
 	crashReports map[quarantiner.Fingerprint]quarantiner.Report
+	// quotas are the organisations' accounts, as far as this VM knows them.
+	quotas *quotas
 	// delayEstimator estimates how long a caller has already waited for its request.
 	delayEstimator *delayestimator.Estimator
+	// organisationUse counts what organisations ask for and what becomes of it.
+	organisationUse *organisationUse
 }
 
 // New returns an entry VM that has read nothing from the store and serves no requests yet.
-func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log) (*Entry, error) {
+func New(s *platform.Settings, clock *tier.Clock, log *eventlog.Log, arguments ...Option) (*Entry, error) {
 	m, err := meter.New()
 	if err != nil {
 		return nil, errors.Wrap(err, "New")
@@ -93,16 +100,25 @@
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
-		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(),
+		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
+		organisationUse: newOrganisationUse(),
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
+	e.quotas = newQuotas(vm, quotaBound(s))
 	self := partitioner.NewMember(vm, s.Region(s.DataCentre()), s.Cores())
-	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity),
-		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs), partitioner.New(self),
-		searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }))
+	var o options
+	for _, set := range arguments {
+		set(&o)
+	}
+	e.scheduler = searcher.NewScheduler(lister.New(), balancer.New(e.proximity, o.balancerOptions()...),
+		budgeter.New(s.RetryBudgetRatio(), s.RetryBudgetSlack(), minBudgetVMs, o.budgeterOptions(s)...), partitioner.New(self),
+		append(o.schedulerOptions(),
+			searcher.WithRegions(func(dataCentre string) string { return e.settings.Load().Region(dataCentre) }),
+			searcher.WithKnownRegions(func(region string) bool { return e.settings.Load().HasRegion(region) }))...)
+	e.limitCold()
 	options := []refresher.Option{refresher.WithSeeds(s.SeedAddresses())}
 	if s.Bootstrap() {
 		options = append(options, refresher.AtBootstrap())
@@ -138,6 +154,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.scheduler.Budgeter().Configure(s.RetryBudgetRatio(), s.RetryBudgetSlack())
+	e.limitCold()
+	e.quotas.reporter.Configure(quotaBound(s))
+	e.quotas.ledger.Configure(quotaBound(s))
 }
 
 // Ready reports whether the balancer may send callers to this VM.
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -61,7 +61,10 @@
 	body    []byte
 	margin  tier.Millis // for merging and writing the response
 
+	needsKeys    bool                 // the configuration has organisations
 	organisation *router.Organisation // of the caller, or nil
+	counted      bool                 // within a quota
+	reachedLeaf  bool                 // leafs may have got it
 	weight       float64              // of the organisation's requests, relative to those of others
 
 	fingerprints func() []quarantiner.Fingerprint
@@ -89,7 +92,7 @@
 	if e.stopping.Load() || e.isolated.Load() || connectionExpired(r.Context(), start) {
 		w.Header().Set("Connection", "close")
 	}
-	table := e.table.Load()
+	table, keys := e.table.LoadBoth()
 	attempt := platform.ParseAttempt(r.Header)
 	if table == nil {
 		e.refuse(w, attempt, http.StatusServiceUnavailable, "no-configuration", 0, startRetryAfter)
@@ -109,23 +112,25 @@
 		e.refuse(w, attempt, http.StatusNotFound, "no-route", table.Version(), 0)
 		return
 	}
+	q := &request{route: route, table: table, attempt: attempt, start: start}
+	if !e.identify(w, r, q, keys) || !e.admit(w, r, q) {
+		return
+	}
+	defer e.returnQuota(q)
 	body, status := readBody(w, r, table.Limits())
 	if status != 0 {
-		e.refuse(w, attempt, status, "bad-body", table.Version(), 0)
+		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, withOrganisation(q.organisationName())...)
 		return
 	}
-	q := &request{
-		route: route, table: table, attempt: attempt, start: start, body: body,
-		arrival:      e.recordArrival(r.Context(), start, route, attempt),
-		fingerprints: newFingerprints(r, path, body),
-		margin:       responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards())),
-	}
+	q.body, q.arrival, q.fingerprints = body, e.recordArrival(r.Context(), start, route, attempt), newFingerprints(r, path, body)
+	q.margin = responseMargin(e.scheduler.Partitioner().Self().Cores(), e.settings.Load().LinkMbps(), len(route.Shards()))
 	if left, quarantined := e.quarantined(q); quarantined {
-		e.refuse(w, attempt, http.StatusServiceUnavailable, string(searcher.Quarantined), table.Version(), left)
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, string(searcher.Quarantined), left)
 		return
 	}
+	e.recordOrganisationRequest(q)
 	q.cautious = e.wantsCaution(q)
-	template := leafclient.NewTemplate(r.Method, path, r.Host, platform.LeafRequestHeader(r.Header), body)
+	template := leafclient.NewTemplate(r.Method, path, r.Host, q.leafHeader(r.Header), body)
 	if route.IsScatterGather() {
 		e.serveScatterGather(w, r, q, template)
 		return
@@ -156,16 +161,35 @@
 }
 
 // refuse responds to a request that was not sent to any leaf. The caller may return after
-// retryAfter and up to refusalRetryAfter more, unless it is 0.
-func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis) {
+// retryAfter and up to refusalRetryAfter more, unless it is 0. attrs are further keys and
+// values of the log line.
+func (e *Entry) refuse(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, retryAfter tier.Millis, attrs ...any) {
+	writeRetryAfter(w, retryAfter)
+	e.writeRefusal(w, attempt, status, cause, version, attrs...)
+}
+
+// refuseRequest is refuse for a request whose caller has been identified.
+func (e *Entry) refuseRequest(w http.ResponseWriter, q *request, status int, cause string, retryAfter tier.Millis) {
+	e.recordOrganisationRefusal(q.organisationName(), cause)
+	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter, withOrganisation(q.organisationName())...)
+}
+
+// writeRetryAfter tells the caller to return after retryAfter and up to refusalRetryAfter more,
+// unless it is 0.
+func writeRetryAfter(w http.ResponseWriter, retryAfter tier.Millis) {
 	if retryAfter > 0 {
 		platform.WriteRetryAfter(w.Header(), retryAfter+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
 	}
+}
+
+// writeRefusal writes and logs the response to a request that was not sent to any leaf.
+func (e *Entry) writeRefusal(w http.ResponseWriter, attempt platform.Attempt, status int, cause string, version int64, attrs ...any) {
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	e.meter.RecordRequest("", "", cause, 0)
-	e.log.RateLimitedInfo("refused", "request", attempt.ID(), "status", status, "cause", cause, "version", version,
-		"view-age-ms", int64(e.viewAge()))
+	e.log.RateLimitedInfo("refused", append([]any{
+		"request", attempt.ID(), "status", status, "cause", cause, "version", version, "view-age-ms", int64(e.viewAge()),
+	}, attrs...)...)
 }
 
 // regions are the regions in which the request may be served: those that both its route and
@@ -233,20 +257,21 @@
 func (e *Entry) serveScatterGather(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	shards := q.route.Shards()
 	e.mu.Lock()
-	likelyToFail := e.scheduler.Forecaster().LikelyToFail(q.start, shards, q.route.MinimumParts(), q.arrival.IsRetry(), rand.Float64())
+	likelyToFail := e.likelyToFail(q, shards)
 	e.mu.Unlock()
 	if likelyToFail {
 		e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), "shards-missing", 0)
 		platform.WriteRetryAfter(w.Header(), shardOutageRetryAfter+tier.Millis(rand.Int64N(int64(shardOutageRetryAfter))))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		e.log.RateLimitedInfo("refused", "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
-			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())
+		e.recordOrganisationRefusal(q.organisationName(), "shards-missing")
+		e.log.RateLimitedInfo("refused", withOrganisation(q.organisationName(), "request", q.attempt.ID(), "status", http.StatusServiceUnavailable,
+			"cause", "shards-missing", "version", q.table.Version(), "route", q.route.Name())...)
 		return
 	}
 	var shares []partitioner.Share
 	if !q.cautious {
-		shares = e.divideShards(q.route.Name(), shards)
+		shares = e.divideShards(q.route.Name(), shards, q.regions())
 	}
 	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, shares)
 	run.suspected = func() { e.warnOthers(q) }
@@ -256,7 +281,9 @@
 		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
+	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
 		return
@@ -299,7 +326,9 @@
 		regions: q.regions(), organisation: q.organisationName(), weight: q.weight,
 	}
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
+	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
 		return
@@ -337,7 +366,9 @@
 	switch {
 	case !outcome.MayHaveRun():
 		status = http.StatusServiceUnavailable
-		platform.WriteRetryAfter(w.Header(), max(refusalRetryAfter, outcome.RetryAfter())+tier.Millis(rand.Int64N(int64(refusalRetryAfter))))
+		if after, helps := retryAfter(outcome); helps {
+			platform.WriteRetryAfter(w.Header(), after)
+		}
 	case outcome.Cause() == searcher.OutOfTime:
 		status = http.StatusGatewayTimeout
 	}
@@ -352,17 +383,27 @@
 	took := e.clock.Now() - q.start
 	e.meter.RecordRequest(q.route.Name(), strconv.Itoa(q.route.Rank()), cause, took)
 	e.countCalls(outcome)
+	if !outcome.MayHaveRun() && status == http.StatusServiceUnavailable {
+		e.recordOrganisationRefusal(q.organisationName(), cause)
+	}
 	e.recordLeafAnswer(q, outcome)
 	e.checkEndedLeafs(q, e.leafsByID(outcome.EndedElsewhere()), false)
+	if outcome.Cause() == searcher.NoLeafInRegions {
+		e.refusedRegions.Add(1)
+	}
 	if outcome.Cause() == searcher.Complete && outcome.ExtraCalls() == 0 && status < 300 && took <= q.route.LatencyTarget() {
 		return
 	}
-	e.log.RateLimitedInfo("request-ended", "request", q.attempt.ID(), "route", q.route.Name(),
+	fields := withOrganisation(q.organisationName(), "request", q.attempt.ID(), "route", q.route.Name(),
 		"version", q.table.Version(), "status", status, "cause", cause, "took-ms", int64(took),
 		"aim-ms", int64(q.route.LatencyTarget()), "spent-ms", int64(q.arrival.Elapsed()), "trip-ms", int64(q.arrival.RoundTrip()),
 		"missing", outcome.Missing(), "of", max(1, len(q.route.Shards())),
 		"shares", len(outcome.Shares()), "calls", outcome.CallsSent(), "extra", outcome.ExtraCalls(),
 		"may-have-run", outcome.MayHaveRun(), "view-age-ms", int64(e.viewAge()), "misses", describeMisses(outcome))
+	if regions := q.regions(); regions.Restricted() {
+		fields = append(fields, "regions", strings.Join(regions.Names(), " "))
+	}
+	e.log.RateLimitedInfo("request-ended", fields...)
 }
 
 // describeMisses lists the missing parts, as the value of a log key.
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -32,6 +32,10 @@
 		{"cicadagrade.entry.leafs", "registrations of leafs, usable or not", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().Len()) })},
 		{"cicadagrade.entry.leafs.usable", "leafs that can be called", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().UsableCount()) })},
 		{"cicadagrade.entry.leafs.limited", "leafs that limit the rate of requests", withLock(func(e *Entry) int64 { return int64(e.scheduler.Balancer().LimitedCount()) })},
+		{"cicadagrade.entry.evacuations", "data centres whose leafs are not used, because operators have evacuated them", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().Evacuations()) })},
+		{"cicadagrade.entry.refused.regions", "requests refused because too few leafs are in the regions in which they may be served", func(e *Entry) int64 { return e.refusedRegions.Load() }},
+		{"cicadagrade.entry.leafs.cold", "cold leafs whose service names a rate for them", withLock(func(e *Entry) int64 { return int64(e.scheduler.Balancer().ColdLimitedCount(e.clock.Now())) })},
+		{"cicadagrade.entry.calls.cold", "calls held back, passed on or refused because of the rates of cold leafs", withLock(func(e *Entry) int64 { return e.scheduler.HeldByCold() })},
 		{"cicadagrade.entry.leafs.unreachable", "1 if this VM reaches no leaf, whether or not other VMs do", withLock(func(e *Entry) int64 { return boolToInt(e.scheduler.Balancer().LinksLost()) })},
 		{"cicadagrade.entry.store.away", "1 if this VM's last read of the store failed", func(e *Entry) int64 { return boolToInt(e.storeUnreachable.Load()) }},
 		{"cicadagrade.entry.vms", "known VMs, including this one", withLock(func(e *Entry) int64 { return int64(e.scheduler.Partitioner().MemberCount()) })},
@@ -44,12 +48,20 @@
 		{"cicadagrade.entry.quarantine.refused", "times that a request under which several leafs have ended was not sent", withLock(func(e *Entry) int64 { return e.scheduler.Quarantiner().Refused() })},
 		{"cicadagrade.entry.calls.extra", "hedges and retries among the calls to leafs", func(e *Entry) int64 { return e.extraCalls.Load() }},
 		{"cicadagrade.entry.calls.denied", "hedges and retries denied by the retry budget", withLock(func(e *Entry) int64 { return e.scheduler.Budgeter().Denied() })},
+		{"cicadagrade.entry.calls.slowest", "calls of this VM to the leaf that it knew as the slowest of its service, where it knew unlike ones", withLock(func(e *Entry) int64 { return e.scheduler.Balancer().UseCounts().Slowest() })},
+		{"cicadagrade.entry.calls.fastest", "the same of the fastest leaf of the service", withLock(func(e *Entry) int64 { return e.scheduler.Balancer().UseCounts().Fastest() })},
+		{"cicadagrade.entry.calls.waited", "calls of this VM whose reply was late while another leaf of the service replied as usual", withLock(func(e *Entry) int64 { return e.scheduler.Balancer().UseCounts().Waited() })},
 		{"cicadagrade.entry.budget.least", "hedges and retries left in the retry budget of the service with the fewest left", withLock(func(e *Entry) int64 { return int64(e.scheduler.Budgeter().FewestTokens()) })},
 		{"cicadagrade.entry.bytes.far", "bytes of replies from leafs and VMs in other regions", func(e *Entry) int64 { return e.crossRegionBytes.Load() }},
 		{"cicadagrade.entry.parts.missing", "parts not received by the end of their request", func(e *Entry) int64 { return e.missingParts.Load() }},
 		{"cicadagrade.entry.connections.opened", "connections opened to leafs", func(e *Entry) int64 { return e.leafClient.Counts().Dials }},
 		{"cicadagrade.entry.connections.spoiled", "connections to leafs closed because of bytes that belong to no request", func(e *Entry) int64 { return e.leafClient.Counts().OutOfSync }},
 		{"cicadagrade.entry.replies.stray", "late replies of leafs to earlier requests, which were skipped", func(e *Entry) int64 { return e.leafClient.Counts().StaleReplies }},
+		{"cicadagrade.entry.keys.unknown", "requests refused because they have no known key", func(e *Entry) int64 { return e.unknownKeys.Load() }},
+		{"cicadagrade.entry.quota.refused", "requests refused because their organisation is over its quota", withLock(func(e *Entry) int64 { return e.quotas.refused })},
+		{"cicadagrade.entry.quota.reports", "reports on organisations' requests sent to other VMs", withLock(func(e *Entry) int64 { return e.quotas.reports })},
+		{"cicadagrade.entry.quota.accounts", "accounts of organisations that this VM keeps", withLock(func(e *Entry) int64 { return int64(e.quotas.ledger.Len()) })},
+		{"cicadagrade.entry.quota.debt", "requests by which the account furthest over its quota exceeds it, among those that this VM keeps", withLock(func(e *Entry) int64 { return int64(e.quotas.ledger.LargestDebt()) })},
 		{"cicadagrade.entry.memory", "memory of the process, in bytes", func(*Entry) int64 { return readRuntimeMetric("/memory/classes/total:bytes") }},
 		{"cicadagrade.entry.processor.time", "CPU time used by the process, in milliseconds", func(*Entry) int64 { return processCPUTime() }},
 		{"cicadagrade.entry.goroutines", "goroutines", func(*Entry) int64 { return readRuntimeMetric("/sched/goroutines:goroutines") }},
@@ -110,6 +122,11 @@
 			return errors.Wrap(err, "Entry.registerGauges")
 		}
 	}
+	for _, g := range organisationGauges() {
+		if err := e.meter.RegisterGauge(g.name, g.description, func() []meter.Point { return g.read(e) }); err != nil {
+			return errors.Wrap(err, "Entry.registerGauges")
+		}
+	}
 	return nil
 }
 
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -114,18 +114,17 @@
 	return nil
 }
 
-// readAll reads the configuration, the leafs and what VMs keep in the store, at the same time. The
+// readAll reads the configuration and the evacuations of data centres, the leafs and what VMs keep in the store, at the same time. The
 // three reads are not atomic, so later polls start at the revision of the earliest one.
 func (e *Entry) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
 	defer cancel()
 	start := e.clock.Now()
-	var configuration storer.Value
-	var leafs, state []storer.Value
+	var operator, leafs, state []storer.Value
 	var at [3]int64
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
-		configuration, at[0], err = e.store.GetWithRevision(ctx, platform.ConfigurationKey)
+		operator, at[0], err = e.readOperatorKeys(ctx)
 		return err
 	})
 	g.Go(func() (err error) {
@@ -141,10 +140,7 @@
 	}
 	afterOutage := e.storeUnreachable.Load()
 	e.markStoreReachable()
-	list := slices.Concat(leafs, state)
-	if configuration.Present() {
-		list = append(list, configuration)
-	}
+	list := slices.Concat(leafs, state, operator)
 	revision := min(at[1], at[2])
 	if at[0] != 0 {
 		revision = min(revision, at[0])
@@ -199,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	vm := source.Member.VM()
-	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name()}
+	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name(), Levels: e.levelsForRelay(), Delays: e.leafDelays()}
 	response, err := e.peers.clientOf(vm.Address()).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		if ctx.Err() != nil || after == 0 {
@@ -214,6 +210,7 @@
 		return 0, errors.Wrap(err, "Entry.fetchFrom")
 	}
 	reply := response.Msg
+	e.hearLeafDelays(reply.GetDelays())
 	if reply.GetRevision() == 0 {
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
@@ -231,6 +228,7 @@
 	e.advanceView(reply.GetRevision(), age)
 	e.mu.Lock()
 	e.fleetHeard = int(reply.GetFleet())
+	e.hearLevels(reply.GetLevels())
 	differs := e.relayer.Revision() == reply.GetRevision() && e.relayer.KeyDigest() != reply.GetKeyDigest()
 	e.viewDiffers = differs
 	e.mu.Unlock()
@@ -252,9 +250,11 @@
 // Fetch returns the changes that this VM has read since the revision that the caller has.
 func (p *peerService) Fetch(_ context.Context, c *connect.Request[gatherv1.FetchRequest]) (*connect.Response[gatherv1.FetchReply], error) {
 	e := p.entry
+	delays := e.leafDelays()
+	e.hearLeafDelays(c.Msg.GetDelays())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := &gatherv1.FetchReply{Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
+	reply := &gatherv1.FetchReply{Delays: delays, Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
 	if c.Msg.GetVmsOnly() {
 		reply.Items = encodeItems(e.relayer.WithPrefix(vmsPrefix))
 		return connect.NewResponse(reply), nil
@@ -262,6 +262,8 @@
 	if name := c.Msg.GetName(); name != "" && !e.scheduler.Partitioner().Has(name) {
 		e.followers.Seen(e.clock.Now(), name)
 	}
+	e.hearLevels(c.Msg.GetLevels())
+	reply.Levels = e.hotLevels()
 	if reply.Revision == 0 || c.Msg.GetAfter() > reply.Revision {
 		return connect.NewResponse(reply), nil
 	}
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/authenticator"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/storer"
 )
@@ -24,8 +26,10 @@
 func (e *Entry) replaceView(list []storer.Value, revision int64, afterOutage bool) {
 	var entries []lister.Entry
 	var members []storer.Value
+	var evacuations []storer.Value
 	kept := make([]storer.Value, 0, len(list))
 	for _, c := range list {
+		c = e.redactKeys(c)
 		switch {
 		case c.Key() == platform.ConfigurationKey:
 			e.applyConfiguration(c)
@@ -39,12 +43,18 @@
 			members = append(members, c)
 		case strings.HasPrefix(c.Key(), crashesPrefix):
 			e.applyCrash(c)
+		case e.isEvacuation(c.Key()):
+			evacuations = append(evacuations, c)
+			continue
 		}
 		kept = append(kept, c)
 	}
 	e.mu.Lock()
+	kept = append(kept, e.replaceEvacuations(evacuations, revision)...)
 	e.relayer.Replace(kept, revision)
+	registered := slices.DeleteFunc(slices.Clone(entries), func(l lister.Entry) bool { return !e.scheduler.Lister().IsNewer(l) })
 	e.scheduler.Lister().Replace(e.clock.Now(), entries)
+	e.registerLeafs(registered)
 	e.mu.Unlock()
 	e.replaceMembers(members, afterOutage)
 }
@@ -53,6 +63,7 @@
 // was read from another VM.
 func (e *Entry) applyChange(c storer.Value, revision int64, copied bool) {
 	affectsUse := true
+	c = e.redactKeys(c)
 	switch {
 	case c.Key() == platform.ConfigurationKey:
 		if c.Present() {
@@ -64,6 +75,10 @@
 		e.applyMember(c)
 	case strings.HasPrefix(c.Key(), crashesPrefix):
 		e.applyCrash(c)
+	case e.isEvacuation(c.Key()):
+		if !e.applyEvacuation(c, revision, copied) {
+			return
+		}
 	default:
 		return
 	}
@@ -88,7 +103,8 @@
 	if old != nil && t.Version() <= old.Version() {
 		return
 	}
-	e.table.Store(t)
+	keys := authenticator.New(e.keySecret, t.Organisations())
+	e.table.Store(t, keys)
 	e.mu.Lock()
 	e.scheduler.Budgeter().ForgetUnused(e.clock.Now(), t.Uses)
 	e.scheduler.SetShards(t.IsShard)
@@ -99,6 +115,7 @@
 	}
 	e.log.Info("configuration-in-force", "version", t.Version(), "previous", previous,
 		"routes", t.RouteCount(), "revision", c.Revision())
+	e.logOrganisations(t, keys)
 }
 
 // decodeLeaf decodes a leaf's registration. If that fails, it logs the error and returns an
@@ -123,8 +140,8 @@
 	}
 	entry := e.decodeLeaf(c)
 	changed := e.scheduler.Lister().Put(now, entry)
-	if entry.Readable() {
-		e.scheduler.Balancer().Registered(now, entry.Leaf())
+	if entry.Readable() && e.scheduler.Balancer().Registered(now, entry.Leaf()) {
+		return true // VMs that copy this view need to know that the leaf is cold again
 	}
 	return changed
 }
@@ -139,23 +156,43 @@
 	}
 	e.scheduler.Budgeter().SetVMs(max(minBudgetVMs, e.fleetSize()))
 	e.scheduler.SetFleetSize(e.fleetSize())
-	e.scheduler.Lister().Tick(e.clock.Now())
+	e.scheduler.SetContact(e.clock.Now(), e.registered.Load(), e.viewAge() > isolationViewAge)
+	changes := e.tickLeafs()
 	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
-	changes := e.scheduler.Lister().TakeChanges()
-	for _, c := range changes {
-		if c.State() == lister.StateGone {
-			e.scheduler.Balancer().Forget(c.Leaf().ID())
-		}
-	}
 	isolated := e.viewAge() > isolationViewAge && e.scheduler.Partitioner().MemberCount() > 1 && len(e.scheduler.Partitioner().HealthyPeers()) == 0
 	e.mu.Unlock()
 	e.leafClient.CloseExpired()
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("isolation", "isolated", isolated, "view-age-ms", int64(e.viewAge()))
 	}
+	e.reportLeafs(changes)
+}
+
+// tickLeafs continues what takes time in the list of leafs, and drops the state of removed ones.
+// It returns the changes since the last call, for reportLeafs. The caller holds the lock.
+func (e *Entry) tickLeafs() []lister.Change {
+	e.scheduler.Lister().Tick(e.clock.Now())
+	changes := e.scheduler.Lister().TakeChanges()
+	for _, c := range changes {
+		switch c.State() {
+		case lister.StateGone:
+			e.scheduler.Balancer().Forget(c.Leaf().ID())
+		case lister.StateReturned:
+			// The leafs of an evacuated data centre are cold when it returns.
+			if t := e.table.Load(); t != nil && t.Service(c.Leaf().Service()).ColdPerSecond() > 0 {
+				e.scheduler.Balancer().TurnedCold(e.clock.Now(), c.Leaf(), t.Service(c.Leaf().Service()).ColdFor())
+			}
+		}
+	}
+	return changes
+}
+
+// reportLeafs logs the changes of leafs and closes the idle connections to those that are not
+// ready.
+func (e *Entry) reportLeafs(changes []lister.Change) {
 	for _, c := range changes {
-		if c.State() != lister.StateReady {
+		if c.State() != lister.StateReady && c.State() != lister.StateReturned {
 			e.leafClient.CloseIdle(c.Leaf().Address())
 		}
 	}
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -155,6 +155,7 @@
 	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
 	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
 	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	QueueTooLong   Cause = "queue-too-long" // no call was made: too many parts wait before it
 	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
 	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
 	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
@@ -162,6 +163,10 @@
 	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
 	OutcomeUnknown Cause = "outcome-unsure" // a call that must not be repeated brought no usable reply
 	CallerLeft     Cause = "caller-left"    // the caller has gone
+
+	// NoLeafInRegions says that no call was made: too many services have no usable leaf in the
+	// regions in which the request may be served.
+	NoLeafInRegions Cause = "no-leaf-in-regions"
 )
 
 // Miss describes a missing part: its service, and the last call for it.
@@ -199,6 +204,8 @@
 	broken     []int
 	retryAfter tier.Millis
 	ended      []lister.Leaf
+	unplaced   bool
+	permanent  bool
 
 	endedElsewhere []string
 }
@@ -241,6 +248,14 @@
 // quarantine have ended the search, or 0.
 func (o Outcome) RetryAfter() tier.Millis { return o.retryAfter }
 
+// Unplaced reports whether the search was not begun, because too few services have a leaf that the
+// request may use.
+func (o Outcome) Unplaced() bool { return o.unplaced }
+
+// Permanent reports whether the same request will fail until the configuration is changed,
+// because the deployment has none of the regions in which it may be served.
+func (o Outcome) Permanent() bool { return o.permanent }
+
 // Ended are the leafs that ended the connection while they had the request, if no leaf has
 // answered it: the request may have ended them.
 func (o Outcome) Ended() []lister.Leaf { return o.ended }
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -89,10 +89,14 @@
 		return LeafFailure
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == quarantinedReason:
 		return Quarantined
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == queueReason:
+		return QueueTooLong
 	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
 		return LinksLost
+	case len(s.calls) == 0 && !s.mayHaveRun && s.lostForRegions():
+		return NoLeafInRegions
 	case len(s.calls) == 0 && !s.mayHaveRun:
 		return NoLeaf
 	case !s.mayHaveRun:
@@ -105,6 +109,7 @@
 
 func (s *Search) finish(now tier.Millis, cause Cause, actions []Action) []Action {
 	s.done = true
+	s.endFairShare()
 	delete(s.scheduler.active, s)
 	// A leaf may be working on a call that has not ended.
 	for i := range s.calls {
@@ -113,15 +118,15 @@
 		}
 	}
 	misses := s.misses(now)
-	if !s.terms.flushes && len(s.parts) > 1 && cause != CallerLeft {
+	if !s.terms.flushes && len(s.parts) > 1 && cause != CallerLeft && !s.unplaced {
 		s.recordArrivals(now)
 	}
 	actions = s.cancelAll(now, actions)
 	s.pending = nil
 	o := Outcome{
 		cause: cause, mayHaveRun: s.mayHaveRun, missing: len(s.parts) - s.arrived, misses: misses,
-		retryAfter: s.retryAfter,
-		callsSent:  len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
+		retryAfter: s.retryAfter, unplaced: s.unplaced, permanent: cause == NoLeafInRegions && !s.scheduler.knowsAny(s.terms.regions),
+		callsSent: len(s.calls) + s.delegatedCalls, extraCalls: s.extraCalls + s.delegatedExtraCalls,
 	}
 	for k := range s.shares {
 		o.shares = append(o.shares, s.shares[k].replies...)
@@ -138,7 +143,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && (p.lossReason == noLeafReason && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
+		if p.lost && ((isNoLeafReason(p.lossReason) || p.lossReason == coldReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
@@ -168,7 +173,7 @@
 	var list []Miss
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.arrived {
+		if p.arrived || p.lossReason == notSentReason {
 			continue
 		}
 		if len(list) == maxMisses {
@@ -219,13 +224,14 @@
 
 // recordArrivals tells the forecaster which parts arrived by the target.
 func (s *Search) recordArrivals(now tier.Millis) {
+	f := s.scheduler.ForecasterOf(s.terms.regions)
 	for i := range s.parts {
 		p := &s.parts[i]
 		switch {
 		case p.arrived && !p.pastTarget:
-			s.scheduler.forecaster.RecordArrived(now, p.service)
+			f.RecordArrived(now, p.service)
 		case p.arrived || p.lost || now >= s.terms.target:
-			s.scheduler.forecaster.RecordMissed(now, p.service)
+			f.RecordMissed(now, p.service)
 		}
 	}
 }
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -38,6 +38,9 @@
 			s.markLost(p, quarantinedReason)
 			continue
 		}
+		if s.loseUnplaced(p) {
+			continue
+		}
 		used := p.ranCalls + s.arrivedCalls(i)
 		if used >= s.terms.maxAttempts {
 			if p.inFlight == 0 {
@@ -45,7 +48,7 @@
 			}
 			continue
 		}
-		s.scheduler.dequeue(s, i)
+		s.scheduler.dequeue(now, s, i)
 		if p.inFlight > 0 {
 			s.mayHaveRun = true
 			actions = s.cancelPart(now, i, actions)
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/apportioner"
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/forecaster"
@@ -71,11 +72,18 @@
 	regionOf    func(dataCentre string) string
 	random      func() float64
 	queue       queue
-	active      map[*Search]bool // searches that have started and not finished
+	shares      map[fairKey]*apportioner.Apportioner // of services with requests of organisations
+	drains      map[string]*drain                    // of services with queued parts
+	waits       map[string]Wait                      // by organisation, since the last TakeWaits
+	active      map[*Search]bool                     // searches that have started and not finished
 	quarantiner *quarantiner.Quarantiner
 	fleetSize   int                       // VMs, registered or not, as far as known
 	isShard     func(service string) bool // whether a service is a shard of a route
 	woken       []*Search                 // searches with actions for Resume
+
+	knowsRegion func(region string) bool          // whether the deployment has a region
+	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
+	cold        coldState
 	evenLoad    bool
 }
 
@@ -97,8 +105,10 @@
 func NewScheduler(l *lister.Lister, b *balancer.Balancer, budget *budgeter.Budgeter, p *partitioner.Partitioner, options ...SchedulerOption) *Scheduler {
 	sc := &Scheduler{
 		lister: l, balancer: b, budgeter: budget, partitioner: p, forecaster: forecaster.New(), quarantiner: quarantiner.New(),
-		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{}, active: map[*Search]bool{},
-		isShard: func(string) bool { return false },
+		regionOf: func(dataCentre string) string { return dataCentre }, random: rand.Float64, queue: queue{},
+		shares: map[fairKey]*apportioner.Apportioner{}, drains: map[string]*drain{}, waits: map[string]Wait{}, active: map[*Search]bool{},
+		isShard: func(string) bool { return false }, knowsRegion: func(string) bool { return true },
+		restricted: map[string]*forecaster.Forecaster{},
 	}
 	for _, set := range options {
 		set(sc)
@@ -107,17 +117,18 @@
 	return sc
 }
 
-// Divide assigns the shards of a request of a class to VMs near their leafs.
-func (sc *Scheduler) Divide(class string, shards []string) []partitioner.Share {
+// Divide assigns the shards of a request of a class to VMs near their leafs. It uses only VMs
+// and leafs in the regions in which the request may be served.
+func (sc *Scheduler) Divide(class string, shards []string, regions tier.RegionSet) []partitioner.Share {
 	locationsOf := func(shard string) []partitioner.Location {
-		leafs := sc.lister.Leafs(shard)
+		leafs := sc.usableLeafs(shard, regions)
 		list := make([]partitioner.Location, len(leafs))
 		for i, leaf := range leafs {
 			list[i] = partitioner.Location{DataCentre: leaf.DataCentre(), Region: sc.regionOf(leaf.DataCentre())}
 		}
 		return list
 	}
-	return sc.partitioner.Partition(class, shards, locationsOf, sc.random)
+	return sc.partitioner.Partition(class, shards, regions, locationsOf, sc.random)
 }
 
 // ownerCount is an upper bound on the number of VMs that own a service, that is,
@@ -173,6 +184,7 @@
 func (sc *Scheduler) LinksChanged(now tier.Millis) {
 	sc.partitioner.ExcludeSelf(now, sc.balancer.LinksLost())
 	sc.forecaster.Reset() // it has judged shards by links of this VM
+	clear(sc.restricted)
 	for s := range sc.active {
 		sc.wake(s)
 	}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -31,13 +31,15 @@
 	hedgeAt      tier.Millis // when to send a hedge, or never
 	retryAt      tier.Millis // when to send again or, if queued, to look for capacity; or never
 	failureReply any
-	nextIsExtra  bool   // a first call was made, or may have been made by another VM
-	counted      bool   // the retry budget has counted the request
-	shareIndex   int    // the share that it belongs to, or noShare
-	flushed      bool   // handed on by a Flush
-	queued       bool   // it waits for a leaf with capacity
+	nextIsExtra  bool // a first call was made, or may have been made by another VM
+	counted      bool // the retry budget has counted the request
+	shareIndex   int  // the share that it belongs to, or noShare
+	flushed      bool // handed on by a Flush
+	queued       bool // it waits for a leaf with capacity
+	queuedAt     tier.Millis
 	pastTarget   bool   // it arrived after the target time
 	handOvers    int    // how often it was handed over to another VM
+	keepersAsked int    // how often a keeper of a cold leaf got it
 	mayHaveRun   bool   // another VM that had it may have made calls
 	held         bool   // it is not sent until a leaf has answered the request
 	lossReason   string // why it was marked as lost
@@ -89,6 +91,8 @@
 	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
 	caution             caution
 	startedAt           tier.Millis
+	unplaced            bool // it was not begun, as too few parts have a leaf that they may use
+	fair                fairShare
 }
 
 // NewSearch returns a search over services. Shares of other VMs are delegated to them;
@@ -102,7 +106,7 @@
 		s.parts[i] = part{service: name, hedgeAt: never, retryAt: never, shareIndex: noShare, nextIsExtra: terms.repeated}
 	}
 	for _, sh := range shares {
-		if sh.Self() {
+		if sh.Self() || !scheduler.mayDelegate(sh.Member(), terms.regions) {
 			continue
 		}
 		for _, i := range sh.Parts() {
@@ -118,6 +122,9 @@
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
 	s.startedAt = now
+	if s.refuseUnplaced() {
+		return s.finish(now, s.failureCause(), nil)
+	}
 	actions := make([]Action, 0, len(s.parts)+1)
 	if s.terms.cautious && len(s.parts) > 1 {
 		for i := range s.parts {
@@ -216,7 +223,7 @@
 		}
 		if now >= p.retryAt {
 			p.retryAt = never
-			if p.queued {
+			if p.queued && !s.unqueueCold(now, i) {
 				p.retryAt = now + queuePollInterval
 				s.scheduler.dispatchQueued(now, p.service)
 			} else {
@@ -326,7 +333,7 @@
 
 func (s *Search) cancelAll(now tier.Millis, actions []Action) []Action {
 	for i := range s.parts {
-		s.scheduler.dequeue(s, i)
+		s.scheduler.dequeue(now, s, i)
 	}
 	for k := range s.calls {
 		if !s.calls[k].ended {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -31,13 +31,16 @@
 		return actions
 	}
 	leaf, _, found := s.pickLeaf(now, p, true)
-	if !found && len(p.tried) > 0 {
+	if !found {
+		if asked, ok := s.askKeeper(now, partIndex, actions); ok {
+			return asked
+		}
 		leaf, _, found = s.pickLeaf(now, p, false)
 	}
 	switch {
 	case !found:
 		if p.inFlight == 0 {
-			s.markLost(p, noLeafReason)
+			s.giveUp(now, p)
 		}
 		return actions
 	case !s.scheduler.balancer.HasCapacity(now, leaf, s.scheduler.ownerCount(now, p.service) > 0):
@@ -47,11 +50,19 @@
 			leaf = other
 			break
 		}
+		if s.scheduler.balancer.ColdBinds(now, leaf) {
+			s.scheduler.cold.held++
+		}
 		if wait := s.scheduler.limitWait(now, s, p.service); now+wait > s.terms.deadline && p.inFlight == 0 {
 			s.markLost(p, limitReason)
 			s.retryAfter = max(s.retryAfter, now+wait-s.terms.deadline)
 			return actions
 		}
+		if excess := s.scheduler.queueExcess(now, s, partIndex); excess > 0 {
+			s.markLost(p, queueReason)
+			s.retryAfter = max(s.retryAfter, excess)
+			return actions
+		}
 		s.scheduler.enqueue(now, s, partIndex)
 		return actions
 	}
@@ -68,9 +79,6 @@
 	return s.startCall(now, partIndex, leaf, p.nextIsExtra, actions)
 }
 
-// noLeafReason is why a part is lost whose service has no usable leaf.
-const noLeafReason = "no-leaf"
-
 // limitReason is why a part is lost that could not be sent before the deadline, because of
 // the limits that all leafs of its service have named.
 const limitReason = "leafs-limited"
@@ -95,8 +103,8 @@
 // pickLeaf picks the leaf with the least expected cost, among those without a call
 // of the part if untriedOnly is set.
 func (s *Search) pickLeaf(now tier.Millis, p *part, untriedOnly bool) (lister.Leaf, float64, bool) {
-	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.lister.Leafs(p.service), func(leaf lister.Leaf) bool {
-		return !untriedOnly || !contains(p.tried, leaf.ID())
+	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.usableLeafs(p.service, s.terms.regions), func(leaf lister.Leaf) bool {
+		return (!untriedOnly || !contains(p.tried, leaf.ID())) && s.scheduler.balancer.MayCall(now, leaf)
 	})
 }
 
@@ -116,6 +124,7 @@
 	}
 	alone := s.callsAlone()
 	p.inFlight++
+	s.chargeFairShare(now, leaf)
 	s.scheduler.balancer.Sent(now, s.terms.class, leaf)
 	s.calls = append(s.calls, call{part: partIndex, leaf: leaf, sentAt: now, extra: extra, alone: alone})
 	p.hedgeAt = never
