--- /dev/null
+++ b/tier/checker/compare.go
@@ -0,0 +1,197 @@
+package checker
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/router"
+)
+
+const (
+	actionNotice  = "tell the callers before it is in force"
+	actionConfirm = "check that it is meant"
+)
+
+// change adds a difference. Urgent ones are noticed by callers at once.
+func (c *check) change(urgent bool, kind string, l Location, problem string, args ...any) {
+	action := actionConfirm
+	if urgent {
+		action = actionNotice
+	}
+	c.add(Difference, kind, l, action, problem, args...)
+	c.findings[len(c.findings)-1].urgent = urgent
+}
+
+// compare adds the differences from the configuration in force.
+func (c *check) compare() {
+	start := len(c.findings)
+	c.compareRoutes()
+	c.compareServices()
+	c.compareOrganisations()
+	version, current := c.configuration.version, c.inForce.version
+	if version < current || version == current && len(c.findings) > start {
+		c.add(Error, "version-not-newer", Location{section: Whole, field: FieldVersion}, "use a higher version",
+			"VMs ignore version %d, as version %d is in force", version, current)
+	}
+}
+
+func (c *check) compareRoutes() {
+	before := map[string]Route{}
+	for _, r := range c.inForce.routes {
+		before[r.Name()] = r
+	}
+	for i, r := range c.configuration.routes {
+		old, ok := before[r.Name()]
+		if !ok {
+			c.change(false, "route-added", Location{section: Routes, index: i}, "route %s is new", c.quote(r.Name()))
+			continue
+		}
+		delete(before, r.Name())
+		c.compareRoute(i, old, r)
+	}
+	for _, r := range c.inForce.routes {
+		if _, ok := before[r.Name()]; ok {
+			delete(before, r.Name())
+			c.change(true, "route-removed", Location{section: Whole, field: Field(Routes)}, "route %s is removed", c.quote(r.Name()))
+		}
+	}
+}
+
+func (c *check) compareRoute(i int, old, r Route) {
+	at := func(f Field) Location { return Location{section: Routes, index: i, field: f} }
+	if old.Host() != r.Host() || old.Prefix() != r.Prefix() {
+		c.change(true, "route-moved", at(FieldHost), "route %s serves %s instead of %s", c.quote(r.Name()),
+			c.quote(r.Host()+r.Prefix()), c.quote(old.Host()+old.Prefix()))
+	}
+	if !slices.Equal(old.Shards(), r.Shards()) {
+		added, removed := differences(old.Shards(), r.Shards())
+		c.change(false, "shards-changed", at(FieldShards), "the shards go from %d to %d (added %s; removed %s)",
+			len(old.Shards()), len(r.Shards()), c.list(added), c.list(removed))
+	}
+	if !slices.Equal(old.Targets(), r.Targets()) {
+		c.change(false, "weights-changed", at(FieldTargets), "the weights go from %s to %s", c.weights(old), c.weights(r))
+	}
+	c.compareRegions(at(FieldRegions), old.Regions(), r.Regions())
+	if old.Timeout() != r.Timeout() || old.LatencyTarget() != r.LatencyTarget() {
+		c.change(r.Timeout() > 0 && (old.Timeout() == 0 || r.Timeout() < old.Timeout()), "timeouts-changed", at(FieldTimeout), "the timeout goes from %d to %d ms, and the latency target from %d to %d ms",
+			old.Timeout(), r.Timeout(), old.LatencyTarget(), r.LatencyTarget())
+	}
+	if old.IsPublic() != r.IsPublic() {
+		c.change(old.IsPublic(), "public-changed", at(""), "public goes from %t to %t", old.IsPublic(), r.IsPublic())
+	}
+	if changed := changedLimits(old, r); len(changed) > 0 {
+		c.change(false, "route-changed", at(""), "route %s changes: %s", c.quote(r.Name()), strings.Join(changed, ", "))
+	}
+}
+
+// changedLimits lists the changes of a route's other fields.
+func changedLimits(old, r Route) []string {
+	var list []string
+	add := func(name string, before, after any) {
+		if before != after {
+			list = append(list, fmt.Sprintf("%s from %v to %v", name, before, after))
+		}
+	}
+	add("priority", old.Rank(), r.Rank())
+	add("attempts", old.MaxAttempts(), r.MaxAttempts())
+	add("records of an answer", old.TopK(), r.TopK())
+	add("minimum share", old.MinimumShare(), r.MinimumShare())
+	add("repeatable", old.Idempotent(), r.Idempotent())
+	return list
+}
+
+func (c *check) compareServices() {
+	before := map[string]router.Service{}
+	for _, s := range c.inForce.services {
+		before[s.Name()] = s
+	}
+	for i, s := range c.configuration.services {
+		old, ok := before[s.Name()]
+		switch {
+		case !ok:
+			c.change(false, "service-added", Location{section: Services, index: i}, "service %s is new", c.quote(s.Name()))
+		case old != s:
+			c.change(false, "service-changed", Location{section: Services, index: i, field: FieldColdRate},
+				"cold leafs of service %s go from %g to %g requests a second, for %d instead of %d ms",
+				c.quote(s.Name()), old.ColdPerSecond(), s.ColdPerSecond(), s.ColdFor(), old.ColdFor())
+		}
+		delete(before, s.Name())
+	}
+	for _, s := range c.inForce.services {
+		if _, ok := before[s.Name()]; ok {
+			delete(before, s.Name())
+			c.change(false, "service-removed", Location{section: Whole, field: Field(Services)}, "service %s is removed", c.quote(s.Name()))
+		}
+	}
+}
+
+func (c *check) compareOrganisations() {
+	before := map[string]*router.Organisation{}
+	for _, o := range c.inForce.organisations {
+		before[o.Name()] = o
+	}
+	for i, o := range c.configuration.organisations {
+		old, ok := before[o.Name()]
+		if !ok {
+			c.change(false, "organisation-added", Location{section: Organisations, index: i}, "organisation %s is new, with %s", c.quote(o.Name()), count(len(digests(o)), "key"))
+			continue
+		}
+		delete(before, o.Name())
+		c.compareOrganisation(i, old, o)
+	}
+	for _, o := range c.inForce.organisations {
+		if _, ok := before[o.Name()]; ok {
+			delete(before, o.Name())
+			c.change(true, "organisation-removed", Location{section: Whole, field: Field(Organisations)},
+				"organisation %s is removed, with %s", c.quote(o.Name()), count(len(digests(o)), "key"))
+		}
+	}
+}
+
+func (c *check) compareOrganisation(i int, old, o *router.Organisation) {
+	at := func(f Field) Location { return Location{section: Organisations, index: i, field: f} }
+	if added, removed := differences(digests(old), digests(o)); len(added)+len(removed) > 0 {
+		c.change(len(removed) > 0, "keys-changed", at(FieldKeys), "organisation %s loses %s and gets %s", c.quote(o.Name()), count(len(removed), "key"), count(len(added), "key"))
+	}
+	if old.PerSecond() != o.PerSecond() || old.Burst() != o.Burst() {
+		lowered := o.PerSecond() > 0 && (old.PerSecond() <= 0 || o.PerSecond() < old.PerSecond() || o.Burst() < old.Burst())
+		word := "raised"
+		if lowered {
+			word = "lowered"
+		}
+		c.change(lowered, "cap-"+word, at(FieldRate), "the cap of organisation %s is %s from %s and a burst of %g to %s and a burst of %g",
+			c.quote(o.Name()), word, rate(old), old.Burst(), rate(o), o.Burst())
+	}
+	c.compareRegions(at(FieldRegions), old.Regions(), o.Regions())
+	oldRank, hadRank := old.Rank()
+	if rank, has := o.Rank(); has != hadRank || rank != oldRank {
+		c.change(false, "priority-changed", at(""), "the priority of organisation %s changes", c.quote(o.Name()))
+	}
+}
+
+func (c *check) compareRegions(l Location, old, current tier.RegionSet) {
+	if old.Equal(current) {
+		return
+	}
+	c.change(false, "regions-changed", l, "the allowed regions go from %s to %s", c.regions(old), c.regions(current))
+}
+
+func (c *check) regions(set tier.RegionSet) string {
+	if !set.Restricted() {
+		return "any"
+	}
+	return c.list(set.Names())
+}
+
+func (c *check) weights(r Route) string {
+	if r.IsScatterGather() {
+		return "shards"
+	}
+	list := make([]string, 0, len(r.Targets()))
+	for _, t := range r.Targets() {
+		list = append(list, c.quote(t.Service())+" "+number(t.Weight()))
+	}
+	return strings.Join(list, ", ")
+}
--- /dev/null
+++ b/tier/checker/documents.go
@@ -0,0 +1,117 @@
+package checker
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/parser"
+)
+
+// maxShownBytes bounds the value of a field that a difference shows.
+const maxShownBytes = 80
+
+// CheckDocument returns the findings on a document of the project's own interface, sorted, and
+// the document, which is nil if it is invalid. Texts of the file go through mask.
+func CheckDocument(kind parser.Kind, body []byte, mask func(string) string) ([]Finding, parser.Document) {
+	d, err := parser.Parse(kind, body)
+	if err != nil {
+		return invalidFields(err, mask), nil
+	}
+	var findings []Finding
+	switch d := d.(type) {
+	case *parser.ProfilesDocument:
+		for _, p := range d.Profiles() {
+			if p.ImposedWait() > p.Deadline() {
+				findings = append(findings, NewFinding(Warning, "imposed-wait-above-deadline", "profiles["+mask(p.Name())+"].imposed-wait-ms",
+					fmt.Sprintf("the imposed wait of %d ms is above the deadline of %d ms", p.ImposedWait(), p.Deadline()), "lower it or raise the deadline"))
+			}
+		}
+	case *parser.SetDocument:
+		findings = unusedServers(d.Set(), mask)
+	}
+	return findings, d
+}
+
+// invalidFields turns the problems of a document into findings. They leave out the values of
+// unknown fields, which may be keys.
+func invalidFields(err error, mask func(string) string) []Finding {
+	var invalid *tier.InvalidError
+	if !errors.As(err, &invalid) {
+		return []Finding{NewFinding(Error, "rejected", "document", "VMs reject the document", "compare it with the documented format")}
+	}
+	var findings []Finding
+	for _, p := range invalid.Problems() {
+		path := printable(mask(p.Path()))
+		switch p.Allowed() {
+		case parser.UnknownField:
+			findings = append(findings, NewFinding(Error, "unknown-field", path, "VMs reject the document for this unknown field", "remove it"))
+		case parser.RequiredField:
+			findings = append(findings, NewFinding(Error, "missing-field", path, "the field is missing, and VMs reject the document", "add it"))
+		default:
+			findings = append(findings, NewFinding(Error, "invalid-field", path,
+				"VMs reject the value "+strconv.Quote(shown(mask(p.Value()))), "use "+p.Allowed()))
+		}
+	}
+	return findings
+}
+
+// unusedServers finds servers that hold no shard.
+func unusedServers(set *tier.ShardSet, mask func(string) string) []Finding {
+	used := map[string]bool{}
+	for _, s := range set.Shards() {
+		for _, name := range s.Replicas() {
+			used[name] = true
+		}
+	}
+	var findings []Finding
+	for _, s := range set.Servers() {
+		if !used[s.Name()] {
+			findings = append(findings, NewFinding(Warning, "unused-server", "servers["+mask(s.Name())+"]",
+				"no shard has a replica on this server", "name it in a shard or remove it"))
+		}
+	}
+	return findings
+}
+
+// CompareDocuments returns the differences of a document from the one in force, which may be
+// nil. Removals come first.
+func CompareDocuments(inForce, d parser.Document, mask func(string) string) []Finding {
+	var findings []Finding
+	for _, change := range parser.Diff(inForce, d) {
+		path := printable(mask(change.Path()))
+		if path == "" {
+			path = "document"
+		}
+		f := NewFinding(Difference, "field-changed", path, "it goes from "+shown(mask(change.Before()))+" to "+shown(mask(change.After())), actionConfirm)
+		switch {
+		case change.Before() == "":
+			f = NewFinding(Difference, "entry-added", path, "it is new", actionConfirm)
+		case change.After() == "":
+			f = NewFinding(Difference, "entry-removed", path, "it is removed", actionNotice)
+			f.urgent = true
+		}
+		findings = append(findings, f)
+	}
+	Sort(findings)
+	return findings
+}
+
+// shown bounds a value for output.
+func shown(value string) string {
+	if len(value) > maxShownBytes {
+		return "a value of " + strconv.Itoa(len(value)) + " bytes"
+	}
+	return value
+}
+
+// printable keeps text of the file from adding lines to the output.
+func printable(path string) string {
+	if strings.ContainsFunc(path, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(path)
+	}
+	return path
+}
--- a/tier/parser/object.go
+++ b/tier/parser/object.go
@@ -10,6 +10,12 @@
 // rootPath is the path under which problems with the document itself are reported.
 const rootPath = "document"
 
+// What problems say is allowed of a field that is unknown or missing.
+const (
+	UnknownField  = "no such field"
+	RequiredField = "required"
+)
+
 // problemList collects the invalid fields found in a document.
 type problemList struct {
 	list  []tier.FieldProblem
@@ -88,7 +94,7 @@
 func (o *objectReader) require(names ...string) {
 	for _, name := range names {
 		if _, ok := o.values[name]; !ok && !o.notObject {
-			o.problems.add(o.prefix+name, "", "required")
+			o.problems.add(o.prefix+name, "", RequiredField)
 		}
 	}
 }
@@ -180,7 +186,7 @@
 func (o *objectReader) reportUnknownFields() {
 	for _, name := range o.names {
 		if !o.requested[name] {
-			o.problems.add(o.prefix+name, o.values[name].text, "no such field")
+			o.problems.add(o.prefix+name, o.values[name].text, UnknownField)
 		}
 	}
 }
--- a/tier/router/route.go
+++ b/tier/router/route.go
@@ -126,6 +126,9 @@
 // TopK is how many records an answer has at most.
 func (r *Route) TopK() int { return r.topK }
 
+// MinimumShare is the least share of the shards, from 0 to 1, whose replies an answer needs.
+func (r *Route) MinimumShare() float64 { return r.minimumShare }
+
 // MinimumParts is the least number of shards whose replies an answer needs.
 func (r *Route) MinimumParts() int { return r.MinimumPartsOf(len(r.shards)) }
 
