--- a/tier/checker/compare.go
+++ b/tier/checker/compare.go
@@ -1,7 +1,6 @@
 package checker
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 
@@ -74,34 +73,27 @@
 		c.change(false, "weights-changed", at(FieldTargets), "the weights go from %s to %s", c.weights(old), c.weights(r))
 	}
 	c.compareRegions(at(FieldRegions), old.Regions(), r.Regions())
-	if old.Timeout() != r.Timeout() || old.LatencyTarget() != r.LatencyTarget() {
-		c.change(r.Timeout() > 0 && (old.Timeout() == 0 || r.Timeout() < old.Timeout()), "timeouts-changed", at(FieldTimeout), "the timeout goes from %d to %d ms, and the latency target from %d to %d ms",
-			old.Timeout(), r.Timeout(), old.LatencyTarget(), r.LatencyTarget())
+	var times changeList
+	times.add("timeout in ms", old.Timeout(), r.Timeout())
+	times.add("latency target in ms", old.LatencyTarget(), r.LatencyTarget())
+	if len(times) > 0 {
+		shorter := r.Timeout() > 0 && (old.Timeout() == 0 || r.Timeout() < old.Timeout())
+		c.change(shorter, "timeouts-changed", at(FieldTimeout), "route %s changes: %s", c.quote(r.Name()), times)
 	}
 	if old.IsPublic() != r.IsPublic() {
 		c.change(old.IsPublic(), "public-changed", at(""), "public goes from %t to %t", old.IsPublic(), r.IsPublic())
 	}
-	if changed := changedLimits(old, r); len(changed) > 0 {
-		c.change(false, "route-changed", at(""), "route %s changes: %s", c.quote(r.Name()), strings.Join(changed, ", "))
+	var others changeList
+	others.add("priority", old.Rank(), r.Rank())
+	others.add("attempts", old.MaxAttempts(), r.MaxAttempts())
+	others.add("records of an answer", old.TopK(), r.TopK())
+	others.add("minimum share", old.MinimumShare(), r.MinimumShare())
+	others.add("repeatable", old.Idempotent(), r.Idempotent())
+	if len(others) > 0 {
+		c.change(false, "route-changed", at(""), "route %s changes: %s", c.quote(r.Name()), others)
 	}
 }
 
-// changedLimits lists the changes of a route's other fields.
-func changedLimits(old, r Route) []string {
-	var list []string
-	add := func(name string, before, after any) {
-		if before != after {
-			list = append(list, fmt.Sprintf("%s from %v to %v", name, before, after))
-		}
-	}
-	add("priority", old.Rank(), r.Rank())
-	add("attempts", old.MaxAttempts(), r.MaxAttempts())
-	add("records of an answer", old.TopK(), r.TopK())
-	add("minimum share", old.MinimumShare(), r.MinimumShare())
-	add("repeatable", old.Idempotent(), r.Idempotent())
-	return list
-}
-
 func (c *check) compareServices() {
 	before := map[string]router.Service{}
 	for _, s := range c.inForce.services {
@@ -113,9 +105,10 @@
 		case !ok:
 			c.change(false, "service-added", Location{section: Services, index: i}, "service %s is new", c.quote(s.Name()))
 		case old != s:
-			c.change(false, "service-changed", Location{section: Services, index: i, field: FieldColdRate},
-				"cold leafs of service %s go from %g to %g requests a second, for %d instead of %d ms",
-				c.quote(s.Name()), old.ColdPerSecond(), s.ColdPerSecond(), s.ColdFor(), old.ColdFor())
+			var cold changeList
+			cold.add("requests a second to a cold leaf", old.ColdPerSecond(), s.ColdPerSecond())
+			cold.add("cold time in ms", old.ColdFor(), s.ColdFor())
+			c.change(false, "service-changed", Location{section: Services, index: i, field: FieldColdRate}, "service %s changes: %s", c.quote(s.Name()), cold)
 		}
 		delete(before, s.Name())
 	}
@@ -155,14 +148,15 @@
 	if added, removed := differences(digests(old), digests(o)); len(added)+len(removed) > 0 {
 		c.change(len(removed) > 0, "keys-changed", at(FieldKeys), "organisation %s loses %s and gets %s", c.quote(o.Name()), count(len(removed), "key"), count(len(added), "key"))
 	}
-	if old.PerSecond() != o.PerSecond() || old.Burst() != o.Burst() {
-		lowered := o.PerSecond() > 0 && (old.PerSecond() <= 0 || o.PerSecond() < old.PerSecond() || o.Burst() < old.Burst())
-		word := "raised"
+	var caps changeList
+	caps.add("rate", rate(old), rate(o))
+	caps.add("burst", old.Burst(), o.Burst())
+	if len(caps) > 0 {
+		lowered, word := isLowered(old, o), "raised"
 		if lowered {
 			word = "lowered"
 		}
-		c.change(lowered, "cap-"+word, at(FieldRate), "the cap of organisation %s is %s from %s and a burst of %g to %s and a burst of %g",
-			c.quote(o.Name()), word, rate(old), old.Burst(), rate(o), o.Burst())
+		c.change(lowered, "cap-"+word, at(FieldRate), "the cap of organisation %s is %s: %s", c.quote(o.Name()), word, caps)
 	}
 	c.compareRegions(at(FieldRegions), old.Regions(), o.Regions())
 	oldRank, hadRank := old.Rank()
@@ -171,6 +165,11 @@
 	}
 }
 
+// isLowered reports whether some requests within the old cap may be above the new one.
+func isLowered(old, o *router.Organisation) bool {
+	return o.PerSecond() > 0 && (old.PerSecond() <= 0 || o.PerSecond() < old.PerSecond() || o.Burst() < old.Burst())
+}
+
 func (c *check) compareRegions(l Location, old, current tier.RegionSet) {
 	if old.Equal(current) {
 		return
--- a/tier/checker/organisations.go
+++ b/tier/checker/organisations.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"strings"
 
+	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/router"
 )
 
@@ -24,13 +26,13 @@
 
 // checkOrganisations finds keys that don't identify one organisation, and unusable quotas.
 func (c *check) checkOrganisations() {
-	owner := map[digest]int{}
+	owner, groups := map[digest]int{}, c.routeGroups()
 	for i, o := range c.configuration.organisations {
 		c.checkKeys(i, o, owner)
 		c.checkQuota(i, o)
 		regions := Location{section: Organisations, index: i, field: FieldRegions}
 		c.checkRegions(regions, o.Regions().Names())
-		c.checkCommonRegions(regions, o)
+		c.checkCommonRegions(regions, o, groups)
 	}
 }
 
@@ -73,19 +75,45 @@
 	}
 }
 
+// routeGroup is the routes that may be served in the same regions.
+type routeGroup struct {
+	regions tier.RegionSet
+	first   int
+	size    int
+}
+
+// routeGroups groups the routes with restricted regions, in their order. Configurations have
+// many routes and few sets of regions.
+func (c *check) routeGroups() []*routeGroup {
+	var groups []*routeGroup
+	byNames := map[string]*routeGroup{}
+	for i, r := range c.configuration.routes {
+		if !r.Regions().Restricted() {
+			continue
+		}
+		names := strings.Join(r.Regions().Names(), "\x00")
+		if byNames[names] == nil {
+			byNames[names] = &routeGroup{regions: r.Regions(), first: i}
+			groups = append(groups, byNames[names])
+		}
+		byNames[names].size++
+	}
+	return groups
+}
+
 // checkCommonRegions finds the routes that an organisation can't use. Their number may be
 // large, so there is one finding for each organisation.
-func (c *check) checkCommonRegions(l Location, o *router.Organisation) {
+func (c *check) checkCommonRegions(l Location, o *router.Organisation, groups []*routeGroup) {
 	first, without := 0, 0
-	for i, r := range c.configuration.routes {
-		both := o.Regions().Intersect(r.Regions())
-		if !both.Restricted() || len(both.Names()) > 0 {
+	for _, g := range groups {
+		both := o.Regions().Intersect(g.regions)
+		if len(both.Names()) > 0 {
 			continue
 		}
 		if without == 0 {
-			first = i
+			first = g.first
 		}
-		without++
+		without += g.size
 	}
 	if without > 0 {
 		c.add(Warning, "no-common-region", l, "add a region to one of the lists",
--- a/tier/checker/text.go
+++ b/tier/checker/text.go
@@ -35,6 +35,17 @@
 	return strconv.Itoa(n) + " " + thing
 }
 
+// changeList lists the fields of an entry that changed.
+type changeList []string
+
+func (l *changeList) add(name string, before, after any) {
+	if before != after {
+		*l = append(*l, fmt.Sprintf("%s from %v to %v", name, before, after))
+	}
+}
+
+func (l changeList) String() string { return strings.Join(l, ", ") }
+
 func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
 
 func rate(o *router.Organisation) string {
