Add cicadagrade check, and check documents before apply

The command prints the findings on a file as text or JSON, with exit codes 0, 1 and 2, and compares it with a file or the store.

The golden output of apply with an invalid document changes: the document is refused by the check, which names the same three fields but not the value of an unknown one, as it may be a key.

--- a/cicadagrade/apply.go
+++ b/cicadagrade/apply.go
@@ -15,9 +15,12 @@
 	"cicadagrade.example/tier/replicator"
 )
 
-const applyHelp = `Validates the file and replaces the document with it, in one compare-and-swap
+const applyHelp = `Checks the file as the command check does and replaces the document with it, in one compare-and-swap
 together with the audit entry. FILE may be "-" for standard input.
 
+A file with errors is refused. With --force it is not checked; what VMs can't
+decode is rejected all the same.
+
 With --expect-revision, the change is made only if the document is still at
 that revision (0: does not exist yet). Without it, a change that another
 operator makes at the same time is never overwritten either. If the store's
@@ -43,6 +46,7 @@
 	who              string
 	reason           string
 	id               string
+	force            bool
 	expectedRevision int64
 	wait             bool
 	waitMs           int64
@@ -61,6 +65,7 @@
 		},
 	}
 	ch.register(c)
+	c.Flags().BoolVar(&ch.force, "force", false, "apply the file although the check finds errors")
 	c.Flags().Int64Var(&ch.expectedRevision, "expect-revision", committer.AnyRevision, "revision that the document must have; 0: absent; -1: any")
 	return c
 }
@@ -100,7 +105,7 @@
 }
 
 func (dc *documentCommand) apply(c *cobra.Command, ch *changeFlags, file string) error {
-	d, err := dc.readDocument(c, file)
+	d, err := dc.readChecked(c, file, ch.force)
 	if err != nil {
 		return err
 	}
--- a/cicadagrade/commands.go
+++ b/cicadagrade/commands.go
@@ -10,6 +10,7 @@
 func commands() []*cobra.Command {
 	clock := tier.NewClock()
 	return []*cobra.Command{
+		newCheckCommand(),
 		explainCommand(),
 		searchCommand(),
 		bookCommand(),
--- a/cicadagrade/configuration.go
+++ b/cicadagrade/configuration.go
@@ -14,6 +14,7 @@
 
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/checker"
 	"cicadagrade.example/tier/parser"
 	"cicadagrade.example/tier/replicator"
 	"cicadagrade.example/tier/storer"
@@ -152,13 +153,7 @@
 
 // readDocument reads and parses a document from a file, or from standard input for "-".
 func (dc *documentCommand) readDocument(c *cobra.Command, name string) (parser.Document, error) {
-	var body []byte
-	var err error
-	if name == "-" {
-		body, err = io.ReadAll(c.InOrStdin())
-	} else {
-		body, err = os.ReadFile(name)
-	}
+	body, err := readFile(c.InOrStdin(), name)
 	if err != nil {
 		return nil, badInputError(err)
 	}
@@ -169,6 +164,27 @@
 	return d, nil
 }
 
+// readChecked is like readDocument, but runs the check first. An error of the check is an error
+// here, unless it is forced and the document is valid.
+func (dc *documentCommand) readChecked(c *cobra.Command, name string, force bool) (parser.Document, error) {
+	body, err := readFile(c.InOrStdin(), name)
+	if err != nil {
+		return nil, badInputError(err)
+	}
+	draft, err := platform.DecodeDraft(body)
+	if err != nil {
+		return nil, exitErrorf(exitBadInput, "%s: %v", name, errors.Cause(err))
+	}
+	findings, d := checker.CheckDocument(dc.kind, body, draft.MaskKeys)
+	if d == nil || checker.HasErrors(findings) && !force {
+		return nil, findingsError(name, findings)
+	}
+	for _, f := range findings {
+		fmt.Fprintln(c.ErrOrStderr(), f)
+	}
+	return d, nil
+}
+
 // print writes v as JSON, or calls text to write it in a human-readable form.
 func (dc *documentCommand) print(c *cobra.Command, v any, text func(io.Writer)) error {
 	if dc.output == "json" {
--- a/cicadagrade/session_test.go
+++ b/cicadagrade/session_test.go
@@ -69,6 +69,7 @@
 	store   string
 	vms     map[string]*fakeVM
 	vmNames []string
+	files   string // directory of the files that the script has written
 }
 
 // TestSessions runs each script of testdata/sessions and compares the output of its commands
@@ -92,7 +93,7 @@
 }
 
 func newSession(t *testing.T) *session {
-	s := &session{t: t, vms: map[string]*fakeVM{}}
+	s := &session{t: t, vms: map[string]*fakeVM{}, files: t.TempDir()}
 	s.server = storeserver.New(tier.NewClock())
 	h := httptest.NewServer(s.server)
 	s.store = h.Listener.Addr().String()
@@ -120,7 +121,9 @@
 			continue
 		}
 		fmt.Fprintln(&out, line)
-		if command, ok := strings.CutPrefix(line, "> "); ok {
+		if command, ok := strings.CutPrefix(line, ">> "); ok { // as text and as JSON
+			out.WriteString(s.runCommand(command) + s.runCommand(command+" --json"))
+		} else if command, ok := strings.CutPrefix(line, "> "); ok {
 			text := addressPattern.ReplaceAllString(s.runCommand(command), "ADDRESS")
 			text = causePattern.ReplaceAllString(text, "$1: CAUSE")
 			out.WriteString(timePattern.ReplaceAllString(text, "TIME"))
@@ -147,7 +150,9 @@
 func (s *session) runCommand(line string) string {
 	args := splitArgs(line)
 	for i, a := range args {
-		if strings.HasSuffix(a, ".json") {
+		if written := filepath.Join(s.files, a); isFile(written) {
+			args[i] = written
+		} else if strings.HasSuffix(a, ".json") {
 			args[i] = "testdata/files/" + a
 		}
 	}
@@ -155,10 +160,12 @@
 	for _, name := range s.vmNames {
 		addresses = append(addresses, s.vms[name].address())
 	}
-	args = append(args, "--store", s.store, "--vms", strings.Join(addresses, ","))
+	if args[0] != "check" {
+		args = append(args, "--store", s.store, "--vms", strings.Join(addresses, ","))
+	}
 	var out bytes.Buffer
 	root := &cobra.Command{Use: "cicadagrade", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(profileCommand(tier.NewClock()), setCommand(tier.NewClock()))
+	root.AddCommand(newCheckCommand(), profileCommand(tier.NewClock()), setCommand(tier.NewClock()))
 	root.SetArgs(args)
 	root.SetOut(&out)
 	root.SetErr(&out)
@@ -168,11 +175,41 @@
 		code = exitCode(err)
 	}
 	fmt.Fprintf(&out, "exit code %d\n\n", code)
-	return out.String()
+	return strings.ReplaceAll(out.String(), s.files+"/", "")
+}
+
+func isFile(name string) bool {
+	info, err := os.Stat(name)
+	return err == nil && !info.IsDir()
+}
+
+// write writes a file of the script. STORE stands for the store's address, \n for a new line.
+func (s *session) write(name, text string) {
+	text = strings.NewReplacer("STORE", s.store, `\n`, "\n").Replace(text)
+	if err := os.WriteFile(filepath.Join(s.files, name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// put writes a file of the script to the store.
+func (s *session) put(key, name string) {
+	raw, err := os.ReadFile(filepath.Join(s.files, name))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	store := platform.NewStore(s.store)
+	defer store.Close()
+	if _, err := store.Put(context.Background(), key, raw, 0); err != nil {
+		s.t.Fatal(err)
+	}
 }
 
 func (s *session) runControl(w []string) {
 	switch w[0] {
+	case "file":
+		s.write(w[1], strings.Join(w[2:], " "))
+	case "put":
+		s.put(w[1], w[2])
 	case "faults":
 		var f storeserver.Faults
 		if err := json.Unmarshal([]byte(strings.Join(w[1:], " ")), &f); err != nil {
