--- a/cicadagrade/check_test.go
+++ b/cicadagrade/check_test.go
@@ -38,11 +38,19 @@
 	if len(d.keys) > 0 && rapid.Bool().Draw(d.t, "again") {
 		return rapid.SampledFrom(d.keys).Draw(d.t, "old key")
 	}
-	key := rapid.StringMatching(`[A-Za-z0-9+/"<é]{4}-[A-Za-z0-9]{6,12}`).Draw(d.t, "key")
+	key := rapid.StringMatching(`[A-Za-z0-9+/"<é]{4}-[A-Za-z0-9]{6,12}|[1-9][0-9]{8}`).Draw(d.t, "key")
 	d.keys = append(d.keys, key)
 	return key
 }
 
+// number draws a number, which may be a key.
+func (d *keyDocument) number() json.Number {
+	if key := d.key(); strings.Trim(key, "0123456789") == "" {
+		return json.Number(key)
+	}
+	return "5"
+}
+
 // value draws a value. Most names and texts in it are fields of the format or keys.
 func (d *keyDocument) value(depth int) any {
 	names := []string{
@@ -69,37 +77,56 @@
 	case n < 8:
 		return rapid.SampledFrom([]string{"", "x", "/a/"}).Draw(d.t, "before") + d.key()
 	default:
-		return rapid.SampledFrom([]any{nil, true, 0, 7, -1.5}).Draw(d.t, "other")
+		return rapid.SampledFrom([]any{nil, true, 0, 7, -1.5, d.number()}).Draw(d.t, "other")
+	}
+}
+
+// text draws a name, which may contain a key. In a document that VMs would decode it is a text.
+func (d *keyDocument) text(valid bool) any {
+	switch n := rapid.IntRange(0, 3).Draw(d.t, "text"); {
+	case n == 0:
+		return rapid.SampledFrom([]string{"a", "b", "/a/"}).Draw(d.t, "plain")
+	case n == 1 && !valid:
+		return d.value(1)
+	default:
+		return rapid.SampledFrom([]string{"", "x", "/a/"}).Draw(d.t, "before") + d.key()
 	}
 }
 
 // document draws a whole document. All of its keys belong to an organisation, in a valid or an
 // invalid form.
 func (d *keyDocument) document() []byte {
-	name := func() any {
-		if rapid.Bool().Draw(d.t, "plain") {
-			return rapid.SampledFrom([]string{"a", "b", "/a/"}).Draw(d.t, "text")
-		}
-		return d.value(1)
-	}
+	valid := rapid.IntRange(0, 2).Draw(d.t, "valid") > 0
+	name := func() any { return d.text(valid) }
 	route := func() any {
-		return map[string]any{"name": name(), "host": name(), "pathPrefix": name(), "service": name(), "shards": d.value(1), "allowedRegions": []any{name()}}
+		return map[string]any{
+			"name": name(), "host": name(), "pathPrefix": name(), "shards": []any{name(), name()}, "allowedRegions": []any{name()}, d.key(): 1,
+			"timeoutMs": d.number(), "targetLatencyMs": d.number(), "maxAttempts": d.number(), "trafficSplit": []any{map[string]any{"service": name(), "weight": d.number()}},
+		}
 	}
-	whole := map[string]any{"version": 7, "routes": []any{route(), route()}, "services": []any{map[string]any{"name": name()}}, "tenants": []any{}}
-	if more, ok := d.value(3).(map[string]any); ok {
+	whole := map[string]any{"version": d.number(), "routes": []any{route(), route()}, "services": []any{map[string]any{"name": name(), "coldPerS": d.number()}}}
+	if more, ok := d.value(3).(map[string]any); ok && !valid {
 		delete(more, "tenants")
 		maps.Copy(whole, more)
 	}
-	keys := any(d.keys)
-	if rapid.IntRange(0, 4).Draw(d.t, "wrong form") == 0 {
-		keys = map[string]any{"list": d.keys}
+	organisation := func(field string) any {
+		o := map[string]any{"name": name(), "ratePerS": d.number(), "burst": d.number(), "allowedRegions": []any{name()}}
+		o[field] = d.keys
+		return o
+	}
+	fields := []string{"apiKeys", "APIKEYS", "apiKey"}
+	tenants := []any{organisation(rapid.SampledFrom(fields).Draw(d.t, "keys' field")), organisation("apiKeys")}
+	if !valid {
+		tenants = append(tenants, map[string]any{"apiKeys": map[string]any{"list": d.keys}})
 	}
-	field := rapid.SampledFrom([]string{"apiKeys", "APIKEYS", "apiKey"}).Draw(d.t, "keys' field")
-	whole["tenants"] = []any{map[string]any{"name": name(), field: keys}, map[string]any{"name": name(), "apiKeys": d.keys}}
+	whole["tenants"] = tenants
 	raw, err := json.Marshal(whole)
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	if valid {
+		return raw
+	}
 	return raw[:len(raw)-rapid.SampledFrom([]int{0, 0, 0, 1, 20}).Draw(d.t, "cut")]
 }
 
--- a/tier/checker/compare.go
+++ b/tier/checker/compare.go
@@ -32,7 +32,7 @@
 	version, current := c.configuration.version, c.inForce.version
 	if version < current || version == current && len(c.findings) > start {
 		c.add(Error, "version-not-newer", Location{section: Whole, field: FieldVersion}, "use a higher version",
-			"VMs ignore version %d, as version %d is in force", version, current)
+			"VMs ignore version %s, as version %s is in force", c.value(version), c.value(current))
 	}
 }
 
@@ -73,23 +73,23 @@
 		c.change(false, "weights-changed", at(FieldTargets), "the weights go from %s to %s", c.weights(old), c.weights(r))
 	}
 	c.compareRegions(at(FieldRegions), old.Regions(), r.Regions())
-	var times changeList
+	times := changeList{check: c}
 	times.add("timeout in ms", old.Timeout(), r.Timeout())
 	times.add("latency target in ms", old.LatencyTarget(), r.LatencyTarget())
-	if len(times) > 0 {
+	if !times.empty() {
 		shorter := r.Timeout() > 0 && (old.Timeout() == 0 || r.Timeout() < old.Timeout())
 		c.change(shorter, "timeouts-changed", at(FieldTimeout), "route %s changes: %s", c.quote(r.Name()), times)
 	}
 	if old.IsPublic() != r.IsPublic() {
 		c.change(old.IsPublic(), "public-changed", at(""), "public goes from %t to %t", old.IsPublic(), r.IsPublic())
 	}
-	var others changeList
+	others := changeList{check: c}
 	others.add("priority", old.Rank(), r.Rank())
 	others.add("attempts", old.MaxAttempts(), r.MaxAttempts())
 	others.add("records of an answer", old.TopK(), r.TopK())
 	others.add("minimum share", old.MinimumShare(), r.MinimumShare())
 	others.add("repeatable", old.Idempotent(), r.Idempotent())
-	if len(others) > 0 {
+	if !others.empty() {
 		c.change(false, "route-changed", at(""), "route %s changes: %s", c.quote(r.Name()), others)
 	}
 }
@@ -105,7 +105,7 @@
 		case !ok:
 			c.change(false, "service-added", Location{section: Services, index: i}, "service %s is new", c.quote(s.Name()))
 		case old != s:
-			var cold changeList
+			cold := changeList{check: c}
 			cold.add("requests a second to a cold leaf", old.ColdPerSecond(), s.ColdPerSecond())
 			cold.add("cold time in ms", old.ColdFor(), s.ColdFor())
 			c.change(false, "service-changed", Location{section: Services, index: i, field: FieldColdRate}, "service %s changes: %s", c.quote(s.Name()), cold)
@@ -148,10 +148,10 @@
 	if added, removed := differences(digests(old), digests(o)); len(added)+len(removed) > 0 {
 		c.change(len(removed) > 0, "keys-changed", at(FieldKeys), "organisation %s loses %s and gets %s", c.quote(o.Name()), count(len(removed), "key"), count(len(added), "key"))
 	}
-	var caps changeList
-	caps.add("rate", rate(old), rate(o))
+	caps := changeList{check: c}
+	caps.add("rate", c.rate(old), c.rate(o))
 	caps.add("burst", old.Burst(), o.Burst())
-	if len(caps) > 0 {
+	if !caps.empty() {
 		lowered, word := isLowered(old, o), "raised"
 		if lowered {
 			word = "lowered"
@@ -190,7 +190,7 @@
 	}
 	list := make([]string, 0, len(r.Targets()))
 	for _, t := range r.Targets() {
-		list = append(list, c.quote(t.Service())+" "+number(t.Weight()))
+		list = append(list, c.quote(t.Service())+" "+c.value(t.Weight()))
 	}
 	return strings.Join(list, ", ")
 }
--- a/tier/checker/documents.go
+++ b/tier/checker/documents.go
@@ -19,7 +19,7 @@
 func CheckDocument(kind parser.Kind, body []byte, mask func(string) string) ([]Finding, parser.Document) {
 	d, err := parser.Parse(kind, body)
 	if err != nil {
-		return invalidFields(err, mask), nil
+		return invalidFields(kind, err, mask), nil
 	}
 	var findings []Finding
 	switch d := d.(type) {
@@ -27,7 +27,7 @@
 		for _, p := range d.Profiles() {
 			if p.ImposedWait() > p.Deadline() {
 				findings = append(findings, NewFinding(Warning, "imposed-wait-above-deadline", "profiles["+mask(p.Name())+"].imposed-wait-ms",
-					fmt.Sprintf("the imposed wait of %d ms is above the deadline of %d ms", p.ImposedWait(), p.Deadline()), "lower it or raise the deadline"))
+					"the imposed wait of "+mask(fmt.Sprint(p.ImposedWait()))+" ms is above the deadline of "+mask(fmt.Sprint(p.Deadline()))+" ms", "lower it or raise the deadline"))
 			}
 		}
 	case *parser.SetDocument:
@@ -38,7 +38,7 @@
 
 // invalidFields turns the problems of a document into findings. They leave out the values of
 // unknown fields, which may be keys.
-func invalidFields(err error, mask func(string) string) []Finding {
+func invalidFields(kind parser.Kind, err error, mask func(string) string) []Finding {
 	var invalid *tier.InvalidError
 	if !errors.As(err, &invalid) {
 		return []Finding{NewFinding(Error, "rejected", "document", "VMs reject the document", "compare it with the documented format")}
@@ -48,7 +48,11 @@
 		path := printable(mask(p.Path()))
 		switch p.Allowed() {
 		case parser.UnknownField:
-			findings = append(findings, NewFinding(Error, "unknown-field", path, "VMs reject the document for this unknown field", "remove it"))
+			action := "remove it"
+			if nearest, ok := Nearest(p.Path()[strings.LastIndexByte(p.Path(), '.')+1:], parser.KnownFields(kind, p.Path())); ok {
+				action = "write " + nearest + " if that is meant, or remove it"
+			}
+			findings = append(findings, NewFinding(Error, "unknown-field", path, "VMs reject the document for this unknown field", action))
 		case parser.RequiredField:
 			findings = append(findings, NewFinding(Error, "missing-field", path, "the field is missing, and VMs reject the document", "add it"))
 		default:
--- a/tier/checker/organisations.go
+++ b/tier/checker/organisations.go
@@ -67,10 +67,10 @@
 	default:
 		if o.PerSecond()*window+o.Burst() < 1 {
 			c.add(Warning, "rate-too-low", at(FieldRate), "raise the rate or the burst",
-				"a rate of %g a second admits no request in a window of %g s", o.PerSecond(), window)
+				"a rate of %s a second admits no request in a window of %g s", c.value(o.PerSecond()), window)
 		}
 		if o.Burst() < 1 {
-			c.add(Warning, "burst-below-one", at(FieldBurst), "use a burst of 1 or more", "a burst of %g is below one request", o.Burst())
+			c.add(Warning, "burst-below-one", at(FieldBurst), "use a burst of 1 or more", "a burst of %s is below one request", c.value(o.Burst()))
 		}
 	}
 }
--- a/tier/checker/routes.go
+++ b/tier/checker/routes.go
@@ -89,14 +89,14 @@
 		c.add(Error, "negative-limit", at(FieldTimeout), "use a time above 0", "the timeout or latency target is negative")
 	} else if r.Timeout() < r.LatencyTarget() && r.Timeout() > 0 {
 		c.add(Warning, "timeout-below-target", at(FieldTimeout), "raise the timeout or lower the target",
-			"the timeout of %d ms is below the latency target of %d ms", r.Timeout(), r.LatencyTarget())
+			"the timeout of %s ms is below the latency target of %s ms", c.value(r.Timeout()), c.value(r.LatencyTarget()))
 	}
 	if r.attempts < 1 {
-		c.add(Error, "attempts", at(FieldAttempts), "use 1 or more", "%s can't be made, and VMs make one", count(r.attempts, "attempt"))
+		c.add(Error, "attempts", at(FieldAttempts), "use 1 or more", "%s attempts can't be made, and VMs make one", c.value(r.attempts))
 	}
 	if r.IsScatterGather() && (r.MinimumShare() <= 0 || r.MinimumShare() > 1) {
 		c.add(Warning, "minimum-share", at(FieldMinimumShare), "use a share above 0 and at most 1",
-			"a minimum share of %g can't be meant: an answer has between one and all shards", r.MinimumShare())
+			"a minimum share of %s can't be meant: an answer has between one and all shards", c.value(r.MinimumShare()))
 	}
 	if c.leafs == nil {
 		return
@@ -104,7 +104,7 @@
 	for _, s := range r.services() {
 		if n := c.leafs[s]; r.attempts > n {
 			c.add(Warning, "attempts-above-replicas", at(FieldAttempts), "lower the attempts or add leafs",
-				"%d attempts are more than the %s of service %s", r.attempts, count(n, "leaf"), c.quote(s))
+				"%s attempts are more than the %s of service %s", c.value(r.attempts), count(n, "leaf"), c.quote(s))
 		}
 	}
 }
--- a/tier/checker/text.go
+++ b/tier/checker/text.go
@@ -36,23 +36,29 @@
 }
 
 // changeList lists the fields of an entry that changed.
-type changeList []string
+type changeList struct {
+	check *check
+	list  []string
+}
 
 func (l *changeList) add(name string, before, after any) {
 	if before != after {
-		*l = append(*l, fmt.Sprintf("%s from %v to %v", name, before, after))
+		l.list = append(l.list, name+" from "+l.check.value(before)+" to "+l.check.value(after))
 	}
 }
 
-func (l changeList) String() string { return strings.Join(l, ", ") }
+func (l *changeList) empty() bool { return len(l.list) == 0 }
+
+func (l changeList) String() string { return strings.Join(l.list, ", ") }
 
-func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+// value prepares a number of the file for output. A key may consist of digits.
+func (c *check) value(v any) string { return c.mask(fmt.Sprint(v)) }
 
-func rate(o *router.Organisation) string {
+func (c *check) rate(o *router.Organisation) string {
 	if o.PerSecond() <= 0 {
 		return "no limit"
 	}
-	return number(o.PerSecond()) + " a second"
+	return c.value(o.PerSecond()) + " a second"
 }
 
 // differences returns what only b has, and what only a has, in their order.
--- a/tier/parser/encode.go
+++ b/tier/parser/encode.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"sort"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -54,6 +56,31 @@
 	Replicas []string `json:"replicas"`
 }
 
+// KnownFields are the names of the fields that may be beside the one at path, or nil if none may.
+func KnownFields(kind Kind, path string) []string {
+	parent, _, _ := strings.Cut(path[:max(strings.LastIndexByte(path, '.'), 0)], "[")
+	var object reflect.Type
+	switch string(kind) + "." + parent {
+	case "profiles.":
+		object = reflect.TypeFor[profilesJSON]()
+	case "profiles.profiles":
+		object = reflect.TypeFor[profileJSON]()
+	case "set.":
+		object = reflect.TypeFor[setJSON]()
+	case "set.servers":
+		object = reflect.TypeFor[serverJSON]()
+	case "set.shards":
+		object = reflect.TypeFor[shardJSON]()
+	default:
+		return nil
+	}
+	var names []string
+	for f := range object.Fields() {
+		names = append(names, f.Tag.Get("json"))
+	}
+	return names
+}
+
 // Parse decodes a document of the given kind. The error is a *tier.InvalidError.
 func Parse(kind Kind, body []byte) (Document, error) {
 	switch kind {
