Count the calls of a VM that lost a share against the attempts

Cause: a share that its VM may have begun was given to another VM, or called by this one, with all attempts again. Change: one call counts as made by that VM; at least one attempt is left.

--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -182,6 +182,11 @@
 			continue
 		}
 		p.shareIndex, p.nextIsExtra, p.mayHaveRun = noShare, repeated, p.mayHaveRun || mayHaveCalled
+		if mayHaveCalled {
+			// Calls of that VM count against the attempts: those that a cut has held up arrive
+			// when it ends.
+			p.ranCalls = min(p.ranCalls+1, s.terms.maxAttempts-1)
+		}
 		left = append(left, i)
 	}
 	if s.scheduler.balancer.LinksLost() {
@@ -193,7 +198,11 @@
 		}
 		return actions
 	}
-	return s.redelegate(now, left, s.terms.maxAttempts, actions)
+	attempts := s.terms.maxAttempts
+	if mayHaveCalled {
+		attempts = max(1, attempts-1)
+	}
+	return s.redelegate(now, left, attempts, actions)
 }
 
 // redelegate gives parts to other VMs, which may make a number of attempts at each. This VM
