Spread the return of refused callers over the whole time

Cause: one random number decided on a request and spread its Retry-After. Where requests are refused by chance, only large numbers are refused, so that all callers were told to return late: with three of four admitted, after 3.15 to 4.2 s instead of 0 to 4.2 s. Change: the number is scaled to what is left of the range after the decision.

--- a/tier/accountant/accountant_test.go
+++ b/tier/accountant/accountant_test.go
@@ -168,3 +168,21 @@
 		t.Errorf("old news %v", levels)
 	}
 }
+
+// TestRefusedCallersReturnSpreadOut guards against callers that all return late, because the number
+// that has refused them also spreads their return.
+func TestRefusedCallersReturnSpreadOut(t *testing.T) {
+	q := NewQuota(20, 20)
+	r := NewReporter("vm", 1, 0, testBound)
+	hot := NewLevel("o", 10, 84, 40, 0) // three of four requests are admitted
+	r.Heard(tier.Minute, []Level{hot}, func(string) (Quota, bool) { return q, true })
+	least, most := tier.Minute, tier.Millis(0)
+	for i := range 250 {
+		if d := r.Admit(tier.Minute, "o", q, 0.75+float64(i)/1000); !d.Admitted() {
+			least, most = min(least, d.RetryAfter()), max(most, d.RetryAfter())
+		}
+	}
+	if least > 100 || most < 4*tier.Second {
+		t.Errorf("refused callers return after %d to %d ms", least, most)
+	}
+}
--- a/tier/accountant/reporter.go
+++ b/tier/accountant/reporter.go
@@ -113,9 +113,13 @@
 		return r.admitAlone(now, a, draw)
 	}
 	room := r.room(now, a)
-	if room < 1 || draw >= r.chance(now, a) {
+	chance := r.chance(now, a)
+	if room < 1 {
+		chance = 0
+	}
+	if draw >= chance {
 		a.refused++
-		return r.refuse(now, a, room, draw)
+		return r.refuse(now, a, room, redraw(draw, chance))
 	}
 	a.unreported++
 	return Decision{admitted: true}
@@ -173,12 +177,15 @@
 	a.ownTokens = min(max(1, r.bound.capacity(a.quota)/vms), a.ownTokens+a.quota.refill(now-a.ownTokensAt)/vms)
 	a.ownTokensAt = now
 	if draw >= a.ownTokens {
-		return r.refuse(now, a, a.ownTokens*vms, draw)
+		return r.refuse(now, a, a.ownTokens*vms, redraw(draw, max(0, a.ownTokens)))
 	}
 	a.ownTokens--
 	return Decision{admitted: true}
 }
 
+// redraw makes a uniform random number of one that is known to be chance or more.
+func redraw(draw, chance float64) float64 { return (draw - chance) / (1 - chance) }
+
 // partCount is the number of VMs among which the quota is divided while this VM is alone.
 func (r *Reporter) partCount(a *account) int {
 	if a.vms > 0 {
