Test an ordinary VM that is paused for 5 s

Cause: of the failure cases of quotas, only the pause of an accountant had a test. Change: a fault of TestQuotaUnderFaults; the paused VM decides on the requests that have waited.

--- a/tier/accountant/faults_test.go
+++ b/tier/accountant/faults_test.go
@@ -52,6 +52,14 @@
 		run(5 * tier.Second)
 		v.since = f.now
 	},
+	"a VM paused for 5 s": func(f *fleet, run func(tier.Millis)) {
+		v, before := f.vms[len(f.vms)-1], len(f.admitted)+len(f.refused)
+		v.pausedTo = f.now + 5*tier.Second
+		run(5 * tier.Second)
+		for range (len(f.admitted) + len(f.refused) - before) / len(f.vms) {
+			f.request(v) // has waited meanwhile
+		}
+	},
 }
 
 // accountant is the VM that keeps the account, as most VMs see it.
