--- a/cicadagraded/entry/organisations.go
+++ b/cicadagraded/entry/organisations.go
@@ -175,3 +175,30 @@
 	}
 	return platform.LeafRequestHeaderOf(h, q.organisationName())
 }
+
+// regions are the regions in which the request may be served: those that both its route and
+// its organisation allow.
+func (q *request) regions() tier.RegionSet {
+	if q.organisation == nil {
+		return q.route.Regions()
+	}
+	return q.route.Regions().Intersect(q.organisation.Regions())
+}
+
+// rank is the rank of the request. That of its organisation goes before that of its route.
+func (q *request) rank() int {
+	if q.organisation != nil {
+		if rank, ok := q.organisation.Rank(); ok {
+			return rank
+		}
+	}
+	return q.route.Rank()
+}
+
+// organisationName is the name of the caller's organisation, or empty.
+func (q *request) organisationName() string {
+	if q.organisation == nil {
+		return ""
+	}
+	return q.organisation.Name()
+}
--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// terms are what this VM knows of the accounts that it keeps. The caller holds the lock.
+// quotaTerms are what this VM knows of the accounts that it keeps. The caller holds the lock.
 func (e *Entry) quotaTerms(now tier.Millis) accountant.Terms {
 	reached := len(e.candidates(now))
 	all := e.scheduler.Partitioner().LargeCount()
