Count unreadable bodies among the refusals of organisations

Cause: a request whose body is too long or can't be read was refused without being counted by organisation and cause. Change: it is refused as other requests whose caller is known. Result: TestUnsentRequestsReturnTheirQuota, which failed before, passes.

--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -119,7 +119,7 @@
 	defer e.returnQuota(q)
 	body, status := readBody(w, r, table.Limits())
 	if status != 0 {
-		e.refuse(w, attempt, status, "bad-body", table.Version(), 0, withOrganisation(q.organisationName())...)
+		e.refuseRequest(w, q, status, "bad-body", 0)
 		return
 	}
 	q.body, q.arrival, q.fingerprints = body, e.recordArrival(r.Context(), start, route, attempt), newFingerprints(r, path, body)
--- a/cicadagraded/entry/quota_test.go
+++ b/cicadagraded/entry/quota_test.go
@@ -80,7 +80,7 @@
 }
 
 // TestUnsentRequestsReturnTheirQuota guards against callers that are refused for their quota after
-// requests that reached no leaf.
+// requests that reached no leaf, and against refusals that the metrics of organisations lack.
 func TestUnsentRequestsReturnTheirQuota(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.putConfiguration("organisations.json")
@@ -94,6 +94,9 @@
 			t.Fatalf("with a long body: status %d", w.Code)
 		}
 	}
+	if refusals := e.organisationUse.of("three").refusals; refusals["bad-body"] != 20 {
+		t.Errorf("refusals by cause: %v", refusals)
+	}
 	f.addLeafs("orders", 1)
 	if w := f.sendWith(e, http.MethodGet, "/line/1", nil, "Authorization", "Bearer secret-4"); w.Code != http.StatusOK {
 		t.Errorf("status %d", w.Code)
