Let no VM that knows and is known by no other one keep accounts

Cause: after the registrations of all large VMs have gone, each small VM takes itself for the only large one until small VMs register (2 s and the next reads), and admits the whole rate. Change: a VM that knows no other one, is not registered, and has heard of a larger fleet has no accountant, so that it uses its own part of the rate. Result: TestUnknownVMKeepsNoAccounts, which failed before, passes.

--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -132,7 +132,8 @@
 }
 
 // candidates lists the VMs that may keep accounts and that this VM doesn't suspect: the large
-// ones. The caller holds the lock.
+// ones. There are none if this VM knows of no other one and no other one knows of it: each VM
+// would admit the whole rate. The caller holds the lock.
 func (e *Entry) candidates(now tier.Millis) []partitioner.Member {
 	q := e.quotas
 	if now-q.ranAt >= pauseLimit {
@@ -145,6 +146,9 @@
 	q.candidates = slices.DeleteFunc(e.scheduler.Partitioner().Relays(), func(m partitioner.Member) bool {
 		return now < q.suspects[m.VM().Name()].until
 	})
+	if e.scheduler.Partitioner().MemberCount() == 1 && !e.registered.Load() && e.fleetSize() > 1 {
+		q.candidates = nil
+	}
 	q.listedAt = max(now, 1)
 	names := make([]string, len(q.candidates))
 	for i, m := range q.candidates {
--- a/cicadagraded/entry/quota_test.go
+++ b/cicadagraded/entry/quota_test.go
@@ -169,3 +169,22 @@
 		t.Errorf("since %d after a pause", e.quotas.since)
 	}
 }
+
+// TestUnknownVMKeepsNoAccounts guards against small VMs that each admit the whole rate of an
+// organisation after all large VMs have gone: no VM knows of another one.
+func TestUnknownVMKeepsNoAccounts(t *testing.T) {
+	e, _ := newOfflineEntry(t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.candidates(tier.Minute)) != 1 {
+		t.Error("a VM that is the only one keeps no accounts")
+	}
+	e.fleetHeard = 84
+	if list := e.candidates(2 * tier.Minute); len(list) > 0 {
+		t.Errorf("accounts of 84 VMs are kept by %v", list)
+	}
+	e.registered.Store(true)
+	if len(e.candidates(3*tier.Minute)) != 1 {
+		t.Error("a VM that others know keeps no accounts")
+	}
+}
