Record quotas that VMs exceed with two lasting accountants

Cause: an accountant's successor applies the whole rate while it reaches the accountant, so that both admit it where some VMs reach only the successor. A remedy needs messages between accountants.

--- a/tier/accountant/faults_test.go
+++ b/tier/accountant/faults_test.go
@@ -196,3 +196,23 @@
 		}
 	}
 }
+
+// TestQuotaWhereSomeDontReachTheAccountant guards against two accountants that each admit the whole
+// rate for as long as the small VMs of a region don't reach one of them, while all reach the other.
+func TestQuotaWhereSomeDontReachTheAccountant(t *testing.T) {
+	quota := NewQuota(1.6*13.6, 30)
+	for seed := range uint64(3) {
+		f := newFleet(84, 12, quota, seed)
+		f.run(10*tier.Second, 13.6, f.anyVM)
+		first := f.accountant()
+		for _, v := range f.vms {
+			if !v.large && v.index%regions == (first.index+1)%regions {
+				v.suspects[first.index] = f.now + tier.Minute
+			}
+		}
+		f.run(15*tier.Second, 9*13.6, f.anyVM)
+		if allowed := f.bound.Allowed(quota); float64(f.worst()) > allowed {
+			t.Errorf("%d requests in a window, allowed are %.0f", f.worst(), allowed)
+		}
+	}
+}
