--- a/cicadagraded/entry/quota_test.go
+++ b/cicadagraded/entry/quota_test.go
@@ -80,7 +80,7 @@
 }
 
 // TestUnsentRequestsReturnTheirQuota guards against callers that are refused for their quota after
-// requests that reached no leaf.
+// requests that reached no leaf, and against refusals that the metrics of organisations lack.
 func TestUnsentRequestsReturnTheirQuota(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.putConfiguration("organisations.json")
@@ -94,6 +94,9 @@
 			t.Fatalf("with a long body: status %d", w.Code)
 		}
 	}
+	if refusals := e.organisationUse.of("three").refusals; refusals["bad-body"] != 20 {
+		t.Errorf("refusals by cause: %v", refusals)
+	}
 	f.addLeafs("orders", 1)
 	if w := f.sendWith(e, http.MethodGet, "/line/1", nil, "Authorization", "Bearer secret-4"); w.Code != http.StatusOK {
 		t.Errorf("status %d", w.Code)
@@ -166,3 +169,22 @@
 		t.Errorf("since %d after a pause", e.quotas.since)
 	}
 }
+
+// TestUnknownVMKeepsNoAccounts guards against small VMs that each admit the whole rate of an
+// organisation after all large VMs have gone: no VM knows of another one.
+func TestUnknownVMKeepsNoAccounts(t *testing.T) {
+	e, _ := newOfflineEntry(t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.candidates(tier.Minute)) != 1 {
+		t.Error("a VM that is the only one keeps no accounts")
+	}
+	e.fleetHeard = 84
+	if list := e.candidates(2 * tier.Minute); len(list) > 0 {
+		t.Errorf("accounts of 84 VMs are kept by %v", list)
+	}
+	e.registered.Store(true)
+	if len(e.candidates(3*tier.Minute)) != 1 {
+		t.Error("a VM that others know keeps no accounts")
+	}
+}
