Keep the cold time of a leaf that was removed and registered again

Cause: the states of removed leafs are dropped at the next refresh. A leaf whose registration was removed and written again between two refreshes lost its new state with the old one, so a cold leaf got the usual load from this VM.

Change: the state is dropped only if the leaf is still gone after all changes of the refresh.

Result: TestColdTimeOutlivesARemovalBeforeIt failed before (cold for 0 ms) and passes.

--- a/cicadagraded/entry/cold_test.go
+++ b/cicadagraded/entry/cold_test.go
@@ -97,3 +97,37 @@
 		t.Error("all VMs have a share of a cold leaf; the test shows nothing")
 	}
 }
+
+// TestColdTimeOutlivesARemovalBeforeIt guards against the usual load on a cold leaf whose
+// registration was removed and written again between two refreshes: the removal, handled after
+// both, must not drop the cold time.
+func TestColdTimeOutlivesARemovalBeforeIt(t *testing.T) {
+	e, _ := newOfflineEntry(t)
+	raw, err := os.ReadFile("testdata/cold.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := platform.LeafsPrefix + "i-1"
+	register := func(sequence int64, remaining tier.Millis) {
+		raw, err := responder.NewFixedLeaf("i-1", "a").ColdRegistration("orders", "127.0.0.1:1", "depot-a", sequence, remaining)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.applyChange(storer.NewValue(key, raw, sequence), sequence, false)
+	}
+	e.applyChange(storer.NewValue(platform.ConfigurationKey, raw, 1), 1, false)
+	register(2, 0)
+	e.finishRefresh(false)
+	e.applyChange(storer.NewValue(key, nil, 0), 3, false)
+	register(4, 9*tier.Second)
+	e.finishRefresh(false)
+	leaf, _ := e.scheduler.Lister().Leaf(key)
+	if got := e.scheduler.Balancer().ColdRemaining(e.clock.Now(), leaf); got < 8*tier.Second {
+		t.Errorf("the leaf is cold for %d ms", got)
+	}
+	e.applyChange(storer.NewValue(key, nil, 0), 5, false)
+	e.finishRefresh(false)
+	if got := e.scheduler.Balancer().ColdRemaining(e.clock.Now(), leaf); got != 0 {
+		t.Errorf("the state of a leaf that is gone is kept: cold for %d ms", got)
+	}
+}
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -174,10 +174,16 @@
 func (e *Entry) tickLeafs() []lister.Change {
 	e.scheduler.Lister().Tick(e.clock.Now())
 	changes := e.scheduler.Lister().TakeChanges()
+	last := make(map[string]string, len(changes)) // states by id: a leaf that was gone may have registered again
+	for _, c := range changes {
+		last[c.Leaf().ID()] = c.State()
+	}
 	for _, c := range changes {
 		switch c.State() {
 		case lister.StateGone:
-			e.scheduler.Balancer().Forget(c.Leaf().ID())
+			if last[c.Leaf().ID()] == lister.StateGone {
+				e.scheduler.Balancer().Forget(c.Leaf().ID())
+			}
 		case lister.StateReturned:
 			// The leafs of an evacuated data centre are cold when it returns.
 			if t := e.table.Load(); t != nil && t.Service(c.Leaf().Service()).ColdPerSecond() > 0 {
