Open no connections in advance to a leaf that has too many

Cause: Prepare asked for a connection to a far replica every 500 ms, also after the leaf had reset a new connection, as it does when it has too many. Calls to such a leaf are limited for 600 ms, connections in advance were not.

Change: no connection is asked for within that time.

Result: TestLeafThatResetsConnectionsGetsNoFurtherOnes failed before and passes.

--- a/tier/balancer/connections.go
+++ b/tier/balancer/connections.go
@@ -15,14 +15,14 @@
 
 // ShouldConnect reports whether a connection to a leaf of another region should be opened before
 // the leaf is called. The caller opens one; until Connected, the leaf is not reported again
-// for connectRetry.
+// for connectRetry. A leaf that has just reset a connection has too many already.
 func (b *Balancer) ShouldConnect(now tier.Millis, leaf lister.Leaf) bool {
 	if !b.even || b.InRegion(leaf) {
 		return false
 	}
 	s := b.stateOf(leaf)
 	fresh := s.even.idle > 0 && now-max(s.repliedAt, s.even.connectedAt) < freshFor
-	if fresh || now < s.connectAt {
+	if fresh || now < s.connectAt || now-s.resetAt < resetWindow {
 		return false
 	}
 	s.connectAt = now + connectRetry
--- a/tier/balancer/connections_test.go
+++ b/tier/balancer/connections_test.go
@@ -43,3 +43,18 @@
 		t.Error("no connection is asked for after a cancelled call")
 	}
 }
+
+// TestLeafThatResetsConnectionsGetsNoFurtherOnes guards against connections that are opened before
+// they are needed to a leaf that has too many.
+func TestLeafThatResetsConnectionsGetsNoFurtherOnes(t *testing.T) {
+	b := New(func(string) Distance { return OtherRegion }, WithEvenLoad())
+	leaf := lister.NewLeaf("f", "s", "f:1")
+	b.Sent(0, "c", leaf)
+	b.ConnectionReset(50, leaf)
+	if b.ShouldConnect(50+resetWindow-1, leaf) {
+		t.Error("a connection is asked for right after a reset")
+	}
+	if !b.ShouldConnect(50+resetWindow, leaf) {
+		t.Error("no connection is asked for later")
+	}
+}
