--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -114,8 +114,9 @@
 	return nil
 }
 
-// readAll reads the configuration and the evacuations of data centres, the leafs and what VMs keep in the store, at the same time. The
-// three reads are not atomic, so later polls start at the revision of the earliest one.
+// readAll reads the configuration and the evacuations of data centres, the leafs and what VMs keep
+// in the store, at the same time. The three reads are not atomic, so later polls start at the
+// revision of the earliest one.
 func (e *Entry) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
 	defer cancel()
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -16,8 +16,8 @@
 
 // precedes orders queued parts: first those that can still be answered by their
 // target, then by rank, then by the start tag, which follows the service that their
-// organisations have had, then by target. All parts of a search have the same target, so they take the same place in the
-// queues of all services, and older searches complete first.
+// organisations have had, then by target. All parts of a search have the same target, so they take
+// the same place in the queues of all services, and older searches complete first.
 func (p place) precedes(other place) bool {
 	if p.missesTarget != other.missesTarget {
 		return other.missesTarget
