Let leafs that register again return with their data centre

Cause: a leaf that registered anew within the 1.2 s in which the leafs of a data centre return from an evacuation was used at once, before its turn, and did not count as cold.

Change: it is left out until its turn, as the others, and counts as cold then.

Result: TestLeafsThatRegisterAgainReturnWithTheOthers failed before (20 of 20 leafs used at once, none cold) and passes.

--- a/tier/lister/evacuation.go
+++ b/tier/lister/evacuation.go
@@ -145,10 +145,10 @@
 }
 
 // placeRegistration decides whether a new registration, or one that has moved to another data
-// centre, is left out.
+// centre, is left out. While the leafs of a data centre return, it returns in the order of all.
 func (l *Lister) placeRegistration(key string, r *registration) {
 	e, known := l.evacuations.byDataCentre[r.entry.leaf.dataCentre]
-	l.setLeftOut(key, known && e.inForce)
+	l.setLeftOut(key, known && (e.inForce || e.ramping))
 }
 
 func (l *Lister) setLeftOut(key string, leftOut bool) {
--- a/tier/lister/evacuation_test.go
+++ b/tier/lister/evacuation_test.go
@@ -188,3 +188,34 @@
 		})
 	}
 }
+
+// TestLeafsThatRegisterAgainReturnWithTheOthers guards against leafs that get the usual load at
+// once, and do not count as cold, because they have registered again while their data centre
+// returns.
+func TestLeafsThatRegisterAgainReturnWithTheOthers(t *testing.T) {
+	const leafs = 20
+	l := newDataCentres(leafs)
+	l.Evacuate(0, "x", 7)
+	l.Tick(EvacuationRamp)
+	l.EndEvacuation(5000, "x", 8)
+	for i := range leafs {
+		id := fmt.Sprintf("x-%d", i)
+		e := entry(id, 1, InDataCentre("x"))
+		l.Remove(5001, e.Key())
+		l.Put(5001, e)
+	}
+	if n := usableIn(l, "x"); n > leafs/4 {
+		t.Errorf("%d of %d leafs are used at once", n, leafs)
+	}
+	l.TakeChanges()
+	l.Tick(5000 + EvacuationRamp)
+	returned := 0
+	for _, c := range l.TakeChanges() {
+		if c.State() == StateReturned {
+			returned++
+		}
+	}
+	if n := usableIn(l, "x"); n != leafs || returned != leafs {
+		t.Errorf("%d leafs are used and %d have returned, expected %d", n, returned, leafs)
+	}
+}
