Forget the keepers of former leafs

Cause: the cache of keepers had an entry for each cold leaf that there had ever been, until the settings were loaded again.

Change: the whole cache expires after 200 ms, as the cache of owners does.

Result: TestKeepersOfFormerLeafsAreForgotten failed before (100 entries, 1 leaf in use) and passes.

--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -49,17 +49,12 @@
 // coldState is what a VM needs to know to share the rates of cold leafs.
 type coldState struct {
 	overage, slack float64
-	registeredAt   tier.Millis // since when other VMs may know this one, or never
-	listed         bool        // this VM was on the list before it registered
-	stale          bool        // the view is old
-	held           int64       // calls that the rates of cold leafs have held back
-	keepers        map[string]keeperList
-}
-
-// keeperList is a cached list of a leaf's keepers.
-type keeperList struct {
-	at   tier.Millis
-	list []partitioner.Member
+	registeredAt   tier.Millis                     // since when other VMs may know this one, or never
+	listed         bool                            // this VM was on the list before it registered
+	stale          bool                            // the view is old
+	held           int64                           // calls that the rates of cold leafs have held back
+	keepers        map[string][]partitioner.Member // by id of the leaf, since keepersAt
+	keepersAt      tier.Millis
 }
 
 // LimitCold makes cold leafs of services that name a rate get no more than that. The bound on
@@ -68,7 +63,7 @@
 	if sc.cold.keepers == nil {
 		sc.cold.registeredAt = never
 	}
-	sc.cold.overage, sc.cold.slack, sc.cold.keepers = overage, slack, map[string]keeperList{}
+	sc.cold.overage, sc.cold.slack, sc.cold.keepers = overage, slack, map[string][]partitioner.Member{}
 	sc.balancer.LimitCold(serviceOf, sc.coldShare)
 }
 
@@ -107,9 +102,12 @@
 
 // coldKeepers lists the keepers of a cold leaf.
 func (sc *Scheduler) coldKeepers(now tier.Millis, leaf lister.Leaf, count int) []partitioner.Member {
-	cached, ok := sc.cold.keepers[leaf.ID()]
-	if ok && now-cached.at < keeperCacheTTL {
-		return cached.list
+	if now-sc.cold.keepersAt >= keeperCacheTTL {
+		clear(sc.cold.keepers)
+		sc.cold.keepersAt = now
+	}
+	if list, ok := sc.cold.keepers[leaf.ID()]; ok {
+		return list
 	}
 	key, preferred := leaf.ID(), func(string) bool { return true }
 	if sc.isShard(leaf.Service()) {
@@ -117,7 +115,7 @@
 		key, preferred = leaf.Service(), func(dataCentre string) bool { return dataCentre == leaf.DataCentre() }
 	}
 	list := sc.partitioner.Keepers(key, sc.regionOf(leaf.DataCentre()), preferred, count)
-	sc.cold.keepers[leaf.ID()] = keeperList{at: now, list: list}
+	sc.cold.keepers[leaf.ID()] = list
 	return list
 }
 
--- a/tier/searcher/cold_test.go
+++ b/tier/searcher/cold_test.go
@@ -1,6 +1,7 @@
 package searcher
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -322,3 +323,18 @@
 		f.t.Errorf("%s gets %d calls once it is warm", leaf.leaf.ID(), calls)
 	}
 }
+
+// TestKeepersOfFormerLeafsAreForgotten guards against memory that grows with each cold leaf that
+// there has ever been.
+func TestKeepersOfFormerLeafsAreForgotten(t *testing.T) {
+	f := newFleet(t)
+	f.play(strings.Fields("vms serra 1"))
+	sc := f.vms[0].scheduler
+	sc.LimitCold(func(name string) router.Service { return router.NewService(name, tier.Minute, 4) }, 1.5, 5)
+	for i := range 100 {
+		sc.coldKeepers(tier.Millis(i)*keeperCacheTTL, lister.NewLeaf(fmt.Sprint("c-", i), "contas", "a:1", lister.InDataCentre("serra")), 1)
+	}
+	if n := len(sc.cold.keepers); n != 1 {
+		t.Errorf("the keepers of %d leafs are kept", n)
+	}
+}
