--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -12,7 +12,6 @@
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
-	"cicadagrade.example/tier/budgeter"
 	"cicadagrade.example/tier/lister"
 	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/quarantiner"
@@ -110,23 +109,6 @@
 	return s
 }
 
-// schedule makes a new scheduler.
-func (s *script) schedule(balancing []balancer.Option, options ...SchedulerOption) {
-	self := partitioner.NewMember(tier.NewVM("self", "a", "self:1", tier.WithVMState(tier.VMLive)), "home", 1)
-	regionOf := func(dataCentre string) string {
-		switch {
-		case dataCentre == "e":
-			return "third"
-		case s.distance(dataCentre) == balancer.OtherRegion:
-			return "away"
-		}
-		return "home"
-	}
-	random := func() float64 { return 0.5 }
-	s.scheduler = NewScheduler(s.lister, balancer.New(s.distance, append(balancing, balancer.WithRandom(random))...), budgeter.New(0.2, 20, 1), partitioner.New(self),
-		append(options, WithRegions(regionOf), WithRandom(random), WithKnownRegions(func(region string) bool { return region != "unknown" }))...)
-}
-
 func (s *script) play(line string) {
 	s.out.WriteString(line + "\n")
 	words := strings.Fields(line)
