Check regions, organisations, evacuations, cold leafs, quotas and keys in the soak

Cause: the fault soak had no organisations, regions, evacuations or cold leafs, so nothing checked their bounds on real processes under faults. Change: three organisations with keys that versions of the configuration replace, a quota, a route in one region, evacuations, and a service that names a cold rate; six checks, each with tests of its breaches.

--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -26,6 +26,8 @@
 	headerSignature      = "Response-Signature"
 	headerPartSignatures = "Part-Signatures"
 	headerServerLimit    = "Server-Limit"
+	headerAuthorization  = "Authorization"
+	headerOrganisation   = "Tenant"
 )
 
 // recordBytes is the size of a record in bytes.
@@ -158,6 +160,13 @@
 	h.Set(headerTimeRemaining, strconv.Itoa(timeRemaining))
 }
 
+// SetKey sets the key of the organisation for which a caller sends a request.
+func SetKey(h http.Header, key string) { h.Set(headerAuthorization, "Bearer "+key) }
+
+// SetOrganisation sets the header with which an entry VM names the organisation to a leaf.
+// Tests use it to check that the header has no effect in a caller's request.
+func SetOrganisation(h http.Header, name string) { h.Set(headerOrganisation, name) }
+
 // SetExpectedInstance sets the header with which an entry VM names the leaf that it
 // calls. Tests use it to check that the header has no effect in a caller's request.
 func SetExpectedInstance(h http.Header, leaf string) { h.Set(headerExpected, leaf) }
--- a/standin/responder/simulated.go
+++ b/standin/responder/simulated.go
@@ -49,6 +49,8 @@
 	Leaf, Service, AttemptID, Method, Path string
 	ReceivedAt                             time.Time
 	TimeRemaining                          tier.Millis
+	Organisation                           string // as the entry VM names it
+	Headers                                string // the whole header, in the format of HTTP/1.1
 }
 
 // SimulatedLeaf is a backend server that replies to each request with records of its
@@ -58,6 +60,7 @@
 	serviceTime  time.Duration
 	faultMode    atomic.Int64
 	requestCount atomic.Int64
+	coldUntil    atomic.Int64 // Unix milliseconds, or 0
 	onExecute    func(Request)
 	onArrive     func(Request)
 }
@@ -71,6 +74,9 @@
 // SetFaultMode sets how the leaf fails from now on.
 func (l *SimulatedLeaf) SetFaultMode(m FaultMode) { l.faultMode.Store(int64(m)) }
 
+// TurnCold makes the leaf's registrations say that it is cold until the given time.
+func (l *SimulatedLeaf) TurnCold(until time.Time) { l.coldUntil.Store(until.UnixMilli()) }
+
 // ID returns the ID of the leaf's instance.
 func (l *SimulatedLeaf) ID() string { return l.id }
 
@@ -83,10 +89,14 @@
 	if draining {
 		state = "draining"
 	}
-	raw, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": l.service, "address": address, "zone": dataCentre,
 		"slots": 4, "state": state, "sequence": sequence, "born": 1,
-	})
+	}
+	if remaining := l.coldUntil.Load() - time.Now().UnixMilli(); remaining > 0 {
+		fields["coldRemainingMs"] = remaining
+	}
+	raw, err := json.Marshal(fields)
 	return raw, errors.Wrap(err, "SimulatedLeaf.Registration")
 }
 
@@ -101,6 +111,7 @@
 	request := Request{
 		Leaf: l.id, Service: l.service, AttemptID: attemptID, Method: r.Method, Path: r.RequestURI,
 		ReceivedAt: time.Now(), TimeRemaining: tier.Millis(timeRemaining),
+		Organisation: strings.Join(r.Header.Values(headerOrganisation), ","), Headers: headerText(r.Header),
 	}
 	h := w.Header()
 	if r.Header.Get(headerExpected) != l.id {
@@ -128,6 +139,12 @@
 	l.writeReply(w, mode, attemptID, r.RequestURI)
 }
 
+func headerText(h http.Header) string {
+	var b strings.Builder
+	_ = h.Write(&b) // writes to a strings.Builder never fail
+	return b.String()
+}
+
 func (l *SimulatedLeaf) writeReply(w http.ResponseWriter, mode FaultMode, attemptID, path string) {
 	h, body := w.Header(), Records(l.service, path)
 	switch {
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -88,7 +88,7 @@
 				continue
 			}
 		}
-		if !s.sendRequest(ctx, r, c, fmt.Sprintf("%d-%d-%d", s.seed, caller, n)) {
+		if !s.sendRequest(ctx, r, c, caller, fmt.Sprintf("%d-%d-%d", s.seed, caller, n)) {
 			_ = c.conn.Close()
 			c = nil
 		}
@@ -115,12 +115,18 @@
 }
 
 // sendRequest sends one request and reports whether the connection may be used again.
-func (s *Soak) sendRequest(ctx context.Context, r *rand.Rand, c *connection, attempt string) bool {
-	q := s.drawRequest(r, attempt)
+func (s *Soak) sendRequest(ctx context.Context, r *rand.Rand, c *connection, caller int, attempt string) bool {
+	q := s.drawRequest(r, caller, attempt)
 	q.vm = c.vm.name
 	c.requests++
 	headers := http.Header{}
 	responder.SetCallerHeaders(headers, attempt, callerTimeoutMs)
+	if q.key != "" {
+		responder.SetKey(headers, q.key)
+	}
+	if r.Float64() < forgedOrganisationShare {
+		responder.SetOrganisation(headers, "forged")
+	}
 	q.sentAt = time.Now()
 	s.history.addRequest(q)
 	message := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", q.method, q.path, host)
@@ -168,11 +174,13 @@
 }
 
 // drawRequest draws the route of a request.
-func (s *Soak) drawRequest(r *rand.Rand, attempt string) *request {
+func (s *Soak) drawRequest(r *rand.Rand, caller int, attempt string) *request {
 	q := &request{attempt: attempt, method: http.MethodGet, timeout: callerTimeoutMs, alwaysRouted: true}
 	switch k := r.IntN(20); {
-	case k < 9:
+	case k < 8:
 		q.route = routeSweep
+	case k < 9:
+		q.route = routePinned
 	case k < 12:
 		q.route = routeLine
 	case k < 14:
@@ -184,6 +192,7 @@
 		s.history.update(func() { q.route = markerRoute(s.history.versions[len(s.history.versions)-1].number) })
 		q.alwaysRouted = false
 	}
+	s.drawKey(r, caller, q)
 	q.path = "/" + q.route + "/" + strings.ReplaceAll(attempt, "-", "/")
 	return q
 }
--- a/standin/soaker/checks.go
+++ b/standin/soaker/checks.go
@@ -38,6 +38,14 @@
 	// toleratedDenials requests, and one more in requestsPerDenial, may end with a 3xx or
 	// 4xx although every configuration has their route.
 	toleratedDenials, requestsPerDenial = 5, 500
+	// Bounds of evacuations, cold leafs, quotas and withdrawn keys.
+	evacuationBound = 5 * tier.Second
+	coldOverage     = 1.5
+	coldSlack       = 5
+	quotaWindow     = 5 * tier.Second
+	quotaOverage    = 0.1
+	quotaSlack      = 20
+	revocationBound = 5 * tier.Second
 	// minServedShare is the fraction of requests that must be served after recoveryBound.
 	minServedShare = 0.25
 )
@@ -68,6 +76,8 @@
 		{"refusals-true", false, refusedNotRun},
 		{"routes-kept", false, routedServices},
 		{"attempts", false, boundedAttempts},
+		{"regions", false, allowedRegions},
+		{"organisation", false, namedOrganisations},
 		{"retry-budget", false, boundedRetries},
 		{"no-exit", false, noUnexpectedExits},
 		{"memory", false, boundedMemory},
@@ -77,6 +87,10 @@
 		{"denied", true, denials},
 		{"drain", true, drains},
 		{"stop", true, plannedStops},
+		{"evacuation", true, evacuations},
+		{"quota", true, quotas},
+		{"cold", true, coldRates},
+		{"keys", true, validKeys},
 		{"recovery", true, recovery},
 	}
 }
--- a/standin/soaker/checks_test.go
+++ b/standin/soaker/checks_test.go
@@ -28,12 +28,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.versions = []version{{number: 1, confirmedAt: origin, routes: routes}}
+	h.versions = []version{{number: 1, writtenAt: origin, confirmedAt: origin, routes: routes, keys: keysOfVersion(1)}}
 	for i, route := range []string{routeSweep, routeLine, routeBook} {
 		q := &request{
 			attempt: fmt.Sprint(attemptPrefix, i), method: http.MethodGet, route: route, vm: "vm-0", timeout: callerTimeoutMs,
 			path: fmt.Sprintf("/%s/%d", route, i), sentAt: after(20_000), endedAt: after(20_050), status: 200,
 			alwaysRouted: true, atMostOnce: route == routeBook, header: http.Header{},
+			organisation: organisationPlain, key: permanentKey(organisationPlain),
 		}
 		services := routes[route][:1]
 		if route == routeSweep {
@@ -44,8 +45,9 @@
 			w := responder.NewSimulatedLeaf("w-"+s, s, 0, h.addCall, h.addRun)
 			run := responder.Request{
 				Leaf: w.ID(), Service: s, AttemptID: q.attempt, Method: q.method, Path: q.path,
-				ReceivedAt: after(20_010), TimeRemaining: callerTimeoutMs - 20,
+				ReceivedAt: after(20_010), TimeRemaining: callerTimeoutMs - 20, Organisation: q.organisation,
 			}
+			h.leafZones[w.ID()] = "depot-a"
 			h.addCall(run)
 			h.addRun(run)
 			signatures += w.Signature(q.attempt) + ","
@@ -85,6 +87,8 @@
 		"refusals-true": func(h *history) { h.sent[2].status = http.StatusServiceUnavailable },
 		"routes-kept":   func(h *history) { h.sent[2].route = routeLine },
 		"attempts":      func(h *history) { h.addSweeps(maxBreaches+1, maxAttempts) },
+		"regions":       func(h *history) { h.sent[1].route = routePinned; h.leafZones["w-orders"] = "depot-b" },
+		"organisation":  func(h *history) { h.calls[0].Organisation = "forged" },
 		"retry-budget":  func(h *history) { h.repeatRun(1, budgetSlack+1, "x", 20_020) },
 		"no-exit":       func(h *history) { h.exits = []string{"vm-0"} },
 		"memory":        func(h *history) { h.peakMemoryMB["vm-0"] = memoryLimitMB + 1 },
@@ -94,6 +98,10 @@
 		"denied":        func(h *history) { h.addSweeps(toleratedDenials+1, 1); h.denyAll() },
 		"drain":         func(h *history) { h.drains = []drainRecord{{"w-a0", after(15_000)}} },
 		"stop":          func(h *history) { h.stops = []plannedStop{{vm: "vm-0", from: after(1), to: after(20_000), code: 0}} },
+		"evacuation":    func(h *history) { h.evacuations = []evacuation{{"depot-a", after(15_000), never}} },
+		"quota":         func(h *history) { h.addCappedCalls(153, 20_010) },
+		"cold":          func(h *history) { h.addColdCalls(18, 10) },
+		"keys":          func(h *history) { h.sent[0].status = http.StatusUnauthorized },
 		"recovery":      func(h *history) { h.sent[0].status, h.sent[1].status, h.sent[2].status = 0, 0, 0 },
 	}
 	for _, c := range checks() {
--- a/standin/soaker/fleet.go
+++ b/standin/soaker/fleet.go
@@ -62,6 +62,9 @@
 	fmt.Fprintf(&b, "[limits]\ncpuShare = 1.0\nmemoryMb = %d\n", memoryLimitMB)
 	fmt.Fprintf(&b, "[bounds]\ngracePeriodS = %d\nretryBudgetRatio = %g\nbudgetSlack = %d\n",
 		gracePeriod/tier.Second, budgetRatio, budgetSlack)
+	fmt.Fprintf(&b, "evacuationMs = %d\ncoldOverage = %g\ncoldSlack = %d\n", int64(evacuationBound), coldOverage, coldSlack)
+	fmt.Fprintf(&b, "quotaWindowS = %d\nquotaOverage = %g\nquotaSlack = %d\nrevocationMs = %d\n",
+		quotaWindow/tier.Second, quotaOverage, quotaSlack, int64(revocationBound))
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", storeAddress)
 	return b.String()
 }
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -24,6 +24,7 @@
 	endedAt           time.Time // zero while it is in progress
 	leftAt            time.Time // when the caller closed the connection early, or zero
 	firstOnConnection bool      // the first request on its connection
+	key, organisation string    // both "" for a request without a key
 }
 
 // served reports whether the reply is a success.
@@ -33,8 +34,10 @@
 // the services of each route.
 type version struct {
 	number      int64
+	writtenAt   time.Time // before the first attempt to write it
 	confirmedAt time.Time
 	routes      map[string][]string
+	keys        []string
 }
 
 // disturbance is a period during which a fault is in effect.
@@ -51,6 +54,19 @@
 	at   time.Time
 }
 
+// evacuation is an evacuation of one data centre.
+type evacuation struct {
+	zone             string
+	confirmedAt      time.Time
+	removalStartedAt time.Time // never until the removal starts
+}
+
+// coldPeriod is a time in which a leaf of coldService is cold.
+type coldPeriod struct {
+	leaf     string
+	from, to time.Time
+}
+
 // plannedStop is a planned stop of one VM's process.
 type plannedStop struct {
 	vm       string
@@ -70,13 +86,16 @@
 	disturbances []disturbance
 	drains       []drainRecord
 	stops        []plannedStop
+	leafZones    map[string]string // data centres by leaf instance
+	evacuations  []evacuation
+	coldPeriods  []coldPeriod
 	exits        []string // processes that exited without a kill or stop
 	peakMemoryMB map[string]int
 	lastFaultEnd time.Time // when the last fault ended
 }
 
 func newHistory() *history {
-	return &history{byAttempt: map[string]*request{}, peakMemoryMB: map[string]int{}}
+	return &history{byAttempt: map[string]*request{}, peakMemoryMB: map[string]int{}, leafZones: map[string]string{}}
 }
 
 func (h *history) addRequest(q *request) {
@@ -113,11 +132,14 @@
 	}
 }
 
+// anyVM stands for all VMs, of which none may have been disturbed.
+const anyVM = "any"
+
 // disturbed reports whether a disturbance of the VM, or of all VMs, overlaps the period
 // between from and to. Planned disturbances count only if planned is set.
 func (h *history) disturbed(vm string, from, to time.Time, planned bool) bool {
 	return slices.ContainsFunc(h.disturbances, func(s disturbance) bool {
-		return (s.vm == "" || s.vm == vm) && (planned || !s.planned) && s.from.Before(to) &&
+		return (s.vm == "" || s.vm == vm || vm == anyVM) && (planned || !s.planned) && s.from.Before(to) &&
 			(s.to.IsZero() || s.to.After(from))
 	})
 }
--- a/standin/soaker/inject.go
+++ b/standin/soaker/inject.go
@@ -65,6 +65,12 @@
 			index = "b"
 		}
 		return s.putConfiguration(ctx, index)
+	case evacuate:
+		s.evacuate(ctx, f.zone, t.duration)
+	case restartCold:
+		if w, _, _ := s.leafs[f.leaf].current(); w != nil {
+			s.leafs[f.leaf].replaceInstance(s.newInstance(s.leafs[f.leaf].zone, w.Service()))
+		}
 	case storeDown, storeSlow, storeLosesReplies, storeLosesHistory:
 		s.breakStore(ctx, f, t.duration)
 	}
--- a/standin/soaker/plan.go
+++ b/standin/soaker/plan.go
@@ -49,6 +49,8 @@
 	drainLeaf           struct{ leaf int }     // a leaf drains, and a new one replaces it
 	reuseAddress        struct{ leaf, by int } // a leaf stops, and another service gets its address
 	changeConfiguration struct{ reshard bool } // a new version, with or without other shards
+	evacuate            struct{ zone string }  // a data centre is evacuated, and returns
+	restartCold         struct{ leaf int }     // a new instance replaces a leaf's without notice
 )
 
 func (killVMs) isFault()             {}
@@ -68,6 +70,8 @@
 func (drainLeaf) isFault()           {}
 func (reuseAddress) isFault()        {}
 func (changeConfiguration) isFault() {}
+func (evacuate) isFault()            {}
+func (restartCold) isFault()         {}
 
 func (f killVMs) String() string  { return fmt.Sprintf("kill VMs %v", f.vms) }
 func (f stopVM) String() string   { return fmt.Sprintf("stop VM %d as planned", f.vm) }
@@ -94,6 +98,9 @@
 	return fmt.Sprintf("leaf %d ends, leaf %d takes its address", f.leaf, f.by)
 }
 
+func (f evacuate) String() string    { return "evacuate " + f.zone }
+func (f restartCold) String() string { return fmt.Sprintf("leaf %d restarts", f.leaf) }
+
 func (f changeConfiguration) String() string {
 	return fmt.Sprintf("a new configuration, other shards: %t", f.reshard)
 }
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -158,7 +158,9 @@
 	s.group.Go(func() error { return s.monitor(ctx) })
 	start := time.Now()
 	var injections sync.WaitGroup
-	for _, t := range makePlan(s.seed, s.faultCount, len(s.vms), len(s.leafs), s.faultPeriod) {
+	plan := makePlan(s.seed, s.faultCount, len(s.vms), len(s.leafs), s.faultPeriod)
+	plan = append(plan, makeOperations(s.seed, len(s.leafs), s.faultPeriod)...)
+	for _, t := range plan {
 		injections.Go(func() {
 			sleep(ctx, t.at-tier.Millis(time.Since(start).Milliseconds()))
 			if err := s.inject(ctx, t); err != nil {
@@ -170,7 +172,7 @@
 	s.log.Info("the last fault is over", "after", time.Since(start).Round(time.Millisecond))
 	s.history.update(func() { s.history.lastFaultEnd = time.Now() })
 	if s.timed {
-		sleep(ctx, recoveryPeriod)
+		s.operateCalmVMs(ctx)
 	} else {
 		sleep(ctx, untimedEndPeriod)
 	}
@@ -304,7 +306,7 @@
 		f := &leaf{number: i, zone: zoneNames[(i+i/len(services))%len(zoneNames)]}
 		f.listen = fmt.Sprintf("%s.200:%d", s.subnet(), 9000+i)
 		f.link = relay.NewLink(fmt.Sprintf("leaf-%d", i), "vms", "leaf", f.listen, target, relay.NewCondition(relay.CutNone, 0, false))
-		f.replaceInstance(s.newInstance(service))
+		f.replaceInstance(s.newInstance(f.zone, service))
 		if err := s.serve(ctx, target, f); err != nil {
 			return err
 		}
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -24,9 +24,11 @@
 // Names of the routes that callers use.
 const (
 	routeSweep = "sweep" // all shards
-	routeLine  = "line"  // one leaf, idempotent
+	routeLine  = "line"  // one leaf, idempotent, public
 	routeSplit = "split" // one leaf of two services, chosen by weight
 	routeBook  = "book"  // one leaf, non-idempotent
+
+	routePinned = "pinned" // one leaf, in pinnedRegion only
 )
 
 const (
@@ -85,9 +87,12 @@
 
 // newInstance returns an instance of a service under an ID of its own, which reports its
 // calls and runs to the history.
-func (s *Soak) newInstance(service string) *responder.SimulatedLeaf {
+func (s *Soak) newInstance(zone, service string) *responder.SimulatedLeaf {
 	n := s.instanceCount.Add(1)
-	return responder.NewSimulatedLeaf(fmt.Sprintf("w%d", n), service, leafServiceTime, s.history.addCall, s.history.addRun)
+	w := responder.NewSimulatedLeaf(fmt.Sprintf("w%d", n), service, leafServiceTime, s.history.addCall, s.history.addRun)
+	s.history.update(func() { s.history.leafZones[w.ID()] = zone })
+	s.turnCold(w)
+	return w
 }
 
 // keepRegistered writes a leaf's registration at intervals, which real leafs do themselves.
@@ -138,7 +143,7 @@
 	f.draining = true
 	f.mu.Unlock()
 	sleep(ctx, drainingServeTime)
-	f.replaceInstance(s.newInstance(instance.Service()))
+	f.replaceInstance(s.newInstance(f.zone, instance.Service()))
 }
 
 // reuseAddress stops a leaf's instance without notice and has one of another service use the
@@ -150,9 +155,9 @@
 	}
 	f.replaceInstance(nil)
 	sleep(ctx, registrationTTL)
-	f.replaceInstance(s.newInstance(otherService))
+	f.replaceInstance(s.newInstance(f.zone, otherService))
 	sleep(ctx, duration)
-	f.replaceInstance(s.newInstance(instance.Service()))
+	f.replaceInstance(s.newInstance(f.zone, instance.Service()))
 }
 
 // configuration returns a version of the configuration as JSON, and the services of each
@@ -164,7 +169,8 @@
 		shards[i] = fmt.Sprintf("%s%d", index, i)
 	}
 	routes := map[string][]string{
-		routeSweep: shards, routeLine: {"orders"}, routeSplit: {"orders", "ledger"}, routeBook: {"ledger"}, markerRoute(number): {"orders"},
+		routeSweep: shards, routeLine: {"orders"}, routeSplit: {"orders", "ledger"}, routeBook: {"ledger"},
+		routePinned: {"orders"}, markerRoute(number): {"orders"},
 	}
 	route := func(name, kind string, extra map[string]any) map[string]any {
 		r := map[string]any{
@@ -179,7 +185,8 @@
 	const idempotent, nonIdempotent = "idempotent", "non_idempotent"
 	routeList := []map[string]any{
 		route(routeSweep, idempotent, map[string]any{"shards": shards, "topK": topRecords, "minimumShardShare": minShardShare}),
-		route(routeLine, idempotent, map[string]any{"service": "orders"}),
+		route(routeLine, idempotent, map[string]any{"service": "orders", "public": true}),
+		route(routePinned, idempotent, map[string]any{"service": "orders", "allowedRegions": []string{pinnedRegion}}),
 		route(routeSplit, idempotent, map[string]any{"trafficSplit": []map[string]any{
 			{"service": "orders", "weight": 0.7}, {"service": "ledger", "weight": 0.3},
 		}}),
@@ -187,8 +194,9 @@
 		route(markerRoute(number), idempotent, map[string]any{"service": "orders"}),
 	}
 	raw, err := json.Marshal(map[string]any{
-		"version": number, "routes": routeList, "services": []any{},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
+		"version": number, "routes": routeList, "tenants": organisationList(number),
+		"services": []map[string]any{{"name": coldService, "coldStartS": coldStart / tier.Second, "coldPerS": coldPerSecond}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 	})
 	return raw, routes, errors.Wrap(err, "configuration")
 }
@@ -206,7 +214,7 @@
 	if err != nil {
 		return err
 	}
-	v := version{number: s.configurationNumber, routes: routes, confirmedAt: never}
+	v := version{number: s.configurationNumber, routes: routes, keys: keysOfVersion(s.configurationNumber), writtenAt: time.Now(), confirmedAt: never}
 	// Recorded before the write, as VMs may apply the version before the write is confirmed.
 	s.history.update(func() { s.history.versions = append(s.history.versions, v) })
 	for ctx.Err() == nil {
