Say in the soak how much its checks of restrictions have judged

Cause: a passing check may have judged nothing, as after most faults no VM is calm. Change: a log line with the busiest windows and the judged calls; the operations after the last fault are drawn as those before.

--- a/standin/soaker/restrictions.go
+++ b/standin/soaker/restrictions.go
@@ -56,10 +56,9 @@
 	var bad []string
 	for _, e := range h.evacuations {
 		for _, a := range h.calls {
-			late := a.ReceivedAt.Sub(e.confirmedAt)
-			if h.leafZones[a.Leaf] == e.zone && late > evacuationBound.Duration() && a.ReceivedAt.Before(e.removalStartedAt) &&
-				h.isStable(anyVM, a.ReceivedAt, a.ReceivedAt) {
-				bad = append(bad, fmt.Sprintf("%s got %s %v after the evacuation of %s", a.Leaf, a.AttemptID, late, e.zone))
+			if h.leafZones[a.Leaf] == e.zone && h.judgesEvacuation(e, a.ReceivedAt) {
+				bad = append(bad, fmt.Sprintf("%s got %s %v after the evacuation of %s",
+					a.Leaf, a.AttemptID, a.ReceivedAt.Sub(e.confirmedAt), e.zone))
 			}
 		}
 	}
@@ -69,6 +68,17 @@
 // quotas checks that no window has more requests of the capped organisation than its quota
 // allows, whatever disturbs the VMs.
 func quotas(h *history) []string {
+	limit := (quotaPerSecond*float64(quotaWindow/tier.Second)+quotaBurst)*(1+quotaOverage) + quotaSlack
+	if n, end := h.busiestQuotaWindow(); float64(n) > limit {
+		return []string{fmt.Sprintf("%d requests of %s reached leafs in the %d ms before %v, %.0f are allowed",
+			n, organisationCapped, quotaWindow, end.Format(time.TimeOnly), limit)}
+	}
+	return nil
+}
+
+// busiestQuotaWindow returns the greatest number of the capped organisation's requests that
+// reached leafs in a window of its quota, and the end of that window.
+func (h *history) busiestQuotaWindow() (int, time.Time) {
 	first := map[string]time.Time{}
 	for _, a := range h.calls {
 		if t, ok := first[a.AttemptID]; a.Organisation == organisationCapped && (!ok || a.ReceivedAt.Before(t)) {
@@ -79,12 +89,7 @@
 	for _, t := range first {
 		times = append(times, t)
 	}
-	limit := (quotaPerSecond*float64(quotaWindow/tier.Second)+quotaBurst)*(1+quotaOverage) + quotaSlack
-	if n, end := busiestWindow(times, quotaWindow); float64(n) > limit {
-		return []string{fmt.Sprintf("%d requests of %s reached leafs in the %d ms before %v, %.0f are allowed",
-			n, organisationCapped, quotaWindow, end.Format(time.TimeOnly), limit)}
-	}
-	return nil
+	return busiestWindow(times, quotaWindow)
 }
 
 // coldRates checks that no cold leaf gets more calls in a second than allowed, whatever
@@ -92,14 +97,8 @@
 func coldRates(h *history) []string {
 	var bad []string
 	for _, p := range h.coldPeriods {
-		var times []time.Time
-		for _, a := range h.calls {
-			if a.Leaf == p.leaf && !a.ReceivedAt.Before(p.from) && a.ReceivedAt.Before(p.to) {
-				times = append(times, a.ReceivedAt)
-			}
-		}
 		const limit = coldPerSecond*coldOverage + coldSlack
-		if n, end := busiestWindow(times, tier.Second); float64(n) > limit {
+		if n, end := h.busiestColdSecond(p); float64(n) > limit {
 			bad = append(bad, fmt.Sprintf("%s got %d calls in the second before %v, %.0f are allowed; it was cold from %v",
 				p.leaf, n, end.Format(time.StampMilli), limit, p.from.Format(time.StampMilli)))
 		}
@@ -107,6 +106,18 @@
 	return bad
 }
 
+// busiestColdSecond returns the greatest number of calls in a second of a cold period, and the
+// end of that second.
+func (h *history) busiestColdSecond(p coldPeriod) (int, time.Time) {
+	var times []time.Time
+	for _, a := range h.calls {
+		if a.Leaf == p.leaf && !a.ReceivedAt.Before(p.from) && a.ReceivedAt.Before(p.to) {
+			times = append(times, a.ReceivedAt)
+		}
+	}
+	return busiestWindow(times, tier.Second)
+}
+
 // busiestWindow returns the greatest number of times in a window, and the end of that window.
 func busiestWindow(times []time.Time, window tier.Millis) (most int, end time.Time) {
 	slices.SortFunc(times, time.Time.Compare)
@@ -145,6 +156,40 @@
 	return bad
 }
 
+// restrictionCoverage says how much of a run the checks of restrictions have judged, as key-value
+// pairs for the log: how close quotas and cold leafs came to their bounds, calls elsewhere while an
+// evacuation was judged, and requests with withdrawn keys that were judged.
+func (h *history) restrictionCoverage() []any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	busiestQuota, _ := h.busiestQuotaWindow()
+	busiestCold := 0
+	for _, p := range h.coldPeriods {
+		n, _ := h.busiestColdSecond(p)
+		busiestCold = max(busiestCold, n)
+	}
+	callsElsewhere, withdrawnKeys := 0, 0
+	for _, a := range h.calls {
+		if slices.ContainsFunc(h.evacuations, func(e evacuation) bool { return h.judgesEvacuation(e, a.ReceivedAt) }) {
+			callsElsewhere++
+		}
+	}
+	for _, q := range h.sent {
+		if q.route != routeLine && h.keyWas(q, false, revocationBound) && h.isStable(q.vm, q.sentAt, q.endedAt) {
+			withdrawnKeys++
+		}
+	}
+	return []any{
+		"quota-window", busiestQuota, "cold-second", busiestCold, "cold-periods", len(h.coldPeriods),
+		"calls-in-evacuations", callsElsewhere, "withdrawn-keys", withdrawnKeys,
+	}
+}
+
+// judgesEvacuation reports whether a call at a time may not reach the evacuated data centre.
+func (h *history) judgesEvacuation(e evacuation, at time.Time) bool {
+	return at.Sub(e.confirmedAt) > evacuationBound.Duration() && at.Before(e.removalStartedAt) && h.isStable(anyVM, at, at)
+}
+
 // keyWas reports whether all versions that a VM may use for a request have its key, or lack
 // it: the last one that was confirmed before the bound, and all that were written since.
 func (h *history) keyWas(q *request, valid bool, bound tier.Millis) bool {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -157,9 +157,25 @@
 	}
 	s.group.Go(func() error { return s.monitor(ctx) })
 	start := time.Now()
-	var injections sync.WaitGroup
 	plan := makePlan(s.seed, s.faultCount, len(s.vms), len(s.leafs), s.faultPeriod)
-	plan = append(plan, makeOperations(s.seed, len(s.leafs), s.faultPeriod)...)
+	s.injectAll(ctx, append(plan, makeOperations(s.seed, 1, len(s.leafs), s.faultPeriod)...))
+	s.log.Info("the last fault is over", "after", time.Since(start).Round(time.Millisecond))
+	s.history.update(func() { s.history.lastFaultEnd = time.Now() })
+	if !s.timed {
+		sleep(ctx, untimedEndPeriod)
+		return nil
+	}
+	var end sync.WaitGroup
+	end.Go(func() { sleep(ctx, recoveryPeriod) })
+	s.injectAll(ctx, makeOperations(s.seed, 2, len(s.leafs), calmPeriod))
+	end.Wait()
+	return nil
+}
+
+// injectAll injects the faults of a plan, and waits until all have ended.
+func (s *Soak) injectAll(ctx context.Context, plan []step) {
+	start := time.Now()
+	var injections sync.WaitGroup
 	for _, t := range plan {
 		injections.Go(func() {
 			sleep(ctx, t.at-tier.Millis(time.Since(start).Milliseconds()))
@@ -169,14 +185,6 @@
 		})
 	}
 	injections.Wait()
-	s.log.Info("the last fault is over", "after", time.Since(start).Round(time.Millisecond))
-	s.history.update(func() { s.history.lastFaultEnd = time.Now() })
-	if s.timed {
-		s.operateCalmVMs(ctx)
-	} else {
-		sleep(ctx, untimedEndPeriod)
-	}
-	return nil
 }
 
 // awaitReady waits until all VMs are ready.
@@ -222,6 +230,7 @@
 }
 
 func (s *Soak) result() Result {
+	s.log.Info("judged", s.history.restrictionCoverage()...)
 	r := Result{Violations: s.history.runChecks(s.timed), Faults: s.faultCount}
 	for _, q := range s.history.sent {
 		r.Requests++
