--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -156,9 +156,27 @@
 		s.group.Go(func() error { return s.runCaller(ctx, i) })
 	}
 	s.group.Go(func() error { return s.monitor(ctx) })
+	start := time.Now()
+	plan := makePlan(s.seed, s.faultCount, len(s.vms), len(s.leafs), s.faultPeriod)
+	s.injectAll(ctx, append(plan, makeOperations(s.seed, 1, len(s.leafs), s.faultPeriod)...))
+	s.log.Info("the last fault is over", "after", time.Since(start).Round(time.Millisecond))
+	s.history.update(func() { s.history.lastFaultEnd = time.Now() })
+	if !s.timed {
+		sleep(ctx, untimedEndPeriod)
+		return nil
+	}
+	var end sync.WaitGroup
+	end.Go(func() { sleep(ctx, recoveryPeriod) })
+	s.injectAll(ctx, makeOperations(s.seed, 2, len(s.leafs), calmPeriod))
+	end.Wait()
+	return nil
+}
+
+// injectAll injects the faults of a plan, and waits until all have ended.
+func (s *Soak) injectAll(ctx context.Context, plan []step) {
 	start := time.Now()
 	var injections sync.WaitGroup
-	for _, t := range makePlan(s.seed, s.faultCount, len(s.vms), len(s.leafs), s.faultPeriod) {
+	for _, t := range plan {
 		injections.Go(func() {
 			sleep(ctx, t.at-tier.Millis(time.Since(start).Milliseconds()))
 			if err := s.inject(ctx, t); err != nil {
@@ -167,14 +185,6 @@
 		})
 	}
 	injections.Wait()
-	s.log.Info("the last fault is over", "after", time.Since(start).Round(time.Millisecond))
-	s.history.update(func() { s.history.lastFaultEnd = time.Now() })
-	if s.timed {
-		sleep(ctx, recoveryPeriod)
-	} else {
-		sleep(ctx, untimedEndPeriod)
-	}
-	return nil
 }
 
 // awaitReady waits until all VMs are ready.
@@ -220,6 +230,7 @@
 }
 
 func (s *Soak) result() Result {
+	s.log.Info("judged", s.history.restrictionCoverage()...)
 	r := Result{Violations: s.history.runChecks(s.timed), Faults: s.faultCount}
 	for _, q := range s.history.sent {
 		r.Requests++
@@ -304,7 +315,7 @@
 		f := &leaf{number: i, zone: zoneNames[(i+i/len(services))%len(zoneNames)]}
 		f.listen = fmt.Sprintf("%s.200:%d", s.subnet(), 9000+i)
 		f.link = relay.NewLink(fmt.Sprintf("leaf-%d", i), "vms", "leaf", f.listen, target, relay.NewCondition(relay.CutNone, 0, false))
-		f.replaceInstance(s.newInstance(service))
+		f.replaceInstance(s.newInstance(f.zone, service))
 		if err := s.serve(ctx, target, f); err != nil {
 			return err
 		}
