Pass reports on to the accountant that others don't reach

Cause: VMs that do not reach an accountant report to its successor. While other VMs still reach the first one, both admitted the whole rate: 269 to 283 requests in a window of 173. Change: a VM that gets reports on an organisation whose account, as it believes, another VM keeps adds them to its own reports and answers with the level that it knows.

--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -183,10 +183,20 @@
 
 // quotaTerms are what this VM knows of the accounts that it keeps. The caller holds the lock.
 func (e *Entry) quotaTerms(now tier.Millis) accountant.Terms {
-	reached := len(e.candidates(now))
+	candidates := e.candidates(now)
+	reached := len(candidates)
 	all := e.scheduler.Partitioner().LargeCount()
 	return accountant.NewTerms(e.quotaOf, e.quotas.since, float64(reached)/float64(max(all, reached, 1)),
-		func(organisation string) (accountant.Level, bool) { return e.quotas.reporter.Last(now, organisation) })
+		func(organisation string) (accountant.Level, bool) { return e.quotas.reporter.Last(now, organisation) }).
+		PassedOn(func(u accountant.Usage, repeated bool) (accountant.Level, bool) {
+			name, ok := accountantOf(candidates)(u.Organisation())
+			q, known := e.quotaOf(u.Organisation())
+			if !ok || !known || name == e.scheduler.Partitioner().Self().VM().Name() {
+				return accountant.Level{}, false
+			}
+			e.wakeReports()
+			return e.quotas.reporter.Forward(now, u, q, repeated)
+		})
 }
 
 // RunQuotaReports reports the requests of organisations that this VM has admitted to the VMs that
--- a/tier/accountant/fleet_test.go
+++ b/tier/accountant/fleet_test.go
@@ -133,7 +133,13 @@
 
 func (f *fleet) terms(v *vm) Terms {
 	return NewTerms(func(string) (Quota, bool) { return v.quota, true }, v.since, f.part(v),
-		func(organisation string) (Level, bool) { return v.reporter.Last(f.now, organisation) })
+		func(organisation string) (Level, bool) { return v.reporter.Last(f.now, organisation) }).
+		PassedOn(func(u Usage, repeated bool) (Level, bool) {
+			if name, ok := f.accountantOf(v)(u.Organisation()); !ok || name == v.name {
+				return Level{}, false
+			}
+			return v.reporter.Forward(f.now, u, v.quota, repeated)
+		})
 }
 
 func (f *fleet) byName(name string) *vm {
@@ -194,6 +200,7 @@
 			return
 		}
 		levels := to.ledger.Report(f.now, r, f.terms(to))
+		f.report(to) // what it passes on
 		f.after(f.oneWay(v, to), func() {
 			if answered || v.reporter != reporter || !f.reaches(v, to) {
 				return
--- a/tier/accountant/ledger.go
+++ b/tier/accountant/ledger.go
@@ -78,6 +78,15 @@
 	since tier.Millis
 	part  float64
 	heard func(organisation string) (Level, bool)
+	pass  func(u Usage, repeated bool) (Level, bool)
+}
+
+// PassedOn returns the terms with a function that passes on a usage if this VM believes that
+// another one keeps the account, and returns what is known of its level. VMs that don't reach
+// the accountant report to its successor: both would admit the whole rate.
+func (t Terms) PassedOn(pass func(u Usage, repeated bool) (Level, bool)) Terms {
+	t.pass = pass
+	return t
 }
 
 // NewTerms returns terms. quota returns the quota of an organisation of the configuration in
@@ -100,6 +109,12 @@
 			delete(l.buckets, u.organisation)
 			continue
 		}
+		if terms.pass != nil {
+			if level, passed := terms.pass(u, repeated); passed {
+				levels = append(levels, level)
+				continue
+			}
+		}
 		b := l.bucket(now, u.organisation, q, terms)
 		b.reporters[r.name] = now
 		b.reportedAt = now
--- a/tier/accountant/reporter.go
+++ b/tier/accountant/reporter.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// Forward adds the usage of a VM that does not reach the accountant to this VM's own, and returns
+// what it knows of the level. It reports false if no accountant answers this VM either.
+func (r *Reporter) Forward(now tier.Millis, u Usage, q Quota, repeated bool) (Level, bool) {
+	a := r.account(now, u.organisation, q)
+	if a.alone {
+		return Level{}, false
+	}
+	if !repeated {
+		a.unreported += u.requests
+		a.refused += u.refused
+		a.wanted = true
+	}
+	// The accountant counts this VM alone, so there is one more at least.
+	return NewLevel(u.organisation, min(r.room(now, a), r.bound.capacity(q)), a.vms+1, a.demand, 0), true
+}
+
 // learn records a level that was told at or after a time.
 func (r *Reporter) learn(at tier.Millis, a *account, level Level) {
 	a.level, a.levelAt, a.known, a.vms, a.demand = level.tokens, at, true, level.vms, level.demand
