Name rate owners and delay reports by what they are

Cause: keepers and tips are no terms of the field (review). Result: tests of searcher, balancer and partitioner pass; nothing else changes.

--- a/cicadagraded/entry/balance.go
+++ b/cicadagraded/entry/balance.go
@@ -65,7 +65,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var list []*gatherv1.LeafDelay
-	for _, t := range e.scheduler.Balancer().Tips(e.clock.Now()) {
+	for _, t := range e.scheduler.Balancer().DelayReports(e.clock.Now()) {
 		list = append(list, &gatherv1.LeafDelay{Leaf: t.LeafID(), DelayMs: t.DelayMs(), AgeMs: int64(t.Age()), Slow: t.Slow()})
 	}
 	return list
@@ -76,13 +76,13 @@
 	if len(list) == 0 {
 		return
 	}
-	tips := make([]balancer.Tip, 0, len(list))
+	reports := make([]balancer.DelayReport, 0, len(list))
 	for _, d := range list {
-		tips = append(tips, balancer.NewTip(d.GetLeaf(), d.GetDelayMs(), d.GetSlow(), tier.Millis(d.GetAgeMs())))
+		reports = append(reports, balancer.NewDelayReport(d.GetLeaf(), d.GetDelayMs(), d.GetSlow(), tier.Millis(d.GetAgeMs())))
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.scheduler.Balancer().HeardTips(e.clock.Now(), tips)
+	e.scheduler.Balancer().HeardDelayReports(e.clock.Now(), reports)
 }
 
 // unevenInterval is the interval of the log lines on services whose leafs differ.
--- a/tier/balancer/even_test.go
+++ b/tier/balancer/even_test.go
@@ -141,7 +141,7 @@
 	})
 }
 
-// fetch makes a VM copy views, with which tips travel both ways: large VMs copy from the first one,
+// fetch makes a VM copy views, with which delay reports travel both ways: large VMs copy from the first one,
 // and small ones from a large one of their data centre.
 func (r *evenRun) fetch(vm int) {
 	pauseMs, from := 450.0, vm%largeVMs
@@ -150,8 +150,8 @@
 	}
 	r.after(pauseMs+100*r.random.Float64(), func() {
 		p, q := r.pickers[vm].b, r.pickers[from].b
-		q.HeardTips(r.now, p.Tips(r.now))
-		p.HeardTips(r.now, q.Tips(r.now))
+		q.HeardDelayReports(r.now, p.DelayReports(r.now))
+		p.HeardDelayReports(r.now, q.DelayReports(r.now))
 		r.fetch(vm)
 	})
 }
--- a/tier/partitioner/keepers.go
+++ b/tier/partitioner/rateowners.go
@@ -5,11 +5,11 @@
 	"slices"
 )
 
-// Keepers lists the VMs, at most count, that share a rate among themselves, by rendezvous hash
+// RateOwners lists the VMs, at most count, that share a rate among themselves, by rendezvous hash
 // of a key: large VMs of a region, in a data centre that is preferred if there are such, or of all
 // regions if the region has none. Suspected VMs are included, so that all VMs that have read the
-// same list have the same keepers.
-func (p *Partitioner) Keepers(key, region string, preferred func(dataCentre string) bool, count int) []Member {
+// same list have the same rate owners.
+func (p *Partitioner) RateOwners(key, region string, preferred func(dataCentre string) bool, count int) []Member {
 	list := p.large(region, true)
 	if len(list) == 0 {
 		for _, other := range append(p.otherRegions(), p.self.region) {
--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -10,13 +10,13 @@
 )
 
 // Shares of the requests that a cold leaf takes from all VMs. A share of less than one request a
-// second still allows one call at any time, so few VMs have one, the keepers of the leaf. They are
+// second still allows one call at any time, so few VMs have one, the rate owners of the leaf. They are
 // found by hash from the list of VMs, and the others pass requests on to them.
 const (
-	// coldUse is the part of the rate that the keepers use together.
+	// coldUse is the part of the rate that the rate owners use together.
 	coldUse = 0.8
-	// maxKeepers is the number of keepers, so that half of the rate is left if one fails.
-	maxKeepers = 2
+	// maxRateOwners is the number of rate owners, so that half of the rate is left if one fails.
+	maxRateOwners = 2
 	// ownerColdShare is the part of coldUse of the VM that owns a shard. The next one
 	// stands in for it.
 	ownerColdShare = 0.85
@@ -28,18 +28,18 @@
 	staleFactor = 0.5
 	// minColdUse is used even if the bound allows less: a leaf that gets nothing is of no use.
 	minColdUse = 0.3
-	// keeperGrace is how long a VM must have been registered before it is a keeper. All others
+	// rateOwnerGrace is how long a VM must have been registered before it is a rate owner. All others
 	// have read of it by then: views are up to 2.5 s old.
-	keeperGrace = 3500 * tier.Millisecond
+	rateOwnerGrace = 3500 * tier.Millisecond
 	// restartGrace takes its place for a VM that was on the list before it started. Calls of
 	// its former process and its own then are not within the same second.
 	restartGrace = 1250 * tier.Millisecond
-	// keeperCacheTTL bounds the age of the lists of keepers.
-	keeperCacheTTL = 200 * tier.Millisecond
-	// maxKeepersAsked is how many keepers in turn may get a part. Each may decline or fail.
-	maxKeepersAsked = 2
-	// keeperRetryAfter is when a caller may come back whose request a keeper could not send.
-	keeperRetryAfter = 1 * tier.Second
+	// rateOwnerCacheTTL bounds the age of the lists of rate owners.
+	rateOwnerCacheTTL = 200 * tier.Millisecond
+	// maxRateOwnersAsked is how many rate owners in turn may get a part. Each may decline or fail.
+	maxRateOwnersAsked = 2
+	// rateOwnerRetryAfter is when a caller may come back whose request a rate owner could not send.
+	rateOwnerRetryAfter = 1 * tier.Second
 )
 
 // coldReason is why a part is lost of whose service this VM may call no leaf, as all are cold. For
@@ -53,17 +53,17 @@
 	listed         bool                            // this VM was on the list before it registered
 	stale          bool                            // the view is old
 	held           int64                           // calls that the rates of cold leafs have held back
-	keepers        map[string][]partitioner.Member // by id of the leaf, since keepersAt
-	keepersAt      tier.Millis
+	rateOwners     map[string][]partitioner.Member // by id of the leaf, since rateOwnersAt
+	rateOwnersAt   tier.Millis
 }
 
 // LimitCold makes cold leafs of services that name a rate get no more than that. The bound on
 // requests in a second is a multiple of the rate, and a number besides.
 func (sc *Scheduler) LimitCold(serviceOf func(name string) router.Service, overage, slack float64) {
-	if sc.cold.keepers == nil {
+	if sc.cold.rateOwners == nil {
 		sc.cold.registeredAt = never
 	}
-	sc.cold.overage, sc.cold.slack, sc.cold.keepers = overage, slack, map[string][]partitioner.Member{}
+	sc.cold.overage, sc.cold.slack, sc.cold.rateOwners = overage, slack, map[string][]partitioner.Member{}
 	sc.balancer.LimitCold(serviceOf, sc.coldShare)
 }
 
@@ -74,7 +74,7 @@
 	case !registered:
 		sc.cold.registeredAt = never
 	case sc.cold.registeredAt == never && sc.cold.listed:
-		sc.cold.registeredAt = now + restartGrace - keeperGrace
+		sc.cold.registeredAt = now + restartGrace - rateOwnerGrace
 	case sc.cold.registeredAt == never:
 		sc.cold.registeredAt = now
 	}
@@ -87,12 +87,12 @@
 // HeldByCold is the number of calls that the rates of cold leafs have held back.
 func (sc *Scheduler) HeldByCold() int64 { return sc.cold.held }
 
-// coldUses returns the number of keepers of a cold leaf and the part of its rate that they use
+// coldUses returns the number of rate owners of a cold leaf and the part of its rate that they use
 // together, so that those of two views, one of them old, stay within the bound: each may
 // send one call beyond its rate.
 func (sc *Scheduler) coldUses(perSecond float64) (int, float64) {
 	bound := max(sc.cold.overage, 1)*perSecond + sc.cold.slack
-	for count := maxKeepers; ; count-- {
+	for count := maxRateOwners; ; count-- {
 		use := (bound - float64(2*count)) / ((1 + staleFactor) * coldSpan * perSecond)
 		if use >= coldUse || count == 1 {
 			return count, min(coldUse, max(minColdUse, use))
@@ -100,40 +100,40 @@
 	}
 }
 
-// coldKeepers lists the keepers of a cold leaf.
-func (sc *Scheduler) coldKeepers(now tier.Millis, leaf lister.Leaf, count int) []partitioner.Member {
-	if now-sc.cold.keepersAt >= keeperCacheTTL {
-		clear(sc.cold.keepers)
-		sc.cold.keepersAt = now
+// coldRateOwners lists the rate owners of a cold leaf.
+func (sc *Scheduler) coldRateOwners(now tier.Millis, leaf lister.Leaf, count int) []partitioner.Member {
+	if now-sc.cold.rateOwnersAt >= rateOwnerCacheTTL {
+		clear(sc.cold.rateOwners)
+		sc.cold.rateOwnersAt = now
 	}
-	if list, ok := sc.cold.keepers[leaf.ID()]; ok {
+	if list, ok := sc.cold.rateOwners[leaf.ID()]; ok {
 		return list
 	}
 	key, preferred := leaf.ID(), func(string) bool { return true }
 	if sc.isShard(leaf.Service()) {
-		// The first keeper is the owner of the shard, which gets the requests anyway.
+		// The first rate owner is the owner of the shard, which gets the requests anyway.
 		key, preferred = leaf.Service(), func(dataCentre string) bool { return dataCentre == leaf.DataCentre() }
 	}
-	list := sc.partitioner.Keepers(key, sc.regionOf(leaf.DataCentre()), preferred, count)
-	sc.cold.keepers[leaf.ID()] = list
+	list := sc.partitioner.RateOwners(key, sc.regionOf(leaf.DataCentre()), preferred, count)
+	sc.cold.rateOwners[leaf.ID()] = list
 	return list
 }
 
 // coldShare is this VM's share of the requests that a cold leaf takes, or 0.
 func (sc *Scheduler) coldShare(now tier.Millis, leaf lister.Leaf) float64 {
-	if sc.cold.registeredAt == never || now-sc.cold.registeredAt < keeperGrace {
+	if sc.cold.registeredAt == never || now-sc.cold.registeredAt < rateOwnerGrace {
 		return 0
 	}
 	count, share := sc.coldUses(sc.balancer.ColdRate(leaf))
-	keepers := sc.coldKeepers(now, leaf, count)
+	rateOwners := sc.coldRateOwners(now, leaf, count)
 	self := sc.partitioner.Self().VM().Name()
-	rank := slices.IndexFunc(keepers, func(m partitioner.Member) bool { return m.VM().Name() == self })
+	rank := slices.IndexFunc(rateOwners, func(m partitioner.Member) bool { return m.VM().Name() == self })
 	switch {
 	case rank < 0:
 		return 0
-	case len(keepers) == 1:
+	case len(rateOwners) == 1:
 	case !sc.isShard(leaf.Service()):
-		share /= float64(len(keepers))
+		share /= float64(len(rateOwners))
 	case rank == 0:
 		share *= ownerColdShare
 	default:
@@ -145,9 +145,9 @@
 	return share
 }
 
-// keepersToAsk lists other VMs, not suspected and not yet asked, that are keepers of the cold leafs
+// rateOwnersToAsk lists other VMs, not suspected and not yet asked, that are rate owners of the cold leafs
 // of a part's service which this VM may not call.
-func (s *Search) keepersToAsk(now tier.Millis, partIndex int) []partitioner.Member {
+func (s *Search) rateOwnersToAsk(now tier.Millis, partIndex int) []partitioner.Member {
 	sc := s.scheduler
 	asked := func(name string) bool {
 		return slices.ContainsFunc(s.shares, func(sh share) bool { return sh.member.VM().Name() == name && slices.Contains(sh.parts, partIndex) })
@@ -158,7 +158,7 @@
 			continue
 		}
 		count, _ := sc.coldUses(sc.balancer.ColdRate(leaf))
-		for _, m := range sc.coldKeepers(now, leaf, count) {
+		for _, m := range sc.coldRateOwners(now, leaf, count) {
 			name := m.VM().Name()
 			if name != sc.partitioner.Self().VM().Name() && !sc.partitioner.Suspected(name) && !asked(name) && mayGo(m.Region(), s.terms.regions) {
 				list = append(list, m)
@@ -168,23 +168,23 @@
 	return list
 }
 
-// askKeeper has a keeper of a cold leaf query a part, if this VM may call no leaf of its service
-// that could answer. Sweeps go to the keepers of their shards anyway. It reports whether a
-// keeper is asked.
-func (s *Search) askKeeper(now tier.Millis, partIndex int, actions []Action) ([]Action, bool) {
+// askRateOwner has a rate owner of a cold leaf query a part, if this VM may call no leaf of its service
+// that could answer. Sweeps go to the rate owners of their shards anyway. It reports whether a
+// rate owner is asked.
+func (s *Search) askRateOwner(now tier.Millis, partIndex int, actions []Action) ([]Action, bool) {
 	p, sc := &s.parts[partIndex], s.scheduler
 	used := p.ranCalls + p.inFlight
-	if s.terms.flushes || p.inFlight > 0 || p.keepersAsked >= maxKeepersAsked || used >= s.terms.maxAttempts || sc.isShard(p.service) {
+	if s.terms.flushes || p.inFlight > 0 || p.rateOwnersAsked >= maxRateOwnersAsked || used >= s.terms.maxAttempts || sc.isShard(p.service) {
 		return actions, false
 	}
-	list := s.keepersToAsk(now, partIndex)
+	list := s.rateOwnersToAsk(now, partIndex)
 	if len(list) == 0 {
 		return actions, false
 	}
 	sc.cold.held++
-	p.keepersAsked++
+	p.rateOwnersAsked++
 	p.shareIndex, p.hedgeAt, p.retryAt = len(s.shares), never, never
-	s.retryAfter = max(s.retryAfter, keeperRetryAfter)
+	s.retryAfter = max(s.retryAfter, rateOwnerRetryAfter)
 	s.shares = append(s.shares, share{
 		member: list[int(sc.random()*float64(len(list)))%len(list)], parts: []int{partIndex},
 		second: true, repeated: p.nextIsExtra, attempts: s.terms.maxAttempts - used,
--- a/tier/searcher/cold_test.go
+++ b/tier/searcher/cold_test.go
@@ -18,12 +18,12 @@
 //	                             registers at AT and is cold for FOR; each VM hears of it at
 //	                             an age of its view, up to oldestView
 //	turns-cold ID AT FOR         it registers again, with that remaining time
-//	kill ID AT                   the first keeper of the leaf dies; its registration lapses
+//	kill ID AT                   the first rate owner of the leaf dies; its registration lapses
 //	replace ID AT                the same, and a VM with another name starts 500 ms later
 //	restart ID AT                the same, and it starts again under its name
 //	restart-all AT               all VMs start again after 500 ms, under their names
 //	join REGION COUNT AT         VMs start
-//	cut ID AT                    the keepers of the leaf lose their links to the store and VMs
+//	cut ID AT                    the rate owners of the leaf lose their links to the store and VMs
 //	within-bound FROM UNTIL ID ...  checks each second in that time for these leafs
 //	cold-used ID SHARE FROM UNTIL   the leaf gets at least that share of its rate
 //	rises ID FROM                within four seconds, calls rise to those of a warm leaf, and
@@ -77,7 +77,7 @@
 		leaf := f.leafNamed(words[1])
 		f.at(ms(2), func() { f.register(leaf, ms(3)) })
 	case "kill", "replace", "restart":
-		f.at(ms(2), func() { f.killKeeper(f.leafNamed(words[1]), words[0]) })
+		f.at(ms(2), func() { f.killRateOwner(f.leafNamed(words[1]), words[0]) })
 	case "restart-all":
 		f.at(ms(1), func() {
 			for _, v := range f.vms {
@@ -92,7 +92,7 @@
 			}
 		})
 	case "cut":
-		f.at(ms(2), func() { f.cutKeepers(f.leafNamed(words[1])) })
+		f.at(ms(2), func() { f.cutRateOwners(f.leafNamed(words[1])) })
 	case "within-bound":
 		for _, id := range words[3:] {
 			f.checkBound(f.leafNamed(id), ms(1), ms(2))
@@ -185,16 +185,16 @@
 	}, coldOverage, coldSlack)
 	registeredAt := f.now
 	if f.now == 0 {
-		registeredAt = -keeperGrace
+		registeredAt = -rateOwnerGrace
 	}
 	v.scheduler.SetListed(v.restarted)
 	v.scheduler.SetContact(registeredAt, 2*v.cores >= most, false)
 }
 
-// keepers lists the VMs that a live VM takes for keepers of a leaf.
-func (f *fleet) keepers(leaf *fleetLeaf) []*fleetVM {
+// rate owners lists the VMs that a live VM takes for rate owners of a leaf.
+func (f *fleet) rateOwners(leaf *fleetLeaf) []*fleetVM {
 	var list []*fleetVM
-	for _, m := range f.vms[0].scheduler.coldKeepers(f.now, leaf.registered.Leaf(), maxKeepers) {
+	for _, m := range f.vms[0].scheduler.coldRateOwners(f.now, leaf.registered.Leaf(), maxRateOwners) {
 		for _, v := range f.vms {
 			if v.name == m.VM().Name() {
 				list = append(list, v)
@@ -228,8 +228,8 @@
 	}
 }
 
-func (f *fleet) killKeeper(leaf *fleetLeaf, how string) {
-	v := f.keepers(leaf)[0]
+func (f *fleet) killRateOwner(leaf *fleetLeaf, how string) {
+	v := f.rateOwners(leaf)[0]
 	f.kill(v)
 	if how == "restart" {
 		f.startAgain(v)
@@ -251,9 +251,9 @@
 	})
 }
 
-// cutKeepers makes all other VMs lose the keepers of a leaf, which go on.
-func (f *fleet) cutKeepers(leaf *fleetLeaf) {
-	for _, v := range f.keepers(leaf) {
+// cutRateOwners makes all other VMs lose the rate owners of a leaf, which go on.
+func (f *fleet) cutRateOwners(leaf *fleetLeaf) {
+	for _, v := range f.rateOwners(leaf) {
 		v.cut = true
 		f.at(f.now+oldestView, func() { v.scheduler.SetContact(f.now, true, true) })
 		f.lapse(v)
@@ -324,17 +324,17 @@
 	}
 }
 
-// TestKeepersOfFormerLeafsAreForgotten guards against memory that grows with each cold leaf that
+// TestRateOwnersOfFormerLeafsAreForgotten guards against memory that grows with each cold leaf that
 // there has ever been.
-func TestKeepersOfFormerLeafsAreForgotten(t *testing.T) {
+func TestRateOwnersOfFormerLeafsAreForgotten(t *testing.T) {
 	f := newFleet(t)
 	f.play(strings.Fields("vms serra 1"))
 	sc := f.vms[0].scheduler
 	sc.LimitCold(func(name string) router.Service { return router.NewService(name, tier.Minute, 4) }, 1.5, 5)
 	for i := range 100 {
-		sc.coldKeepers(tier.Millis(i)*keeperCacheTTL, lister.NewLeaf(fmt.Sprint("c-", i), "contas", "a:1", lister.InDataCentre("serra")), 1)
+		sc.coldRateOwners(tier.Millis(i)*rateOwnerCacheTTL, lister.NewLeaf(fmt.Sprint("c-", i), "contas", "a:1", lister.InDataCentre("serra")), 1)
 	}
-	if n := len(sc.cold.keepers); n != 1 {
-		t.Errorf("the keepers of %d leafs are kept", n)
+	if n := len(sc.cold.rateOwners); n != 1 {
+		t.Errorf("the rateOwners of %d leafs are kept", n)
 	}
 }
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -20,30 +20,30 @@
 
 // part is the state of one service in a search.
 type part struct {
-	service      string
-	reply        any
-	arrived      bool
-	lost         bool        // no reply can arrive any more
-	tried        []string    // ids of the leafs that were called
-	inFlight     int         // calls that have not ended
-	ranCalls     int         // ended calls that may have run
-	notRunCalls  int         // ended calls that did not run
-	hedgeAt      tier.Millis // when to send a hedge, or never
-	retryAt      tier.Millis // when to send again or, if queued, to look for capacity; or never
-	failureReply any
-	nextIsExtra  bool // a first call was made, or may have been made by another VM
-	counted      bool // the retry budget has counted the request
-	shareIndex   int  // the share that it belongs to, or noShare
-	flushed      bool // handed on by a Flush
-	queued       bool // it waits for a leaf with capacity
-	queuedAt     tier.Millis
-	pastTarget   bool   // it arrived after the target time
-	handOvers    int    // how often it was handed over to another VM
-	keepersAsked int    // how often a keeper of a cold leaf got it
-	mayHaveRun   bool   // another VM that had it may have made calls
-	held         bool   // it is not sent until a leaf has answered the request
-	lossReason   string // why it was marked as lost
-	hedgeDenied  string // why the last hedge was not sent
+	service         string
+	reply           any
+	arrived         bool
+	lost            bool        // no reply can arrive any more
+	tried           []string    // ids of the leafs that were called
+	inFlight        int         // calls that have not ended
+	ranCalls        int         // ended calls that may have run
+	notRunCalls     int         // ended calls that did not run
+	hedgeAt         tier.Millis // when to send a hedge, or never
+	retryAt         tier.Millis // when to send again or, if queued, to look for capacity; or never
+	failureReply    any
+	nextIsExtra     bool // a first call was made, or may have been made by another VM
+	counted         bool // the retry budget has counted the request
+	shareIndex      int  // the share that it belongs to, or noShare
+	flushed         bool // handed on by a Flush
+	queued          bool // it waits for a leaf with capacity
+	queuedAt        tier.Millis
+	pastTarget      bool   // it arrived after the target time
+	handOvers       int    // how often it was handed over to another VM
+	rateOwnersAsked int    // how often a rate owner of a cold leaf got it
+	mayHaveRun      bool   // another VM that had it may have made calls
+	held            bool   // it is not sent until a leaf has answered the request
+	lossReason      string // why it was marked as lost
+	hedgeDenied     string // why the last hedge was not sent
 }
 
 // noShare marks a part that this VM queries itself.
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -32,7 +32,7 @@
 	}
 	leaf, _, found := s.pickLeaf(now, p, true)
 	if !found {
-		if asked, ok := s.askKeeper(now, partIndex, actions); ok {
+		if asked, ok := s.askRateOwner(now, partIndex, actions); ok {
 			return asked
 		}
 		leaf, _, found = s.pickLeaf(now, p, false)
