--- a/cicadagraded/entry/balance.go
+++ b/cicadagraded/entry/balance.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/platform"
@@ -91,21 +90,14 @@
 // RunUnevenLog logs the services to whose slowest leaf this VM sends calls although another one
 // is much faster, until ctx ends.
 func (e *Entry) RunUnevenLog(ctx context.Context) error {
-	ticker := time.NewTicker(unevenInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, unevenInterval, func() {
 		e.mu.Lock()
 		list := e.scheduler.Balancer().TakeUneven(e.clock.Now())
 		e.mu.Unlock()
 		if len(list) > 0 {
 			e.log.RateLimitedInfo("leaf-load-uneven", "services", len(list), "leafs", describeUneven(list))
 		}
-	}
+	})
 }
 
 // maxUneven is how many services one line names.
--- a/cicadagraded/entry/evacuation.go
+++ b/cicadagraded/entry/evacuation.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -120,23 +119,16 @@
 		<-ctx.Done()
 		return nil
 	}
-	ticker := time.NewTicker(evacuationInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, evacuationInterval, func() {
 		e.mu.Lock()
 		if !e.scheduler.Lister().Evacuating() {
 			e.mu.Unlock()
-			continue
+			return
 		}
 		changes := e.tickLeafs()
 		e.mu.Unlock()
 		e.reportLeafs(changes)
-	}
+	})
 }
 
 // retryAfter is when a caller may repeat a request that was not run. The second result is false if
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -243,21 +243,14 @@
 // once they answer, and the gateways to other regions, to keep connections to them open. It
 // runs until ctx ends.
 func (e *Entry) RunProbes(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, probeInterval, func() {
 		e.mu.Lock()
 		due := append(e.scheduler.Partitioner().Probes(e.clock.Now()), e.scheduler.Partitioner().IdleGateways(e.clock.Now())...)
 		e.mu.Unlock()
 		for _, m := range due {
 			e.background.Go(func() { e.probe(ctx, m) })
 		}
-	}
+	})
 }
 
 // probe pings a VM. If it takes shares, it is no longer suspected to have failed.
--- a/cicadagraded/entry/limits.go
+++ b/cicadagraded/entry/limits.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"cicadagrade.example/cicadagraded/leafclient"
 	"cicadagrade.example/platform"
@@ -54,14 +53,7 @@
 // RunLimitLog logs how many calls this VM sends to leafs that limit their requests, until
 // ctx ends.
 func (e *Entry) RunLimitLog(ctx context.Context) error {
-	ticker := time.NewTicker(limitUseInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, limitUseInterval, func() {
 		e.logColdChanges()
 		e.mu.Lock()
 		uses := e.scheduler.Balancer().TakeLimitUse()
@@ -69,7 +61,7 @@
 		if calls := describeLimitUse(uses); calls != "" {
 			e.log.RateLimitedInfo("leaf-limit-use", "calls", calls)
 		}
-	}
+	})
 }
 
 // maxLimitUses is how many leafs one line on calls to limited leafs names.
--- a/cicadagraded/entry/links.go
+++ b/cicadagraded/entry/links.go
@@ -21,16 +21,7 @@
 // RunLinkSurveys finds out, when calls to leafs get no replies, whether this VM has lost its
 // links to them, and when they are back, until ctx ends.
 func (e *Entry) RunLinkSurveys(ctx context.Context) error {
-	ticker := time.NewTicker(surveyCheckInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			e.surveyLinks(ctx)
-		}
-	}
+	return every(ctx, surveyCheckInterval, func() { e.surveyLinks(ctx) })
 }
 
 // surveyLinks opens connections to some leafs, if that is due.
