--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -39,6 +39,8 @@
 	table            inForce
 	keySecret        []byte       // of the authenticators
 	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
+	reading          reading      // how the reads of the view go
+	turns            turns        // how long goroutines wait for the processor
 	registered       atomic.Bool  // this VM's registration is in the store
 	storeUnreachable atomic.Bool  // the last read of the store failed
 	isolated         atomic.Bool  // neither the store nor any other VM answers
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -28,6 +28,7 @@
 		{"cicadagrade.entry.isolated", "1 if neither the store nor any other VM answers", func(e *Entry) int64 { return boolToInt(e.isolated.Load()) }},
 		{"cicadagrade.entry.configuration.version", "version of the configuration in force, 0 if there is none", (*Entry).configurationVersion},
 		{"cicadagrade.entry.view.age", "time since the store last answered this VM or the one that sent the view, in milliseconds", func(e *Entry) int64 { return int64(e.viewAge()) }},
+		{"cicadagrade.entry.turn.wait", "longest wait of a ready goroutine for its turn on the processor in the last second or two, in milliseconds", func(e *Entry) int64 { return int64(e.turns.wait(e.clock.Now())) }},
 		{"cicadagrade.entry.view.revision", "revision of the store up to which the VM has read", withLock(func(e *Entry) int64 { return e.relayer.Revision() })},
 		{"cicadagrade.entry.leafs", "registrations of leafs, usable or not", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().Len()) })},
 		{"cicadagrade.entry.leafs.usable", "leafs that can be called", withLock(func(e *Entry) int64 { return int64(e.scheduler.Lister().UsableCount()) })},
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -41,10 +41,14 @@
 		e.mu.Unlock()
 		if pause, ok := source.(refresher.Pause); ok {
 			e.finishRefresh(pause.Stale)
+			e.logViewAge(e.viewAge())
 			sleep(ctx, pause.For)
 			continue
 		}
+		began := e.clock.Now()
+		e.reading.begin(source)
 		age, err := e.readFrom(ctx, source)
+		e.reading.end(source, e.clock.Now()-began, err)
 		e.mu.Lock()
 		switch {
 		case errors.Is(err, errNoView):
--- /dev/null
+++ b/cicadagraded/entry/turns.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+
+	"cicadagrade.example/tier"
+)
+
+const (
+	// turnSampleInterval is how often the wait for a turn on the processor is measured.
+	turnSampleInterval = 20 * tier.Millisecond
+	// turnWaitWindow is the time of which the longest wait is reported.
+	turnWaitWindow = tier.Second
+)
+
+// turns measures how long a goroutine that is ready waits for its turn on the processor.
+type turns struct {
+	beganAt     atomic.Int64 // of the wait in progress, or 0
+	longest     atomic.Int64 // wait in the present window
+	previous    atomic.Int64 // longest wait in the window before
+	windowEndAt tier.Millis
+}
+
+// RunTurnSamples measures the waits until ctx ends.
+func (e *Entry) RunTurnSamples(ctx context.Context) error {
+	return every(ctx, turnSampleInterval, func() {
+		began := e.clock.Now()
+		e.turns.beganAt.Store(int64(began))
+		// The scheduler puts a goroutine that yields at the end of the same queue as those whose
+		// data have come from the network while the processor was busy.
+		runtime.Gosched()
+		e.turns.beganAt.Store(0)
+		e.turns.ended(began, e.clock.Now())
+	})
+}
+
+// ended records a wait.
+func (t *turns) ended(began, now tier.Millis) {
+	if now >= t.windowEndAt {
+		t.previous.Store(t.longest.Swap(0))
+		t.windowEndAt = now + turnWaitWindow
+	}
+	t.longest.Store(max(t.longest.Load(), int64(now-began)))
+}
+
+// wait is the longest wait of the last one to two seconds, one in progress included.
+func (t *turns) wait(now tier.Millis) tier.Millis {
+	longest := max(t.longest.Load(), t.previous.Load())
+	if began := t.beganAt.Load(); began != 0 {
+		longest = max(longest, int64(now)-began)
+	}
+	return tier.Millis(longest)
+}
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -114,7 +114,7 @@
 		previous = old.Version()
 	}
 	e.log.Info("configuration-in-force", "version", t.Version(), "previous", previous,
-		"routes", t.RouteCount(), "revision", c.Revision())
+		"routes", t.RouteCount(), "revision", c.Revision(), "source", e.reading.source, "view-age-ms", int64(e.viewAge()))
 	e.logOrganisations(t, keys)
 }
 
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -124,6 +124,7 @@
 	metricsServer := &http.Server{Handler: e.MetricsHandler(), ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
 	addServer(&g, metricsServer, metricsListener)
 	g.Add(func() error { return log.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return e.RunTurnSamples(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunRefresh(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunRegistration(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return e.RunProbes(ctx) }, func(error) { cancel() })
