--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -36,37 +36,44 @@
 // RunRefresh keeps the view up to date until ctx ends.
 func (e *Entry) RunRefresh(ctx context.Context) error {
 	for ctx.Err() == nil {
-		e.mu.Lock()
-		source := e.refresher.Next(e.clock.Now(), e.viewAge())
-		e.mu.Unlock()
-		if pause, ok := source.(refresher.Pause); ok {
-			e.finishRefresh(pause.Stale)
-			e.logViewAge(e.viewAge())
-			sleep(ctx, pause.For)
-			continue
-		}
-		began := e.clock.Now()
-		e.reading.begin(source)
-		age, err := e.readFrom(ctx, source)
-		e.reading.end(source, e.clock.Now()-began, err)
-		e.mu.Lock()
-		switch {
-		case errors.Is(err, errNoView):
-			e.refresher.NoView()
-		case err != nil:
-			e.refresher.Failed(e.clock.Now(), source)
-		default:
-			e.refresher.Succeeded(source, age)
-		}
-		loaded := e.refresher.Loaded()
-		e.mu.Unlock()
-		if loaded {
-			e.loadedOnce.Do(func() { close(e.loaded) })
+		if pause := e.refresh(ctx); pause > 0 {
+			sleep(ctx, pause)
 		}
 	}
 	return nil
 }
 
+// refresh makes one read, or ends a round of reads and returns the pause before the next one.
+func (e *Entry) refresh(ctx context.Context) tier.Millis {
+	e.mu.Lock()
+	source := e.refresher.Next(e.clock.Now(), e.viewAge())
+	e.mu.Unlock()
+	if pause, ok := source.(refresher.Pause); ok {
+		e.finishRefresh(pause.Stale)
+		e.logViewAge(e.viewAge())
+		return pause.For
+	}
+	began := e.clock.Now()
+	e.reading.begin(source)
+	age, err := e.readFrom(ctx, source)
+	e.reading.end(source, e.clock.Now()-began, err)
+	e.mu.Lock()
+	switch {
+	case errors.Is(err, errNoView):
+		e.refresher.NoView()
+	case err != nil:
+		e.refresher.Failed(e.clock.Now(), source)
+	default:
+		e.refresher.Succeeded(source, age)
+	}
+	loaded := e.refresher.Loaded()
+	e.mu.Unlock()
+	if loaded {
+		e.loadedOnce.Do(func() { close(e.loaded) })
+	}
+	return 0
+}
+
 // readFrom reads from a source and applies what it has. It returns the age of a view that
 // another VM has sent.
 func (e *Entry) readFrom(ctx context.Context, source refresher.Source) (tier.Millis, error) {
