--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -98,6 +98,10 @@
 		e.refuse(w, attempt, http.StatusServiceUnavailable, "no-configuration", 0, startRetryAfter)
 		return
 	}
+	if e.reading.overdue(start, e.viewAge()) {
+		e.refuse(w, attempt, http.StatusServiceUnavailable, "view-overdue", table.Version(), refusalRetryAfter)
+		return
+	}
 	path := r.RequestURI
 	if !strings.HasPrefix(path, "/") {
 		path = r.URL.RequestURI()
--- a/cicadagraded/entry/reading.go
+++ b/cicadagraded/entry/reading.go
@@ -1,14 +1,26 @@
 package entry
 
 import (
+	"sync/atomic"
+
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/refresher"
 )
 
-// reading is how the reads of the view have gone since it was last current. Only RunRefresh
-// uses it.
+const (
+	// maxOverdueViewAge is the age of the view above which a VM that is late itself handles no
+	// request by it. It leaves time until a change must be in force everywhere, 4 s after it.
+	maxOverdueViewAge = 3 * tier.Second
+	// overdueSlack is how much longer than its limit a step of reading may take before the VM
+	// counts as late itself.
+	overdueSlack = 500 * tier.Millisecond
+)
+
+// reading is how the reads of the view have gone since it was last current. RunRefresh writes it.
 type reading struct {
-	source        string // of the read in progress
+	dueAt         atomic.Int64 // when the present step ends at the latest if the VM is not late, or 0
+	overranAt     atomic.Int64 // when a step last ended later than that, or 0
+	source        string       // of the read in progress
 	storeFailures int
 	peerFailures  int
 	longest       tier.Millis // time of a read
@@ -16,8 +28,9 @@
 	late          bool // the view is older than staleViewAge, and that has been logged
 }
 
-// beginRead records the start of a read.
-func (r *reading) begin(source refresher.Source) {
+// begin records the start of a read.
+func (r *reading) begin(now tier.Millis, source refresher.Source) {
+	r.step(now, limitOf(source))
 	switch source := source.(type) {
 	case refresher.Peer:
 		r.source = source.Member.VM().Name()
@@ -28,8 +41,41 @@
 	}
 }
 
+// limitOf is how long a read may take.
+func limitOf(source refresher.Source) tier.Millis {
+	switch source := source.(type) {
+	case refresher.Store:
+		if source.Whole {
+			return readAllTimeout
+		}
+	case refresher.Peer, refresher.Seed:
+		return fetchAllTimeout
+	}
+	return storeCallTimeout
+}
+
+// step ends a step of reading, and begins one that takes at most limit.
+func (r *reading) step(now, limit tier.Millis) {
+	if due := r.dueAt.Load(); due != 0 && int64(now) > due {
+		r.overranAt.Store(int64(now))
+	}
+	r.dueAt.Store(int64(now + limit + overdueSlack))
+}
+
+// overdue reports whether the view is too old to handle requests by it because this VM is late
+// itself: its reads get no turn, or end long after their limit. While the store and the other VMs
+// do not answer, reads fail in time.
+func (r *reading) overdue(now, viewAge tier.Millis) bool {
+	if viewAge <= maxOverdueViewAge {
+		return false
+	}
+	due, overran := r.dueAt.Load(), r.overranAt.Load()
+	return due != 0 && int64(now) > due || overran != 0 && overran >= int64(now-viewAge)
+}
+
 // end records the result of a read that took some time.
-func (r *reading) end(source refresher.Source, took tier.Millis, err error) {
+func (r *reading) end(now tier.Millis, source refresher.Source, took tier.Millis, err error) {
+	r.step(now, 0)
 	r.longest = max(r.longest, took)
 	if err == nil {
 		return
@@ -57,7 +103,7 @@
 			"longest-read-ms", int64(r.longest), "turn-wait-ms", int64(e.turns.wait(e.clock.Now())))
 	}
 	if !late {
-		*r = reading{source: r.source}
+		r.storeFailures, r.peerFailures, r.longest, r.lastError = 0, 0, 0, nil
 	}
 	r.late = late
 }
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -51,12 +51,13 @@
 	if pause, ok := source.(refresher.Pause); ok {
 		e.finishRefresh(pause.Stale)
 		e.logViewAge(e.viewAge())
+		e.reading.step(e.clock.Now(), pause.For)
 		return pause.For
 	}
 	began := e.clock.Now()
-	e.reading.begin(source)
+	e.reading.begin(began, source)
 	age, err := e.readFrom(ctx, source)
-	e.reading.end(source, e.clock.Now()-began, err)
+	e.reading.end(e.clock.Now(), source, e.clock.Now()-began, err)
 	e.mu.Lock()
 	switch {
 	case errors.Is(err, errNoView):
@@ -132,6 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readAllTimeout.Duration())
 	defer cancel()
 	start := e.clock.Now()
+	e.reading.step(start, readAllTimeout)
 	var operator, leafs, state []storer.Value
 	var at [3]int64
 	g, ctx := errgroup.WithContext(ctx)
