--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -25,6 +25,7 @@
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/relayer"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/shedder"
 	"cicadagrade.example/tier/storer"
 )
 
@@ -41,6 +42,7 @@
 	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
 	reading          reading      // how the reads of the view go
 	turns            turns        // how long goroutines wait for the processor
+	overload         overload     // used by RunTurnSamples only
 	registered       atomic.Bool  // this VM's registration is in the store
 	storeUnreachable atomic.Bool  // the last read of the store failed
 	isolated         atomic.Bool  // neither the store nor any other VM answers
@@ -59,6 +61,8 @@
 	unknownKeys      atomic.Int64   // requests refused because they have no known key
 	missingParts     atomic.Int64   // shard results not received by the end of their request
 	crossRegionBytes atomic.Int64   // bytes of replies received from other regions
+	shedRequests     atomic.Int64   // callers' requests refused because of overload
+	shedShares       atomic.Int64   // shares of other VMs refused because of overload
 	refusedRegions   atomic.Int64   // requests refused because no leaf is in their regions
 	crashReported    chan struct{}  // gets a value when crashReports has a new one
 	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
@@ -70,6 +74,9 @@
 	// mu serialises the steps of all searches and guards the state they share.
 	mu        sync.Mutex
 	scheduler *searcher.Scheduler
+	// shedder decides which requests this VM takes, and peerLevels are those of other VMs.
+	shedder    *shedder.Shedder
+	peerLevels *shedder.Peers
 	// relayer caches what was read from the store and serves it to other VMs.
 	relayer *relayer.Relayer
 	// refresher decides where the view is read from.
@@ -103,7 +110,7 @@
 		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
-		organisationUse: newOrganisationUse(),
+		organisationUse: newOrganisationUse(), shedder: shedder.New(), peerLevels: shedder.NewPeers(),
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -152,8 +152,15 @@
 	defer func() { _ = stream.Close() }()
 	acknowledged := false
 	for stream.Receive() {
+		if !acknowledged {
+			r.entry.hearPeerLevel(a.Member.VM().Name(), stream.Msg())
+		}
 		if !acknowledged && stream.Msg().GetDeclined() {
+			overloaded := stream.Msg().GetRefusedPermille() > 0
 			r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
+				if overloaded {
+					return s.ShareRefused(now, a.Share)
+				}
 				return s.ShareDeclined(now, a.Share)
 			})
 			return nil
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -117,7 +117,15 @@
 		return
 	}
 	q := &request{route: route, table: table, attempt: attempt, start: start}
-	if !e.identify(w, r, q, keys) || !e.admit(w, r, q) {
+	if !e.identify(w, r, q, keys) {
+		return
+	}
+	if cause, refused := e.sheds(q); refused {
+		e.shedRequests.Add(1)
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, cause, overloadRetryAfter)
+		return
+	}
+	if !e.admit(w, r, q) {
 		return
 	}
 	defer e.returnQuota(q)
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -13,6 +13,7 @@
 	"cicadagrade.example/tier/quarantiner"
 	"cicadagrade.example/tier/ranker"
 	"cicadagrade.example/tier/searcher"
+	"cicadagrade.example/tier/shedder"
 )
 
 // peerService serves the calls of other VMs.
@@ -47,8 +48,16 @@
 // search searches a share. whole says that the leaf's reply is returned as it is.
 func (p *peerService) search(ctx context.Context, request *gatherv1.GatherRequest, stream *connect.ServerStream[gatherv1.GatherReply], whole bool) error {
 	e := p.entry
-	takes := e.takesShares()
-	if err := stream.Send(&gatherv1.GatherReply{Declined: !takes}); err != nil {
+	takes, level := e.takesShares(), e.loadLevel()
+	if takes && !shedder.Admits(level, int(request.GetRank()), request.GetAttempt()) {
+		e.shedShares.Add(1)
+		return errors.Wrap(stream.Send(&gatherv1.GatherReply{Declined: true, RefusedPermille: refusedPermille(level)}), "peerService.search")
+	}
+	first := &gatherv1.GatherReply{Declined: !takes}
+	if takes {
+		first.RefusedPermille = refusedPermille(level)
+	}
+	if err := stream.Send(first); err != nil {
 		return errors.Wrap(err, "peerService.search")
 	}
 	if !takes {
--- a/cicadagraded/entry/turns.go
+++ b/cicadagraded/entry/turns.go
@@ -28,11 +28,20 @@
 	return every(ctx, turnSampleInterval, func() {
 		began := e.clock.Now()
 		e.turns.beganAt.Store(int64(began))
+		e.mu.Lock()
+		e.shedder.Waiting(began)
+		e.mu.Unlock()
 		// The scheduler puts a goroutine that yields at the end of the same queue as those whose
 		// data have come from the network while the processor was busy.
 		runtime.Gosched()
 		e.turns.beganAt.Store(0)
-		e.turns.ended(began, e.clock.Now())
+		now := e.clock.Now()
+		e.turns.ended(began, now)
+		e.mu.Lock()
+		e.shedder.Waited(now)
+		level := e.shedder.Level(now)
+		e.mu.Unlock()
+		e.logOverload(now, level)
 	})
 }
 
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -158,6 +158,7 @@
 	QueueTooLong   Cause = "queue-too-long" // no call was made: too many parts wait before it
 	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
 	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
+	VMsOverloaded  Cause = "vms-overloaded" // no call was made: this VM reaches no leaf, and the others are overloaded
 	LeafsRefused   Cause = "leafs-refused"  // no call that ended has run
 	PartsLost      Cause = "parts-lost"     // too many parts can no longer arrive
 	OutOfTime      Cause = "out-of-time"    // the deadline or the route's timeout passed
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -95,6 +95,8 @@
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
 		return LinksLost
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == vmsOverloadedReason:
+		return VMsOverloaded
 	case len(s.calls) == 0 && !s.mayHaveRun && s.lostForRegions():
 		return NoLeafInRegions
 	case len(s.calls) == 0 && !s.mayHaveRun:
@@ -143,7 +145,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && ((isNoLeafReason(p.lossReason) || p.lossReason == coldReason) && len(p.tried) == 0 || p.lossReason == linksLostReason && !p.mayHaveRun) {
+		if p.lost && ((isNoLeafReason(p.lossReason) || p.lossReason == coldReason) && len(p.tried) == 0 || (p.lossReason == linksLostReason || p.lossReason == vmsOverloadedReason) && !p.mayHaveRun) {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
--- a/tier/searcher/handover.go
+++ b/tier/searcher/handover.go
@@ -9,6 +9,10 @@
 // linksLostReason is why a part is lost that neither this VM nor another one can query.
 const linksLostReason = "links-lost"
 
+// vmsOverloadedReason is why a part is lost that this VM can't query and that overloaded VMs have
+// refused.
+const vmsOverloadedReason = "vms-overloaded"
+
 // overdue lists the parts that this VM queries itself and whose calls will not be waited for, now
 // that it has lost its links to the leafs. A call on a connection that still works is
 // answered before it is due for a hedge.
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -68,6 +68,7 @@
 //	NAME refuse CALL                no connection can be made
 //	NAME accept SHARE               the other VM accepts its share
 //	NAME decline SHARE              the other VM takes no shares
+//	NAME overload SHARE             the other VM refuses the share, because it is overloaded
 //	NAME report SHARE PART,.. [last [PART,..]]
 //	                                the other VM reports the parts, or - for none; the
 //	                                second list is those for which it knew no leaf
@@ -276,6 +277,8 @@
 		s.print(name, search.ShareReported(s.now, index, report))
 	case "decline":
 		s.print(name, search.ShareDeclined(s.now, index))
+	case "overload":
+		s.print(name, search.ShareRefused(s.now, index))
 	case "break":
 		s.print(name, search.ShareFailed(s.now, index))
 	default:
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -83,6 +83,7 @@
 	delegatedCalls      int      // calls made by other VMs
 	delegatedExtraCalls int      // hedges and retries among them
 	leafReported        bool     // a leaf has reported a failure, which ended its run
+	refusedBy           []string // VMs that have refused shares because they are overloaded
 	endedElsewhere      []string // ids of leafs that ended connections of other VMs' calls
 	pending             []Action // produced while another search was stepped
 	userData            any
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -1,6 +1,11 @@
 package searcher
 
-import "cicadagrade.example/tier"
+import (
+	"slices"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/partitioner"
+)
 
 // delegate hands a share to its VM.
 func (s *Search) delegate(now tier.Millis, shareIndex int, actions []Action) []Action {
@@ -104,6 +109,18 @@
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, false, nil)))
 }
 
+// ShareRefused handles a VM that has refused a share because it is overloaded. It has made no
+// calls, and it is not suspected to have failed. Other VMs get the parts only if this one reaches no
+// leaf.
+func (s *Search) ShareRefused(now tier.Millis, shareIndex int) []Action {
+	sh := &s.shares[shareIndex]
+	if s.done || sh.ended {
+		return nil
+	}
+	s.refusedBy = append(s.refusedBy, sh.member.VM().Name())
+	return s.finishIfDone(now, s.takePending(s.takeBack(now, shareIndex, false, false, nil)))
+}
+
 // ShareFailed handles a VM that could not be reached or whose stream of reports
 // broke off.
 func (s *Search) ShareFailed(now tier.Millis, shareIndex int) []Action {
@@ -205,6 +222,25 @@
 	return s.redelegate(now, left, attempts, actions)
 }
 
+// otherVM picks a VM that is not suspected and has not refused the request.
+func (s *Search) otherVM() (partitioner.Member, bool) {
+	list := s.scheduler.partitioner.HealthyPeers()
+	list = slices.DeleteFunc(list, func(m partitioner.Member) bool {
+		return slices.Contains(s.refusedBy, m.VM().Name()) || !s.scheduler.mayDelegate(m, s.terms.regions)
+	})
+	if len(list) == 0 {
+		return partitioner.Member{}, false
+	}
+	return list[int(s.scheduler.random()*float64(len(list)))%len(list)], true
+}
+
+// loseParts marks some of the parts as lost.
+func (s *Search) loseParts(parts, indexes []int, reason string) {
+	for _, index := range indexes {
+		s.markLost(&s.parts[parts[index]], reason)
+	}
+}
+
 // redelegate gives parts to other VMs, which may make a number of attempts at each. This VM
 // queries those that are its own, or loses them if it has lost its links.
 func (s *Search) redelegate(now tier.Millis, parts []int, attempts int, actions []Action) []Action {
@@ -213,8 +249,15 @@
 		services[k] = s.parts[i].service
 	}
 	for _, division := range s.scheduler.Divide(s.terms.class, services, s.terms.regions) {
-		other := !division.Self() && s.scheduler.mayDelegate(division.Member(), s.terms.regions)
-		sh := share{member: division.Member(), second: true, repeated: s.terms.repeated, attempts: attempts}
+		member, other := division.Member(), !division.Self()
+		if other && slices.Contains(s.refusedBy, member.VM().Name()) {
+			if member, other = s.otherVM(); !other {
+				s.loseParts(parts, division.Parts(), vmsOverloadedReason)
+				continue
+			}
+		}
+		other = other && s.scheduler.mayDelegate(member, s.terms.regions)
+		sh := share{member: member, second: true, repeated: s.terms.repeated, attempts: attempts}
 		for _, index := range division.Parts() {
 			i := parts[index]
 			p := &s.parts[i]
