--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -109,6 +109,7 @@
 	if whole || after == 0 {
 		return e.readAll(ctx)
 	}
+	start := e.clock.Now()
 	changes, at, err := e.store.Changes(ctx, "", after, 0)
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
@@ -122,7 +123,7 @@
 	for _, c := range changes {
 		e.applyChange(c, at, false)
 	}
-	e.advanceView(at, 0)
+	e.advanceView(at, refresher.ViewAge(0, e.clock.Now()-start))
 	return nil
 }
 
@@ -160,7 +161,7 @@
 		revision = min(revision, at[0])
 	}
 	e.replaceView(list, revision, afterOutage)
-	e.advanceView(revision, e.clock.Now()-start)
+	e.advanceView(revision, refresher.ViewAge(0, e.clock.Now()-start))
 	return nil
 }
 
@@ -209,6 +210,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	vm := source.Member.VM()
+	start := e.clock.Now()
 	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name(), Levels: e.levelsForRelay(), Delays: e.leafDelays()}
 	response, err := e.peers.clientOf(vm.Address()).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -228,7 +230,7 @@
 	if reply.GetRevision() == 0 {
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
-	age := tier.Millis(reply.GetAgeMs())
+	age := refresher.ViewAge(tier.Millis(reply.GetAgeMs()), e.clock.Now()-start)
 	if reply.GetRevision() >= have {
 		list := decodeItems(reply.GetItems())
 		if reply.GetWhole() {
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -30,11 +30,15 @@
 //	at MS store-refuses SHARE FOR   the store turns away a share of the VMs
 //	at MS store-silent SHARE FOR    the store does not answer a share of the VMs
 //	at MS store-slow FACTOR FOR  the store's calls take FACTOR times as long
+//	at MS store-silent-first N FOR  the store does not answer the first N relays
+//	at MS busy MS FOR            replies of VMs take MS longer
 //	at MS leases-lapse           all registrations end
 //	run MS                       plays until then, and checks that all VMs have a view
 //	reset                        forgets the figures so far
 //	expect joined-within MS      from each start of a VM until it has a view
 //	expect view-age MS           the greatest age of a view that a VM has had
+//	expect reader-view-age MS    the same, from the start of a fault on, of the VMs that the store
+//	                             answers
 //	expect store-calls N         calls to the store at most; a stale read or a renewal counts
 //	                             as a tenth
 func TestFleets(t *testing.T) {
@@ -83,7 +87,8 @@
 	up          bool
 	startedAt   tier.Millis
 	joinedAt    tier.Millis // or -1
-	viewAt      tier.Millis // when the store had this view
+	viewAt      tier.Millis // when the store had this view, as far as the VM knows
+	storeAt     tier.Millis // when the store had this view
 	members     []partitioner.Member
 	storeFault  string // "", refuses or silent
 	registered  bool
@@ -104,6 +109,8 @@
 	calmAt     tier.Millis // end of the last fault
 	faults     int
 	slowness   tier.Millis // of the store
+	replyDelay tier.Millis // of VMs that are busy
+	readersAge tier.Millis // view of a VM that the store answers
 }
 
 func (s *fleet) after(d tier.Millis, run func()) {
@@ -160,9 +167,9 @@
 			}
 		}
 	case "reset":
-		s.slowest, s.oldest, s.calls = 0, 0, 0
+		s.slowest, s.oldest, s.readersAge, s.calls = 0, 0, 0, 0
 	case "expect":
-		got, ok := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "store-calls": s.calls}[words[1]]
+		got, ok := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "reader-view-age": float64(s.readersAge), "store-calls": s.calls}[words[1]]
 		if !ok {
 			s.t.Fatalf("unknown figure %q", words[1])
 		}
@@ -195,13 +202,16 @@
 				v.storeFault = words[0]
 			}
 		}
-		s.after(tier.Millis(s.number(words[2])), func() {
-			s.faults--
-			s.calmAt = s.now
-			for _, v := range s.vms {
-				v.storeFault = ""
-			}
-		})
+		s.after(tier.Millis(s.number(words[2])), func() { s.endStoreFaults() })
+	case "store-silent-first":
+		s.faults++
+		for _, m := range s.vms[0].partitioner.Relays()[:int(s.number(words[1]))] {
+			s.byName[m.VM().Name()].storeFault = "store-silent"
+		}
+		s.after(tier.Millis(s.number(words[2])), func() { s.endStoreFaults() })
+	case "busy":
+		s.replyDelay = tier.Millis(s.number(words[1]))
+		s.after(tier.Millis(s.number(words[2])), func() { s.replyDelay = 0 })
 	case "store-slow":
 		s.slowness = tier.Millis(s.number(words[1]))
 		s.after(tier.Millis(s.number(words[2])), func() { s.slowness, s.calmAt = 1, s.now })
@@ -212,6 +222,14 @@
 	}
 }
 
+func (s *fleet) endStoreFaults() {
+	s.faults--
+	s.calmAt = s.now
+	for _, v := range s.vms {
+		v.storeFault = ""
+	}
+}
+
 func (s *fleet) kill(v *vm, downFor tier.Millis) {
 	v.up = false
 	v.generation++
@@ -220,7 +238,7 @@
 
 func (s *fleet) start(v *vm, bootstrap bool) {
 	v.generation++
-	v.up, v.startedAt, v.joinedAt, v.registered, v.viewAt = true, s.now, -1, false, 0
+	v.up, v.startedAt, v.joinedAt, v.registered, v.viewAt, v.storeAt = true, s.now, -1, false, 0, 0
 	v.partitioner = partitioner.New(v.member)
 	options := []Option{WithRandom(s.random.Float64), WithSeeds(v.seeds)}
 	if bootstrap {
@@ -235,7 +253,11 @@
 	if v.generation != generation {
 		return
 	}
-	if age := s.now - v.viewAt; v.joinedAt >= 0 && s.faults == 0 && s.now-s.calmAt > settleTime && s.now-v.joinedAt > settleTime {
+	age := s.now - v.storeAt
+	if v.joinedAt >= 0 && v.storeFault == "" && s.now-v.joinedAt > settleTime {
+		s.readersAge = max(s.readersAge, age)
+	}
+	if v.joinedAt >= 0 && s.faults == 0 && s.now-s.calmAt > settleTime && s.now-v.joinedAt > settleTime {
 		s.oldest = max(s.oldest, age)
 	}
 	source := v.refresher.Next(s.now, s.now-v.viewAt)
@@ -299,7 +321,7 @@
 				}
 				return 0, true
 			}
-			s.apply(v, members, s.now)
+			s.apply(v, members, s.now-took, s.now)
 			return 0, true
 		}
 	case Peer:
@@ -308,6 +330,7 @@
 		if other.member.Region() != v.member.Region() {
 			took = remoteCallTime
 		}
+		took += s.replyDelay
 		if !other.up {
 			return deadCallTime, func() (tier.Millis, bool) {
 				if v.joinedAt >= 0 {
@@ -323,12 +346,16 @@
 				return 0, false
 			}
 		}
-		at, members := other.viewAt, other.members
+		told, storeAt, members := s.now-other.viewAt, other.storeAt, other.members
 		return took, func() (tier.Millis, bool) {
-			if at > v.viewAt {
-				s.apply(v, members, at)
+			age := ViewAge(told, took)
+			if s.now-age > v.viewAt {
+				v.viewAt = s.now - age
+			}
+			if storeAt > v.storeAt {
+				s.apply(v, members, v.viewAt, storeAt)
 			}
-			return s.now - at, true
+			return age, true
 		}
 	case Seed:
 		other := s.byName[source.Address]
@@ -347,8 +374,8 @@
 	return 0, nil
 }
 
-func (s *fleet) apply(v *vm, members []partitioner.Member, at tier.Millis) {
-	v.members, v.viewAt = members, at
+func (s *fleet) apply(v *vm, members []partitioner.Member, viewAt, storeAt tier.Millis) {
+	v.members, v.viewAt, v.storeAt = members, max(viewAt, v.viewAt), storeAt
 	v.partitioner.SetMembers(s.now, members, true)
 	if v.registered && !slices.ContainsFunc(members, func(m partitioner.Member) bool { return m.VM().Name() == v.member.VM().Name() }) {
 		v.registered = false
--- a/tier/refresher/refresher.go
+++ b/tier/refresher/refresher.go
@@ -159,6 +159,11 @@
 	return r
 }
 
+// ViewAge is the greatest age that a view can have at the end of the read that brought it: its age as
+// its source told it, plus the time of the read. Without the latter, VMs that copy from each other
+// would make a view look fresher with each copy.
+func ViewAge(told, took tier.Millis) tier.Millis { return told + took }
+
 // Loaded reports whether the VM has a view.
 func (r *Refresher) Loaded() bool { return r.loaded }
 
