--- a/cicadagraded/entry/members.go
+++ b/cicadagraded/entry/members.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +32,10 @@
 	registrationRetryInterval = 700 * tier.Millisecond
 )
 
+// maxCores bounds the cores of a VM in its registration: beside one with more, all others would
+// count as small.
+const maxCores = 4096
+
 // registration is the stored description of a VM.
 type registration struct {
 	Address     string  `json:"address"`
@@ -55,6 +61,16 @@
 	if err := json.Unmarshal(v.Data(), &r); err != nil {
 		return partitioner.Member{}, errors.Wrapf(err, "decodeMember %q", v.Key())
 	}
+	host, port, err := net.SplitHostPort(r.Address)
+	if err != nil || host == "" {
+		return partitioner.Member{}, errors.Errorf("decodeMember %q: the address %q is not host:port", v.Key(), r.Address)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return partitioner.Member{}, errors.Errorf("decodeMember %q: the port %q is not from 1 to 65535", v.Key(), port)
+	}
+	if r.Cores <= 0 || r.Cores > maxCores {
+		return partitioner.Member{}, errors.Errorf("decodeMember %q: %g cores are not from 0 to %d", v.Key(), r.Cores, maxCores)
+	}
 	name := strings.TrimPrefix(v.Key(), vmsPrefix)
 	vm := tier.NewVM(name, r.DataCentre, r.Address,
 		tier.WithIncarnation(tier.Incarnation(r.Incarnation)), tier.WithVMState(tier.VMLive))
