--- a/cicadagraded/entry/connection_test.go
+++ b/cicadagraded/entry/connection_test.go
@@ -59,7 +59,7 @@
 	estimator, conn := delayestimator.New(), delayestimator.NewConnection(0, roundTrip)
 	check := func(name string, want tier.Millis) {
 		q := &request{route: route, margin: margin, arrival: estimator.RequestArrived(0, conn, route.Name(), tier.Second, true)}
-		if got := q.terms().Target(); got != want {
+		if got := new(Entry).terms(q).Target(); got != want {
 			t.Errorf("%s: %d ms left until the target, want %d", name, got, want)
 		}
 	}
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -49,11 +49,14 @@
 	linksLost        atomic.Bool  // this VM reaches no leaf
 	heldByCold       int64        // calls that logColdChanges has logged, used by RunLimitLog only
 	stopping         atomic.Bool
+	stoppingAt       atomic.Int64  // when it has begun to stop
+	lastAnswerAt     atomic.Int64  // when the last requests are answered, if it stops
 	rttFaultLogged   atomic.Bool   // a failure to measure round-trip times has been logged
 	loaded           chan struct{} // closed when the VM has a view
 	loadedOnce       sync.Once
 	unregistered     chan struct{} // gets a value when this VM's registration has ended
 	shutdown         chan struct{} // closed when the VM begins to shut down
+	lastAnswers      chan struct{} // closed when the last requests are answered
 	peers            *peerClients
 	meter            *meter.Meter
 	leafCalls        atomic.Int64   // calls to leafs
@@ -107,7 +110,7 @@
 	}
 	e := &Entry{
 		meter: m, clock: clock, log: log, leafClient: leafclient.New(leafclient.WithBodyMemory(int64(s.MemoryMB()) << 20 / bodyMemoryFraction)), peers: newPeerClients(),
-		shutdown: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
+		shutdown: make(chan struct{}), lastAnswers: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
 		organisationUse: newOrganisationUse(), shedder: shedder.New(), peerLevels: shedder.NewPeers(),
@@ -180,13 +183,5 @@
 	return len(e.scheduler.Partitioner().HealthyPeers()) > 0
 }
 
-// BeginShutdown makes the readiness check fail, and closes each caller's connection after its
-// next response. Requests are still served.
-func (e *Entry) BeginShutdown() {
-	e.stopping.Store(true)
-	close(e.shutdown)
-	e.log.Info("stopping", "reason", "SIGTERM")
-}
-
 // Close closes the connections to leafs. The servers must have stopped.
 func (e *Entry) Close() { e.leafClient.Close() }
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -120,6 +120,10 @@
 	if !e.identify(w, r, q, keys) {
 		return
 	}
+	if e.refusesLate(q) {
+		e.refuseLate(w, q)
+		return
+	}
 	if cause, refused := e.sheds(q); refused {
 		e.shedRequests.Add(1)
 		e.refuseRequest(w, q, http.StatusServiceUnavailable, cause, overloadRetryAfter)
@@ -206,7 +210,7 @@
 
 // terms are the target time, deadline and limits of the search, from the route and the
 // caller's remaining time.
-func (q *request) terms() searcher.Terms {
+func (e *Entry) terms(q *request) searcher.Terms {
 	left, limited := q.attempt.TimeLeft()
 	if !limited {
 		left = defaultCallerTimeout
@@ -216,6 +220,7 @@
 	if t := q.route.Timeout(); t > 0 {
 		end = min(end, q.start+t)
 	}
+	end = e.limitToStop(end)
 	target := end
 	if latency := q.route.LatencyTarget(); latency > 0 {
 		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
@@ -258,7 +263,7 @@
 	if !q.cautious {
 		shares = e.divideShards(q.route.Name(), shards, q.regions())
 	}
-	run := e.newRun(q.attempt.ID(), true, template, q.terms(), shards, shares)
+	run := e.newRun(q.attempt.ID(), true, template, e.terms(q), shards, shares)
 	run.suspected = func() { e.warnOthers(q) }
 	run.delegation = delegationTerms{
 		route: q.route.Name(), topK: q.route.TopK(), rank: q.rank(),
@@ -304,7 +309,7 @@
 // serveSingle passes on the response of one leaf.
 func (e *Entry) serveSingle(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	service := q.route.PickService(rand.Float64())
-	run := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, q.terms(), []string{service}, nil)
+	run := e.newRun(q.attempt.ID(), q.route.Idempotent(), template, e.terms(q), []string{service}, nil)
 	run.delegation = delegationTerms{
 		route: q.route.Name(), rank: q.rank(), minimumParts: func(int) int { return 1 }, shards: []string{service},
 		fingerprints: q.fingerprints, whole: true, once: !q.route.Idempotent(),
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -87,6 +87,7 @@
 	r.step(ctx, (*searcher.Search).Start)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	lastAnswers := e.lastAnswers
 	for !r.done {
 		timer.Reset(max(0, r.nextTick-e.clock.Now()).Duration() + time.Millisecond/2)
 		select {
@@ -96,6 +97,9 @@
 			r.step(ctx, (*searcher.Search).Resume)
 		case <-timer.C:
 			r.step(ctx, (*searcher.Search).Tick)
+		case <-lastAnswers:
+			lastAnswers = nil
+			r.step(ctx, (*searcher.Search).Expire)
 		case <-ctx.Done():
 			r.step(ctx, (*searcher.Search).Abandon)
 			return r.outcome, true
--- a/cicadagraded/front.go
+++ b/cicadagraded/front.go
@@ -35,13 +35,8 @@
 and the process exits with code 0 within the platform's grace period. SIGHUP
 reloads the settings.`
 
-// Durations of a graceful shutdown, timeouts and limits.
+// Timeouts and limits.
 const (
-	// balancerLag is how long the platform's load balancer takes to notice a failed readiness
-	// check: two failed checks, a second apart, and a margin.
-	balancerLag = 2500 * tier.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit of the process.
-	exitMargin = 400 * tier.Millisecond
 	// frontHeaderTimeout bounds reading a request header from the load balancer, another VM or
 	// a metrics scraper, and frontIdleTimeout the pause between two requests. The limits for
 	// callers come from the configuration.
@@ -247,9 +242,9 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-time.After(balancerLag.Duration()):
+	case <-time.After(entry.BalancerLag.Duration()):
 	}
-	remaining := s.GracePeriod() - balancerLag - exitMargin
+	remaining := s.GracePeriod() - entry.BalancerLag - entry.ExitMargin
 	shutdownCtx, cancel := context.WithTimeout(ctx, max(remaining, 0).Duration())
 	defer cancel()
 	if err := l.Close(); err != nil {
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -80,7 +80,7 @@
 // reaches leafs.
 func (sc *Scheduler) dispatchQueued(now tier.Millis, service string) {
 	var blocked []tier.RegionSet // sets of regions without a leaf with capacity
-	for len(sc.queue[service]) > 0 && !sc.balancer.LinksLost() {
+	for len(sc.queue[service]) > 0 && !sc.balancer.LinksLost() && !sc.closed {
 		if sc.quarantiner.Empty() && len(sc.lister.Leafs(service)) > 0 && !sc.anyCapacity(now, service) {
 			return // without a pass over a long queue, as each of its parts polls
 		}
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -85,6 +85,7 @@
 	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
 	cold        coldState
 	evenLoad    bool
+	closed      bool // queued parts are not sent any more
 }
 
 // SchedulerOption changes a Scheduler.
@@ -179,6 +180,9 @@
 	}
 }
 
+// Close leaves queued parts unsent: the VM is about to stop, and their searches expire.
+func (sc *Scheduler) Close() { sc.closed = true }
+
 // LinksChanged makes other VMs query leafs for this one, if the balancer says that it has lost
 // its links to them, or ends that. All searches in progress wake up.
 func (sc *Scheduler) LinksChanged(now tier.Millis) {
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -75,10 +75,12 @@
 //	NAME suspect SHARE              the other VM has lost a leaf under the request
 //	NAME broken SHARE PART,.. LEAF,..
 //	                                the last report: the leafs have ended under these parts
+//	NAME expire                     the VM is about to stop
 //	NAME warn                       another VM warns that leafs may have ended
 //	NAME relay SHARE [failure]      the other VM reports the whole reply of a leaf, or its
 //	                                failure in the last report
 //	NAME break SHARE                the other VM's stream of reports breaks off
+//	close                           queued parts are not sent any more
 //	links lost | links restored     a survey finds that this VM reaches no leaf, or does
 //	NAME leave                      the caller disconnects
 //	at MS                           advances the clock and runs expired timers
@@ -142,6 +144,8 @@
 		s.lister.EndEvacuation(s.now, words[1], 0)
 	case "quarantine":
 		s.scheduler.quarantiner.Heard(s.now, quarantiner.Fingerprint(words[1]), "vm", 1, quarantiner.Report{Leafs: []string{"x", "y", "z"}, Alone: true})
+	case "close":
+		s.scheduler.Close()
 	case "links":
 		accepted := 0
 		if words[1] == "restored" {
@@ -244,6 +248,10 @@
 		s.print(name, search.Abandon(s.now))
 		return
 	}
+	if words[0] == "expire" {
+		s.print(name, search.Expire(s.now))
+		return
+	}
 	if words[0] == "warn" {
 		search.Warned()
 		return
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -205,6 +205,13 @@
 	return s.finishIfDone(now, s.takePending(actions))
 }
 
+// Expire ends the search's time, because its VM is about to stop. It answers with the parts that have
+// arrived, if they suffice.
+func (s *Search) Expire(now tier.Millis) []Action {
+	s.terms.target, s.terms.deadline = min(s.terms.target, now), min(s.terms.deadline, now)
+	return s.finishIfDone(now, s.takePending(nil))
+}
+
 // Tick handles expired timers: of shares, retries, hedges and the request itself.
 func (s *Search) Tick(now tier.Millis) []Action {
 	if s.done {
