--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -55,6 +55,10 @@
 	acceptSlackMs    = 25.0
 	// shareReplyMargin is reserved for both VMs' processing of a share's reply.
 	shareReplyMargin = 5 * tier.Millisecond
+	// minOwnLateness is how late this VM must be itself, after the time at which it had to look at a
+	// share, to give the other VM more time, and maxRespite bounds that.
+	minOwnLateness = 15 * tier.Millisecond
+	maxRespite     = 100 * tier.Millisecond
 	// reportGrace is how long after the target a share's report may arrive before
 	// its VM counts as stuck.
 	reportGrace = 10 * tier.Millisecond
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -80,6 +80,7 @@
 //	NAME relay SHARE [failure]      the other VM reports the whole reply of a leaf, or its
 //	                                failure in the last report
 //	NAME break SHARE                the other VM's stream of reports breaks off
+//	stall MS                        the VM's own processor has no turn for so long
 //	close                           queued parts are not sent any more
 //	links lost | links restored     a survey finds that this VM reaches no leaf, or does
 //	NAME leave                      the caller disconnects
@@ -172,6 +173,11 @@
 		s.search(words[1], words[2:])
 	case "at":
 		s.advance(tier.Millis(s.number(words[1])))
+	case "stall":
+		s.now += tier.Millis(s.number(words[1]))
+		for _, name := range s.names {
+			s.print(name, s.searches[name].Tick(s.now))
+		}
 	default:
 		s.event(words[0], words[1:])
 	}
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -62,6 +62,7 @@
 	attempts       int         // calls of each part that may run
 	suspected      bool        // its VM has lost a leaf under it
 	reported       bool
+	hadRespite     bool // its VM got more time, as this one was late itself
 	ended          bool
 	replies        []any
 }
@@ -217,6 +218,7 @@
 	if s.done {
 		return nil
 	}
+	s.respite(now, now-s.NextTick())
 	var actions []Action
 	for k := range s.shares {
 		actions = s.tickShare(now, k, actions)
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -13,8 +13,9 @@
 	roundTrip := s.scheduler.partitioner.RoundTrip(sh.member)
 	sh.sentAt = now
 	sh.acceptDeadline = now + tier.Millis(acceptRoundTrips*roundTrip+acceptSlackMs)
-	sh.reportDeadline = s.terms.target + reportGrace
 	sh.timeAllowed = max(1, s.terms.target-now-tier.Millis(roundTrip)-shareReplyMargin)
+	// After the target, the VM reports what it has as soon as it has accepted the share.
+	sh.reportDeadline = max(s.terms.target, sh.acceptDeadline) + reportGrace
 	return append(actions, Delegate{Share: shareIndex, Member: sh.member, Parts: sh.parts, Target: sh.timeAllowed, Deadline: s.terms.deadline - now, Repeated: sh.repeated, Attempts: sh.attempts})
 }
 
@@ -130,6 +131,27 @@
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, true, nil)))
 }
 
+// respite gives the VMs whose shares are due more time if this VM itself is late: what they have sent
+// may not have been read yet. Each share gets it once.
+func (s *Search) respite(now, late tier.Millis) {
+	if late < minOwnLateness {
+		return
+	}
+	until := now + min(late, maxRespite)
+	for k := range s.shares {
+		sh := &s.shares[k]
+		due := now >= sh.acceptDeadline || !sh.reported && now >= sh.reportDeadline
+		if sh.ended || sh.hadRespite || !due {
+			continue
+		}
+		sh.hadRespite = true
+		if sh.acceptDeadline != never {
+			sh.acceptDeadline = max(sh.acceptDeadline, until)
+		}
+		sh.reportDeadline = max(sh.reportDeadline, until+reportGrace)
+	}
+}
+
 // tickShare takes back a share that its VM has not accepted or reported on in time.
 func (s *Search) tickShare(now tier.Millis, shareIndex int, actions []Action) []Action {
 	sh := &s.shares[shareIndex]
@@ -147,9 +169,6 @@
 		return actions
 	}
 	actions = append(actions, Recall{Share: shareIndex, Member: sh.member, TimedOut: true, Accepted: sh.acceptDeadline == never})
-	if notReported {
-		return s.reclaim(now, shareIndex, true, actions)
-	}
 	suspected := s.scheduler.partitioner.TimedOut(now, sh.member.VM().Name(), now-sh.sentAt)
 	return s.takeBack(now, shareIndex, true, suspected, actions)
 }
