--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -77,9 +77,11 @@
 	// mu serialises the steps of all searches and guards the state they share.
 	mu        sync.Mutex
 	scheduler *searcher.Scheduler
-	// shedder decides which requests this VM takes, and peerLevels are those of other VMs.
+	// shedder and room decide which requests this VM takes. peerLevels are those of other VMs: of
+	// requests over the shards of a set (true), and of those to one leaf.
 	shedder    *shedder.Shedder
-	peerLevels *shedder.Peers
+	room       *shedder.Room
+	peerLevels map[bool]*shedder.Peers
 	// relayer caches what was read from the store and serves it to other VMs.
 	relayer *relayer.Relayer
 	// refresher decides where the view is read from.
@@ -113,7 +115,8 @@
 		shutdown: make(chan struct{}), lastAnswers: make(chan struct{}), loaded: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		crashReported: make(chan struct{}, 1), crashReports: map[quarantiner.Fingerprint]quarantiner.Report{}, relayer: relayer.New(),
 		followers: relayer.NewFollowers(), delayEstimator: delayestimator.New(), keySecret: newKeySecret(),
-		organisationUse: newOrganisationUse(), shedder: shedder.New(), peerLevels: shedder.NewPeers(),
+		organisationUse: newOrganisationUse(), shedder: shedder.New(), room: shedder.NewRoom(),
+		peerLevels: map[bool]*shedder.Peers{false: shedder.NewPeers(), true: shedder.NewPeers()},
 	}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -153,7 +153,7 @@
 	acknowledged := false
 	for stream.Receive() {
 		if !acknowledged {
-			r.entry.hearPeerLevel(a.Member.VM().Name(), stream.Msg())
+			r.entry.hearPeerLevel(a.Member.VM().Name(), !r.delegation.whole, stream.Msg())
 		}
 		if !acknowledged && stream.Msg().GetDeclined() {
 			overloaded := stream.Msg().GetRefusedPermille() > 0
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -228,6 +228,7 @@
 	options := []searcher.TermsOption{
 		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.rank()), searcher.WithFingerprints(q.fingerprints),
 		searcher.InRegions(q.regions()), searcher.WithOrganisation(q.organisationName(), q.weight),
+		e.refusals(q.attempt.ID(), q.rank(), q.route.IsScatterGather()),
 	}
 	if q.route.Idempotent() {
 		options = append(options, searcher.Idempotent())
--- a/cicadagraded/entry/metrics.go
+++ b/cicadagraded/entry/metrics.go
@@ -29,7 +29,7 @@
 		{"cicadagrade.entry.configuration.version", "version of the configuration in force, 0 if there is none", (*Entry).configurationVersion},
 		{"cicadagrade.entry.view.age", "time since the store last answered this VM or the one that sent the view, in milliseconds", func(e *Entry) int64 { return int64(e.viewAge()) }},
 		{"cicadagrade.entry.turn.wait", "longest wait of a ready goroutine for its turn on the processor in the last second or two, in milliseconds", func(e *Entry) int64 { return int64(e.turns.wait(e.clock.Now())) }},
-		{"cicadagrade.entry.overload.refusing", "part of the requests and shares that this VM refuses now because it is overloaded, in thousandths", func(e *Entry) int64 { return int64(refusedPermille(e.loadLevel())) }},
+		{"cicadagrade.entry.overload.refusing", "part of the requests and shares that this VM refuses now because it is overloaded, in thousandths", func(e *Entry) int64 { return int64(refusedPermille(e.loadLevel(true))) }},
 		{"cicadagrade.entry.overload.requests", "callers' requests refused because this VM, or all VMs that reach leafs, are overloaded", func(e *Entry) int64 { return e.shedRequests.Load() }},
 		{"cicadagrade.entry.overload.shares", "shares of other VMs refused because this VM is overloaded", func(e *Entry) int64 { return e.shedShares.Load() }},
 		{"cicadagrade.entry.view.revision", "revision of the store up to which the VM has read", withLock(func(e *Entry) int64 { return e.relayer.Revision() })},
--- a/cicadagraded/entry/overload.go
+++ b/cicadagraded/entry/overload.go
@@ -7,17 +7,28 @@
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/searcher"
 	"cicadagrade.example/tier/shedder"
 )
 
 // overloadRetryAfter is the shortest Retry-After of a VM that is overloaded.
 const overloadRetryAfter = 500 * tier.Millisecond
 
-// loadLevel is the part of the requests that this VM takes now, from 0 to 1.
-func (e *Entry) loadLevel() float64 {
+// loadLevel is the part of the requests that this VM takes now, from 0 to 1: of those over the shards
+// of a set, or of those to one leaf.
+func (e *Entry) loadLevel(scatter bool) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.shedder.Level(e.clock.Now())
+	return e.levelFor(e.clock.Now(), scatter)
+}
+
+// levelFor is loadLevel for a caller that holds the lock.
+func (e *Entry) levelFor(now tier.Millis, scatter bool) float64 {
+	level := e.shedder.Level(now)
+	if scatter {
+		level = min(level, e.room.Level())
+	}
+	return level
 }
 
 // sheds reports whether a request is refused because this VM is overloaded, or because it reaches no
@@ -30,10 +41,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
+	scatter := q.route.IsScatterGather()
 	switch {
 	case !shedder.Admits(e.shedder.Level(now), q.rank(), id):
 		return "overloaded", true
-	case e.linksLost.Load() && !shedder.Admits(e.bestPeerLevel(now), q.rank(), id):
+	case !shedder.Admits(e.levelFor(now, scatter), q.rank(), id):
+		return "leafs-overloaded", true
+	case e.linksLost.Load() && !shedder.Admits(e.bestPeerLevel(now, scatter), q.rank(), id):
 		return "vms-overloaded", true
 	}
 	return "", false
@@ -62,10 +76,10 @@
 
 // bestPeerLevel is the highest level of the other VMs that are not suspected, or 1 if there is none.
 // The caller holds the lock.
-func (e *Entry) bestPeerLevel(now tier.Millis) float64 {
+func (e *Entry) bestPeerLevel(now tier.Millis, scatter bool) float64 {
 	best, any := 0.0, false
 	for _, m := range e.scheduler.Partitioner().HealthyPeers() {
-		best, any = max(best, e.peerLevels.Level(now, m.VM().Name())), true
+		best, any = max(best, e.peerLevels[scatter].Level(now, m.VM().Name())), true
 	}
 	if !any {
 		return 1
@@ -73,11 +87,18 @@
 	return best
 }
 
+// refusals tells which VMs would refuse shares of a request. The function is called with the lock held.
+func (e *Entry) refusals(attemptID string, rank int, scatter bool) searcher.TermsOption {
+	return searcher.WithRefusals(func(vm string) bool {
+		return !shedder.Admits(e.peerLevels[scatter].Level(e.clock.Now(), vm), rank, attemptID)
+	})
+}
+
 // hearPeerLevel records the level that another VM tells with its first reply to a share.
-func (e *Entry) hearPeerLevel(name string, reply *gatherv1.GatherReply) {
+func (e *Entry) hearPeerLevel(name string, scatter bool, reply *gatherv1.GatherReply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.peerLevels.Heard(e.clock.Now(), name, 1-float64(reply.GetRefusedPermille())/permille)
+	e.peerLevels[scatter].Heard(e.clock.Now(), name, 1-float64(reply.GetRefusedPermille())/permille)
 }
 
 const permille = 1000
--- a/cicadagraded/entry/overload_test.go
+++ b/cicadagraded/entry/overload_test.go
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	f.readStores()
-	e.hearPeerLevel("entry-2", &gatherv1.GatherReply{Declined: true, RefusedPermille: 980})
+	e.hearPeerLevel("entry-2", false, &gatherv1.GatherReply{Declined: true, RefusedPermille: 980})
 	q := f.newRequest("/line/1")
 	q.route, _ = e.table.Load().Match("search.example", "/line/1")
 	refused := 0
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -48,7 +48,7 @@
 // search searches a share. whole says that the leaf's reply is returned as it is.
 func (p *peerService) search(ctx context.Context, request *gatherv1.GatherRequest, stream *connect.ServerStream[gatherv1.GatherReply], whole bool) error {
 	e := p.entry
-	takes, level := e.takesShares(), e.loadLevel()
+	takes, level := e.takesShares(), e.loadLevel(!whole)
 	if takes && !shedder.Admits(level, int(request.GetRank()), request.GetAttempt()) {
 		e.shedShares.Add(1)
 		return errors.Wrap(stream.Send(&gatherv1.GatherReply{Declined: true, RefusedPermille: refusedPermille(level)}), "peerService.search")
@@ -89,7 +89,8 @@
 		regions = tier.RestrictedTo(request.GetRegions()...)
 	}
 	options = append(options, searcher.WithFingerprints(fingerprintsOf), searcher.InRegions(regions),
-		searcher.WithOrganisation(request.GetOrganisation(), request.GetWeight()))
+		searcher.WithOrganisation(request.GetOrganisation(), request.GetWeight()),
+		e.refusals(request.GetAttempt(), int(request.GetRank()), !whole))
 	terms := searcher.NewTerms(request.GetRoute(), now+tier.Millis(request.GetAimMs()), now+tier.Millis(request.GetEndMs()), options...)
 	var shares []partitioner.Share
 	if request.GetSpread() {
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -61,6 +61,7 @@
 		return
 	}
 	p.queued = false
+	s.countRoom(now, p)
 	sc.stopsWaiting(now, s, partIndex)
 	list := sc.queue[p.service]
 	for k, q := range list {
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -89,6 +89,7 @@
 	restricted  map[string]*forecaster.Forecaster // of restricted requests, by allowed regions
 	cold        coldState
 	evenLoad    bool
+	room        RoomUse
 	closed      bool // queued parts are not sent any more
 }
 
@@ -215,6 +216,7 @@
 	regions         tier.RegionSet
 	organisation    string
 	weight          float64
+	refuses         func(vm string) bool // whether a VM would refuse shares
 }
 
 // TermsOption sets one of the Terms.
@@ -224,7 +226,7 @@
 // be answered by target and fails at deadline, both on the clock of the now
 // arguments of Search.
 func NewTerms(class string, target, deadline tier.Millis, options ...TermsOption) Terms {
-	t := Terms{class: class, target: min(target, deadline), deadline: deadline, maxAttempts: 1, minimumParts: 1}
+	t := Terms{class: class, target: min(target, deadline), deadline: deadline, maxAttempts: 1, minimumParts: 1, refuses: func(string) bool { return false }}
 	for _, set := range options {
 		set(&t)
 	}
@@ -273,6 +275,11 @@
 	return func(t *Terms) { t.organisation, t.weight = name, weight }
 }
 
+// WithRefusals tells which VMs are overloaded and would refuse shares of this request. They get none.
+func WithRefusals(refuses func(vm string) bool) TermsOption {
+	return func(t *Terms) { t.refuses = refuses }
+}
+
 // ForAnotherVM hands parts on by Flush: at the target time all that have arrived,
 // then each later one at once. The search goes on until no further part can arrive.
 func ForAnotherVM() TermsOption { return func(t *Terms) { t.flushes = true } }
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -55,7 +56,7 @@
 //	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
-//	    [cautious] [regions R,..] [organisation NAME WEIGHT] [share PEER=PART,..] [divided]
+//	    [refuses PEER,..] [cautious] [regions R,..] [organisation NAME WEIGHT] [share PEER=PART,..] [divided]
 //	    SERVICE ...
 //	                                starts a search; its times count from now;
 //	                                once: not idempotent; peer: on behalf of another VM
@@ -223,6 +224,10 @@
 			once = true
 		case "peer":
 			options = append(options, ForAnotherVM())
+		case "refuses":
+			i++
+			names := strings.Split(words[i], ",")
+			options = append(options, WithRefusals(func(vm string) bool { return slices.Contains(names, vm) }))
 		case "share":
 			i++
 			peer, parts, _ := strings.Cut(words[i], "=")
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -93,7 +93,8 @@
 	retryAfter          tier.Millis // when the caller may come back, if limits of leafs or the quarantine end the search
 	caution             caution
 	startedAt           tier.Millis
-	unplaced            bool // it was not begun, as too few parts have a leaf that they may use
+	targetTime          tier.Millis // from the start to the target
+	unplaced            bool        // it was not begun, as too few parts have a leaf that they may use
 	fair                fairShare
 }
 
@@ -123,10 +124,11 @@
 // Start returns the first calls and delegations.
 func (s *Search) Start(now tier.Millis) []Action {
 	s.scheduler.active[s] = true
-	s.startedAt = now
+	s.startedAt, s.targetTime = now, s.terms.target-now
 	if s.refuseUnplaced() {
 		return s.finish(now, s.failureCause(), nil)
 	}
+	s.dropRefused()
 	actions := make([]Action, 0, len(s.parts)+1)
 	if s.terms.cautious && len(s.parts) > 1 {
 		for i := range s.parts {
@@ -135,7 +137,9 @@
 		return s.finishIfDone(now, s.takePending(s.tryAlone(now, actions)))
 	}
 	for k := range s.shares {
-		actions = s.delegate(now, k, actions)
+		if !s.shares[k].ended {
+			actions = s.delegate(now, k, actions)
+		}
 	}
 	own := make([]int, 0, len(s.parts))
 	for i := range s.parts {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -119,6 +119,9 @@
 	if extra {
 		s.extraCalls++
 	}
+	if p.queuedAt == 0 {
+		s.countRoom(now, p)
+	}
 	if !contains(p.tried, leaf.ID()) {
 		p.tried = append(p.tried, leaf.ID())
 	}
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -110,6 +110,26 @@
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, false, nil)))
 }
 
+// wouldRefuse reports whether a VM has refused a share of this request, or would, because it is
+// overloaded.
+func (s *Search) wouldRefuse(m partitioner.Member) bool {
+	return slices.Contains(s.refusedBy, m.VM().Name()) || s.terms.refuses(m.VM().Name())
+}
+
+// dropRefused takes the shares of VMs that would refuse them, before they are sent.
+func (s *Search) dropRefused() {
+	for k := range s.shares {
+		sh := &s.shares[k]
+		if !s.wouldRefuse(sh.member) {
+			continue
+		}
+		sh.ended = true
+		for _, i := range sh.parts {
+			s.parts[i].shareIndex = noShare
+		}
+	}
+}
+
 // ShareRefused handles a VM that has refused a share because it is overloaded. It has made no
 // calls, and it is not suspected to have failed. Other VMs get the parts only if this one reaches no
 // leaf.
@@ -245,7 +265,7 @@
 func (s *Search) otherVM() (partitioner.Member, bool) {
 	list := s.scheduler.partitioner.HealthyPeers()
 	list = slices.DeleteFunc(list, func(m partitioner.Member) bool {
-		return slices.Contains(s.refusedBy, m.VM().Name()) || !s.scheduler.mayDelegate(m, s.terms.regions)
+		return s.wouldRefuse(m) || !s.scheduler.mayDelegate(m, s.terms.regions)
 	})
 	if len(list) == 0 {
 		return partitioner.Member{}, false
@@ -269,7 +289,7 @@
 	}
 	for _, division := range s.scheduler.Divide(s.terms.class, services, s.terms.regions) {
 		member, other := division.Member(), !division.Self()
-		if other && slices.Contains(s.refusedBy, member.VM().Name()) {
+		if other && s.wouldRefuse(member) {
 			if member, other = s.otherVM(); !other {
 				s.loseParts(parts, division.Parts(), vmsOverloadedReason)
 				continue
--- a/tier/shedder/shedder_test.go
+++ b/tier/shedder/shedder_test.go
@@ -235,3 +235,34 @@
 		}
 	}
 }
+
+// TestRoom guards against a VM that keeps taking sweeps while most of their parts wait for leafs, and
+// against one that refuses some because a few leafs are slow.
+func TestRoom(t *testing.T) {
+	r, now := NewRoom(), tier.Millis(1000)
+	play := func(windows, parts, late int) float64 {
+		for range windows {
+			for range 5 {
+				now += 20
+				r.Heard(now, parts/5, late/5)
+			}
+		}
+		return r.Level()
+	}
+	for _, c := range []struct {
+		name                 string
+		windows, parts, late int
+		least, most          float64
+	}{
+		{"no requests", 10, 0, 0, 1, 1},
+		{"one leaf in twenty pauses", 20, 100, 5, 1, 1},
+		{"few parts, all late", 20, 5, 5, 1, 1},
+		{"all leafs are full", 5, 500, 400, 0.3, 0.45},
+		{"for long", 50, 500, 400, minLevel, minLevel},
+		{"they have room again", 26, 100, 0, 1, 1},
+	} {
+		if l := play(c.windows, c.parts, c.late); l < c.least-0.001 || l > c.most+0.001 {
+			t.Errorf("%s: the level is %.3f, expected %.2f to %.2f", c.name, l, c.least, c.most)
+		}
+	}
+}
