--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -37,6 +37,7 @@
 	flushed         bool // handed on by a Flush
 	queued          bool // it waits for a leaf with capacity
 	queuedAt        tier.Millis
+	hadRespite      bool   // its leaf got more time, as this VM was late itself
 	pastTarget      bool   // it arrived after the target time
 	handOvers       int    // how often it was handed over to another VM
 	rateOwnersAsked int    // how often a rate owner of a cold leaf got it
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -151,8 +151,9 @@
 	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, true, nil)))
 }
 
-// respite gives the VMs whose shares are due more time if this VM itself is late: what they have sent
-// may not have been read yet. Each share gets it once.
+// respite gives the VMs whose shares are due, and the leafs whose calls are due for a hedge, more time
+// if this VM itself is late: what they have sent may not have been read yet. Each share and part gets
+// it once.
 func (s *Search) respite(now, late tier.Millis) {
 	if late < minOwnLateness {
 		return
@@ -170,6 +171,11 @@
 		}
 		sh.reportDeadline = max(sh.reportDeadline, until+reportGrace)
 	}
+	for i := range s.parts {
+		if p := &s.parts[i]; now >= p.hedgeAt && !p.hadRespite {
+			p.hadRespite, p.hedgeAt = true, until
+		}
+	}
 }
 
 // tickShare takes back a share that its VM has not accepted or reported on in time.
