--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -208,42 +208,6 @@
 	}, attrs...)...)
 }
 
-// terms are the target time, deadline and limits of the search, from the route and the
-// caller's remaining time.
-func (e *Entry) terms(q *request) searcher.Terms {
-	left, limited := q.attempt.TimeLeft()
-	if !limited {
-		left = defaultCallerTimeout
-	}
-	roundTrip := q.arrival.RoundTrip()
-	end := q.start + left - roundTrip - deadlineMargin
-	if t := q.route.Timeout(); t > 0 {
-		end = min(end, q.start+t)
-	}
-	end = e.limitToStop(end)
-	target := end
-	if latency := q.route.LatencyTarget(); latency > 0 {
-		target = q.start + latency - q.arrival.Elapsed() - roundTrip - q.margin
-	}
-	options := []searcher.TermsOption{
-		searcher.WithMaxAttempts(q.route.MaxAttempts()), searcher.WithRank(q.rank()), searcher.WithFingerprints(q.fingerprints),
-		searcher.InRegions(q.regions()), searcher.WithOrganisation(q.organisationName(), q.weight),
-		e.refusals(q.attempt.ID(), q.rank(), q.route.IsScatterGather()),
-	}
-	if q.route.Idempotent() {
-		options = append(options, searcher.Idempotent())
-	}
-	if q.cautious {
-		options = append(options, searcher.Cautious())
-	}
-	if q.route.IsScatterGather() {
-		options = append(options, searcher.WithMinimumParts(q.route.MinimumParts()))
-	} else {
-		options = append(options, searcher.ForwardFailures())
-	}
-	return searcher.NewTerms(q.route.Name(), target, end, options...)
-}
-
 // serveScatterGather sends a request to all shards of the route and merges their records.
 func (e *Entry) serveScatterGather(w http.ResponseWriter, r *http.Request, q *request, template *leafclient.Template) {
 	shards := q.route.Shards()
--- a/cicadagraded/entry/stopping.go
+++ b/cicadagraded/entry/stopping.go
@@ -67,15 +67,3 @@
 	platform.WriteRetryAfter(w.Header(), stopRetryAfter)
 	e.writeRefusal(w, q.attempt, http.StatusServiceUnavailable, "stopping", q.table.Version(), withOrganisation(q.organisationName())...)
 }
-
-// longestTime is how long the request may take, by its caller and its route.
-func (q *request) longestTime() tier.Millis {
-	left, limited := q.attempt.TimeLeft()
-	if !limited {
-		left = defaultCallerTimeout
-	}
-	if t := q.route.Timeout(); t > 0 {
-		left = min(left, t)
-	}
-	return left
-}
