--- a/tier/shedder/room.go
+++ b/tier/shedder/room.go
@@ -7,6 +7,8 @@
 	minRoomParts = 10
 	// lateFraction is the part of a window's parts that must be late to lower the level, inverted.
 	lateFraction = 4
+	// minLateWindows is how many windows in a row must be late: leafs pause for two or three of them.
+	minLateWindows = 4
 	// roomDecrease is the factor of the level in such a window.
 	roomDecrease = 0.8
 )
@@ -18,6 +20,7 @@
 	level       float64
 	judgedAt    tier.Millis
 	parts, late int
+	lateWindows int // in a row
 }
 
 // NewRoom returns a level at which all requests are taken.
@@ -30,10 +33,9 @@
 	if now-r.judgedAt < window {
 		return
 	}
-	switch {
-	case r.parts < minRoomParts || lateFraction*r.late < r.parts:
-		r.level = min(1, r.level+increase)
-	default:
+	if r.parts < minRoomParts || lateFraction*r.late < r.parts {
+		r.level, r.lateWindows = min(1, r.level+increase), 0
+	} else if r.lateWindows++; r.lateWindows >= minLateWindows {
 		r.level = max(minLevel, r.level*roomDecrease)
 	}
 	r.judgedAt, r.parts, r.late = now, 0, 0
