--- a/cicadagraded/entry/turns.go
+++ b/cicadagraded/entry/turns.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// turnSampleInterval is how often the wait for a turn on the processor is measured.
+	// turnSampleInterval is how often the wait for a turn on the processor is measured, and
+	// idleSampleInterval the same while no request is in progress.
 	turnSampleInterval = 20 * tier.Millisecond
+	idleSampleInterval = 100 * tier.Millisecond
 	// turnWaitWindow is the time of which the longest wait is reported.
 	turnWaitWindow = tier.Second
 )
@@ -25,26 +27,36 @@
 
 // RunTurnSamples measures the waits until ctx ends.
 func (e *Entry) RunTurnSamples(ctx context.Context) error {
-	return every(ctx, turnSampleInterval, func() {
-		began := e.clock.Now()
-		e.turns.beganAt.Store(int64(began))
-		e.mu.Lock()
-		e.shedder.Waiting(began)
-		e.mu.Unlock()
-		// The scheduler puts a goroutine that yields at the end of the same queue as those whose
-		// data have come from the network while the processor was busy.
-		runtime.Gosched()
-		e.turns.beganAt.Store(0)
-		now := e.clock.Now()
-		e.turns.ended(began, now)
-		e.mu.Lock()
-		e.shedder.Waited(now)
-		use := e.scheduler.TakeRoomUse()
-		e.room.Heard(now, use.Parts(), use.Late())
-		level := e.levelFor(now, true)
-		e.mu.Unlock()
-		e.logOverload(now, level)
-	})
+	for ctx.Err() == nil {
+		sleep(ctx, e.sampleTurn())
+	}
+	return nil
+}
+
+// sampleTurn measures a wait and returns the pause before the next one.
+func (e *Entry) sampleTurn() tier.Millis {
+	began := e.clock.Now()
+	e.turns.beganAt.Store(int64(began))
+	e.mu.Lock()
+	e.shedder.Waiting(began)
+	e.mu.Unlock()
+	// The scheduler puts a goroutine that yields at the end of the same queue as those whose data
+	// have come from the network while the processor was busy.
+	runtime.Gosched()
+	e.turns.beganAt.Store(0)
+	now := e.clock.Now()
+	e.turns.ended(began, now)
+	e.mu.Lock()
+	e.shedder.Waited(now)
+	use := e.scheduler.TakeRoomUse()
+	e.room.Heard(now, use.Parts(), use.Late())
+	level, busy := e.levelFor(now, true), e.scheduler.Busy()
+	e.mu.Unlock()
+	e.logOverload(now, level)
+	if level >= 1 && !busy {
+		return idleSampleInterval
+	}
+	return turnSampleInterval
 }
 
 // ended records a wait.
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -185,6 +185,9 @@
 	}
 }
 
+// Busy reports whether a search is in progress.
+func (sc *Scheduler) Busy() bool { return len(sc.active) > 0 }
+
 // Close leaves queued parts unsent: the VM is about to stop, and their searches expire.
 func (sc *Scheduler) Close() { sc.closed = true }
 
