--- a/cicadagraded/entry/builds_test.go
+++ b/cicadagraded/entry/builds_test.go
@@ -31,7 +31,8 @@
 		if err := proto.Unmarshal(raw, &reply); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
-		if reply.GetDeclined() != c.declined || reply.GetRefusedPermille() > 0 && c.declined != c.overloaded {
+		overloaded := reply.GetDeclined() && reply.GetRefusedPermille() > 0
+		if reply.GetDeclined() != c.declined || overloaded != c.overloaded {
 			t.Errorf("%s: declined %v, refused permille %d", name, reply.GetDeclined(), reply.GetRefusedPermille())
 		}
 		if c.reply == nil {
