--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -37,9 +36,10 @@
 	expires time.Time
 }
 
-// storeCopy is what the store returns from after a drill: the items of a moment, without leases.
+// storeCopy is what the store returns from after a drill: its state at a moment.
 type storeCopy struct {
 	items    map[string]item
+	leases   map[int64]lease
 	revision int64
 }
 
@@ -80,33 +80,25 @@
 	s.wake()
 }
 
-// Copy returns a copy of the store's items.
+// Copy returns a copy of the store's state.
 func (s *Store) Copy() storeCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storeCopy{items: maps.Clone(s.items), revision: s.revision}
+	return storeCopy{items: maps.Clone(s.items), leases: maps.Clone(s.leases), revision: s.revision}
 }
 
-// ReturnFrom replaces the store's state by a copy: later writes and all leases are gone, the
-// revisions go back, and the era rises by one. What hung on a lease in the copy is removed.
+// ReturnFrom replaces the store's state by a copy: what was written since is gone, leases too, the
+// revisions go back, and the era rises by one. The leases of the copy run anew.
 func (s *Store) ReturnFrom(c storeCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items, s.revision = maps.Clone(c.items), c.revision
+	s.items, s.leases, s.revision = maps.Clone(c.items), maps.Clone(c.leases), c.revision
+	for id, l := range s.leases {
+		s.leases[id] = lease{ttl: l.ttl, expires: time.Now().Add(l.ttl)}
+	}
 	s.history, s.start = nil, c.revision
-	s.leases = map[int64]lease{}
 	s.era++
 	s.down = false
-	var leased []string
-	for key, i := range s.items {
-		if i.Lease != 0 {
-			leased = append(leased, key)
-		}
-	}
-	slices.Sort(leased)
-	for _, key := range leased {
-		s.remove(key)
-	}
 	s.wake()
 }
 
