Review: two VMs keep the account of one tenant

Cause: after a one-way cut between VMs some of them report a tenant's requests to its accountant again, while others and the successor still suspect it. Both give the whole rate away.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -51,6 +51,8 @@
 	trouble         bool
 	store           *Store
 	storeAddress    string
+	moreBounds      string // further lines of the settings
+	tenants         []any  // of the configuration, or nil
 	leafIP          string
 	block           byte
 	nextLeaf        int
@@ -276,7 +278,7 @@
 budgetWindowS = 10
 budgetSlack = 54
 recoveryS = 12
-[platform]
+%s[platform]
 address = "%s"
 form = "kv"
 writesPerS = 400
@@ -285,7 +287,7 @@
 valueBytes = 1048576
 minTtlMs = 1000
 `, v.Name, v.IP, zones[zone], regions[zone], r.block, ctrlPort, r.block, ctrlPort, r.block, ctrlPort,
-		v.IP, frontPort, v.IP, readyPort, v.IP, ctrlPort, r.storeAddress)
+		v.IP, frontPort, v.IP, readyPort, v.IP, ctrlPort, r.moreBounds, r.storeAddress)
 }
 
 // route is a route of the configuration.
@@ -306,10 +308,14 @@
 	for i, name := range services {
 		list[i] = map[string]any{"name": name, "healthCheckPath": healthPath, "connectionLimit": 100}
 	}
-	revision := r.store.Put("op/config", map[string]any{
+	configuration := map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000, "idleTimeoutMs": 10000},
-	})
+	}
+	if r.tenants != nil {
+		configuration["tenants"] = r.tenants
+	}
+	revision := r.store.Put("op/config", configuration)
 	r.Recordf("operator: version %d is confirmed at revision %d", version, revision)
 	return time.Now()
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -55,6 +55,8 @@
 	era      int
 	down     bool
 	changed  chan struct{}
+	// rewrite replaces the values that VMs write, or is nil.
+	rewrite func(key string, value []byte) []byte
 }
 
 // NewStore returns an empty store.
@@ -359,6 +361,9 @@
 		return
 	}
 	for _, p := range t.Puts {
+		if s.rewrite != nil {
+			p.Value = s.rewrite(p.Key, p.Value)
+		}
 		s.put(p.Key, p.Value, p.Lease)
 	}
 	for _, key := range t.Deletes {
