--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -116,13 +116,6 @@
 	return s.revision
 }
 
-// Delete removes a key for the operator or a leaf.
-func (s *Store) Delete(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(key)
-}
-
 // Revision is the revision of the last change.
 func (s *Store) Revision() int64 {
 	s.mu.Lock()
