--- a/review/rig/unproved.go
+++ b/review/rig/unproved.go
@@ -21,15 +21,18 @@
 // proof is wrong, so that the answer bears no proof.
 func unproved(r *Rig) {
 	var spoiling atomic.Bool
+	var mu sync.Mutex
+	var answers, spoiled int // of the leafs that spoil, while they do
 	for k := range 7 {
 		l := r.NewLeaf("contas", zones[[]int{0, 0, 0, 1, 1, 2, 2}[k]], 20*time.Millisecond)
 		if k < spoiledLeafs {
-			var answers, spoiled int
-			var mu sync.Mutex
 			l.Answer = func(c net.Conn, attempt string) bool {
+				if !spoiling.Load() {
+					return false
+				}
 				mu.Lock()
 				answers++
-				due := spoiling.Load() && (spoiled+1)*spoiledOneIn <= answers
+				due := (spoiled+1)*spoiledOneIn <= answers
 				if due {
 					spoiled++
 				}
@@ -70,4 +73,7 @@
 	spoiling.Store(false)
 	send(spoiledPerSecs)
 	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	r.Recordf("the leafs that spoil gave %d answers meanwhile and spoilt %d of them", answers, spoiled)
 }
