--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -252,8 +252,12 @@
 func (e *Entry) RunProbes(ctx context.Context) error {
 	return every(ctx, probeInterval, func() {
 		e.mu.Lock()
+		suspicions := e.scheduler.Partitioner().TakeSuspicions()
 		due := append(e.scheduler.Partitioner().Probes(e.clock.Now()), e.scheduler.Partitioner().IdleGateways(e.clock.Now())...)
 		e.mu.Unlock()
+		for _, s := range suspicions {
+			e.log.RateLimitedInfo("vm-suspected", "peer", s.Name(), "cause", s.Cause())
+		}
 		for _, m := range due {
 			e.background.Go(func() { e.probe(ctx, m) })
 		}
--- a/cicadagraded/entry/reading.go
+++ b/cicadagraded/entry/reading.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"sync/atomic"
 
 	"cicadagrade.example/tier"
@@ -25,7 +28,8 @@
 	peerFailures  int
 	longest       tier.Millis // time of a read
 	lastError     error
-	late          bool // the view is older than staleViewAge, and that has been logged
+	heard         map[string]tier.Millis // ages of the views that VMs have sent last, by name
+	late          bool                   // the view is older than staleViewAge, and that has been logged
 }
 
 // begin records the start of a read.
@@ -73,11 +77,17 @@
 	return due != 0 && int64(now) > due || overran != 0 && overran >= int64(now-viewAge)
 }
 
-// end records the result of a read that took some time.
-func (r *reading) end(now tier.Millis, source refresher.Source, took tier.Millis, err error) {
+// end records the result of a read that took some time, and the age of a view that another VM has sent.
+func (r *reading) end(now tier.Millis, source refresher.Source, took, age tier.Millis, err error) {
 	r.step(now, 0)
 	r.longest = max(r.longest, took)
 	if err == nil {
+		if peer, ok := source.(refresher.Peer); ok {
+			if r.heard == nil {
+				r.heard = map[string]tier.Millis{}
+			}
+			r.heard[peer.Member.VM().Name()] = age
+		}
 		return
 	}
 	r.lastError = err
@@ -89,6 +99,23 @@
 	}
 }
 
+// heardAges lists the ages of the views that VMs have sent, as name:milliseconds.
+func (r *reading) heardAges() string {
+	list := make([]string, 0, len(r.heard))
+	for name, age := range r.heard {
+		list = append(list, fmt.Sprintf("%s:%d", name, age))
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+// suspected lists the names of the VMs that this one suspects.
+func (e *Entry) suspected() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scheduler.Partitioner().SuspectedNames()
+}
+
 // logViewAge logs when the view becomes too old to be sure of, with what its reads have met, and
 // when it is current again.
 func (e *Entry) logViewAge(age tier.Millis) {
@@ -97,13 +124,14 @@
 	switch {
 	case late && !r.late:
 		e.log.Warn("view-late", "view-age-ms", int64(age), "store-failures", r.storeFailures, "peer-failures", r.peerFailures,
-			"longest-read-ms", int64(r.longest), "turn-wait-ms", int64(e.turns.wait(e.clock.Now())), "error", r.lastError)
+			"longest-read-ms", int64(r.longest), "turn-wait-ms", int64(e.turns.wait(e.clock.Now())), "error", r.lastError,
+			"heard-ages-ms", r.heardAges(), "suspected", strings.Join(e.suspected(), " "))
 	case !late && r.late:
 		e.log.Info("view-current", "source", r.source, "store-failures", r.storeFailures, "peer-failures", r.peerFailures,
 			"longest-read-ms", int64(r.longest), "turn-wait-ms", int64(e.turns.wait(e.clock.Now())))
 	}
 	if !late {
-		r.storeFailures, r.peerFailures, r.longest, r.lastError = 0, 0, 0, nil
+		r.storeFailures, r.peerFailures, r.longest, r.lastError, r.heard = 0, 0, 0, nil, nil
 	}
 	r.late = late
 }
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -12,6 +12,7 @@
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/refresher"
 	"cicadagrade.example/tier/storer"
 )
@@ -57,7 +58,7 @@
 	began := e.clock.Now()
 	e.reading.begin(began, source)
 	age, err := e.readFrom(ctx, source)
-	e.reading.end(e.clock.Now(), source, e.clock.Now()-began, err)
+	e.reading.end(e.clock.Now(), source, e.clock.Now()-began, age, err)
 	e.mu.Lock()
 	switch {
 	case errors.Is(err, errNoView):
@@ -219,7 +220,7 @@
 		}
 		if after != 0 {
 			e.mu.Lock()
-			e.scheduler.Partitioner().Failed(e.clock.Now(), vm.Name())
+			e.scheduler.Partitioner().Failed(e.clock.Now(), vm.Name(), partitioner.FetchFailed)
 			e.mu.Unlock()
 		}
 		e.log.RateLimitedInfo("fetch-failed", "peer", vm.Name(), "error", err)
--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -110,7 +110,8 @@
 	ownerCache      map[string]string // owners of shards in this VM's region
 	ownerRanks      map[string]int    // this VM's ranks as owner, cached as long
 	ownerCacheAt    tier.Millis
-	selfExcluded    bool // the own VM queries no shards
+	selfExcluded    bool        // the own VM queries no shards
+	suspicions      []Suspicion // since TakeSuspicions was last called
 	// withoutLargeSince is when this small VM first found no large one in its region, or 0.
 	withoutLargeSince tier.Millis
 }
@@ -192,62 +193,6 @@
 	}
 }
 
-// Failed suspects a VM that did not answer in time. It gets no shares until a probe
-// succeeds.
-func (p *Partitioner) Failed(now tier.Millis, name string) {
-	m, ok := p.members[name]
-	if !ok || m.suspected || name == p.self.vm.Name() {
-		return
-	}
-	if m.backoff == 0 || now-m.recoveredAt >= backoffResetAfter {
-		m.backoff = firstProbeDelay
-	} else {
-		m.backoff = min(2*m.backoff, maxProbeDelay)
-	}
-	m.suspected, m.probeAt = true, now+m.backoff
-	p.ownerCache = nil
-}
-
-// TimedOut handles a VM that has not accepted a share within a time. One that has accepted
-// another share shortly before may just be busy: if it were suspected, others would get its
-// load, and the next one would be late. It is suspected if it misses maxTimeouts in a row.
-// It reports whether the VM is suspected now.
-func (p *Partitioner) TimedOut(now tier.Millis, name string, waited tier.Millis) bool {
-	m, ok := p.members[name]
-	if !ok {
-		return true
-	}
-	m.timeouts++
-	m.roundTripMs = min(max(m.roundTripMs, float64(waited)), maxRoundTripMs)
-	if m.timeouts >= maxTimeouts || m.answeredAt == 0 || now-m.answeredAt >= recentAnswer {
-		p.Failed(now, name)
-	}
-	return m.suspected
-}
-
-// ExcludeSelf sets whether the own VM queries no shards, because it reaches no leafs. It ends
-// all suspicions: shares of others may have failed for what this VM had not done in time.
-func (p *Partitioner) ExcludeSelf(now tier.Millis, excluded bool) {
-	p.selfExcluded = excluded
-	p.ownerCache = nil
-	for name := range p.members {
-		p.Recovered(now, name)
-	}
-}
-
-// Probes lists the VMs to probe now. Each is listed again after its backoff unless
-// Recovered is called.
-func (p *Partitioner) Probes(now tier.Millis) []Member {
-	var due []Member
-	for _, m := range p.members {
-		if m.suspected && now >= m.probeAt {
-			m.probeAt = now + m.backoff
-			due = append(due, m.member)
-		}
-	}
-	return due
-}
-
 // IdleGateways lists the gateways whose connections have been idle for
 // gatewayIdleLimit, each once. Contacting them keeps the connections open: a share
 // that has to open one is delayed by a round trip.
@@ -264,18 +209,6 @@
 	return due
 }
 
-// Recovered ends the suspicion of a VM that answered a probe in time. It reports
-// whether the VM was suspected.
-func (p *Partitioner) Recovered(now tier.Millis, name string) bool {
-	m, ok := p.members[name]
-	if !ok || !m.suspected {
-		return false
-	}
-	m.suspected, m.recoveredAt = false, now
-	p.ownerCache = nil
-	return true
-}
-
 // RecordRoundTrip records a measured round trip to a VM.
 func (p *Partitioner) RecordRoundTrip(now tier.Millis, name string, roundTrip tier.Millis) {
 	m, ok := p.members[name]
--- a/tier/partitioner/partitioner_test.go
+++ b/tier/partitioner/partitioner_test.go
@@ -129,7 +129,7 @@
 		}
 		return false
 	}
-	p.Failed(1000, "r1-strong-1")
+	p.Failed(1000, "r1-strong-1", FetchFailed)
 	if getsShare() || len(p.Probes(1000+firstProbeDelay-1)) != 0 {
 		t.Error("a suspected VM gets a share, or is probed at once")
 	}
@@ -140,12 +140,12 @@
 	if !getsShare() {
 		t.Error("a VM that answered a probe gets no share")
 	}
-	p.Failed(1600, "r1-strong-1")
+	p.Failed(1600, "r1-strong-1", FetchFailed)
 	if len(p.Probes(1600+firstProbeDelay)) != 0 || len(p.Probes(1600+2*firstProbeDelay)) != 1 {
 		t.Error("a second failure soon after does not double the wait")
 	}
 	for name := range p.members {
-		p.Failed(9000, name)
+		p.Failed(9000, name, ShareFailed)
 	}
 	for _, share := range p.Partition("class", shards(30), tier.RegionSet{}, locationsOf, random.Float64) {
 		if !share.Self() {
@@ -317,7 +317,7 @@
 		expectDataCentre("r1-1")
 		for _, m := range all {
 			if m.VM().DataCentre() == "r1-1" && m.VM().Name() != self.VM().Name() {
-				p.Failed(1, m.VM().Name())
+				p.Failed(1, m.VM().Name(), ShareFailed)
 			}
 		}
 		if self.VM().DataCentre() == "r1-0" {
@@ -340,7 +340,7 @@
 			for other := range fleet {
 				for _, prefix := range suspects {
 					if other[:2] == prefix {
-						p.Failed(0, other)
+						p.Failed(0, other, ShareFailed)
 					}
 				}
 			}
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -285,7 +285,7 @@
 		if !other.up {
 			return deadCallTime, func() (tier.Millis, bool) {
 				if v.joinedAt >= 0 {
-					v.partitioner.Failed(s.now, other.member.VM().Name())
+					v.partitioner.Failed(s.now, other.member.VM().Name(), partitioner.FetchFailed)
 					s.probe(v, other, v.generation)
 				}
 				return 0, false
--- a/tier/searcher/fleet_test.go
+++ b/tier/searcher/fleet_test.go
@@ -50,7 +50,7 @@
 	}
 	for _, v := range f.vms {
 		for _, name := range owners {
-			v.scheduler.partitioner.Failed(f.now, name)
+			v.scheduler.partitioner.Failed(f.now, name, partitioner.ShareFailed)
 		}
 	}
 }
@@ -105,7 +105,7 @@
 			switch {
 			case other.name != member.VM().Name():
 			case other.dead:
-				v.scheduler.partitioner.Failed(f.now, other.name)
+				v.scheduler.partitioner.Failed(f.now, other.name, partitioner.ShareFailed)
 				return
 			default:
 				v = other
--- a/tier/searcher/shares.go
+++ b/tier/searcher/shares.go
@@ -107,7 +107,7 @@
 	for _, i := range s.shares[shareIndex].parts {
 		s.scheduler.ForecasterOf(s.terms.regions).Forget(s.parts[i].service)
 	}
-	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, false, nil)))
+	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, partitioner.ShareDeclined, nil)))
 }
 
 // wouldRefuse reports whether a VM has refused a share of this request, or would, because it is
@@ -148,7 +148,7 @@
 	if s.done || s.shares[shareIndex].ended {
 		return nil
 	}
-	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, true, nil)))
+	return s.finishIfDone(now, s.takePending(s.reclaim(now, shareIndex, partitioner.ShareFailed, nil)))
 }
 
 // respite gives the VMs whose shares are due, and the leafs whose calls are due for a hedge, more time
@@ -219,10 +219,10 @@
 // minRedelegatedParts is the least number of parts that are worth another VM's time.
 const minRedelegatedParts = 4
 
-// reclaim takes back a share from a VM that has failed.
-func (s *Search) reclaim(now tier.Millis, shareIndex int, mayHaveCalled bool, actions []Action) []Action {
-	s.scheduler.partitioner.Failed(now, s.shares[shareIndex].member.VM().Name())
-	return s.takeBack(now, shareIndex, mayHaveCalled, true, actions)
+// reclaim takes back a share from a VM that has failed, or takes none.
+func (s *Search) reclaim(now tier.Millis, shareIndex int, cause partitioner.Cause, actions []Action) []Action {
+	s.scheduler.partitioner.Failed(now, s.shares[shareIndex].member.VM().Name(), cause)
+	return s.takeBack(now, shareIndex, cause != partitioner.ShareDeclined, true, actions)
 }
 
 // takeBack takes back the missing parts of a share. If others may have them, they go to other
