--- a/tier/refresher/fleet_faults_test.go
+++ b/tier/refresher/fleet_faults_test.go
@@ -1,6 +1,11 @@
 package refresher
 
-import "cicadagrade.example/tier"
+import (
+	"slices"
+
+	"cicadagrade.example/tier"
+	"cicadagrade.example/tier/partitioner"
+)
 
 // fault begins a fault of a script, as described at TestFleets.
 func (s *fleet) fault(words []string) {
@@ -31,6 +36,19 @@
 			s.byName[m.VM().Name()].storeFault = "store-silent"
 		}
 		s.after(tier.Millis(s.number(words[2])), func() { s.endStoreFaults() })
+	case "links-lost-first":
+		for _, m := range s.vms[0].partitioner.Relays()[:int(s.number(words[1]))] {
+			s.setDeclines(s.byName[m.VM().Name()], true)
+			s.after(tier.Millis(s.number(words[2])), func() { s.setDeclines(s.byName[m.VM().Name()], false) })
+		}
+	case "store-refuses-linked":
+		s.faults++
+		for _, v := range s.vms {
+			if !v.declines {
+				v.storeFault = "store-refuses"
+			}
+		}
+		s.after(tier.Millis(s.number(words[1])), func() { s.endStoreFaults() })
 	case "busy":
 		s.replyDelay = tier.Millis(s.number(words[1]))
 		s.after(tier.Millis(s.number(words[2])), func() { s.replyDelay = 0 })
@@ -45,9 +63,33 @@
 }
 
 func (s *fleet) endStoreFaults() {
+	if !s.readable() {
+		s.readableAt = s.now
+	}
 	s.faults--
 	s.calmAt = s.now
 	for _, v := range s.vms {
 		v.storeFault = ""
 	}
 }
+
+// setDeclines begins or ends that a VM declines shares. All others have sent it one, and suspect it
+// until a probe says that it takes shares again.
+func (s *fleet) setDeclines(v *vm, declines bool) {
+	v.declines = declines
+	for _, other := range s.vms {
+		if other == v || other.partitioner == nil {
+			continue
+		}
+		if declines {
+			other.partitioner.Failed(s.now, v.member.VM().Name(), partitioner.ShareDeclined)
+		} else {
+			other.partitioner.Recovered(s.now, v.member.VM().Name())
+		}
+	}
+}
+
+// readable reports whether the store answers any VM.
+func (s *fleet) readable() bool {
+	return slices.ContainsFunc(s.vms, func(v *vm) bool { return v.up && v.storeFault == "" })
+}
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -33,16 +33,24 @@
 //	at MS store-silent-first N FOR  the store does not answer the first N relays
 //	at MS busy MS FOR            replies of VMs take MS longer
 //	at MS leases-lapse           all registrations end
+//	at MS links-lost-first N FOR the first N relays decline shares, for which others suspect them
+//	at MS store-refuses-linked FOR  the store turns away the VMs that take shares
 //	run MS                       plays until then, and checks that all VMs have a view
 //	reset                        forgets the figures so far
 //	expect joined-within MS      from each start of a VM until it has a view
 //	expect view-age MS           the greatest age of a view that a VM has had
 //	expect reader-view-age MS    the same, from the start of a fault on, of the VMs that the store
 //	                             answers
+//	expect fleet-view-age MS     the same, of all VMs while the store answers any VM
 //	expect store-calls N         calls to the store at most; a stale read or a renewal counts
 //	                             as a tenth
-func TestFleets(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
+func TestFleets(t *testing.T) { playFleets(t, "testdata/*.txt") }
+
+// Guards against a VM that handles requests by an old view while other VMs have a newer one.
+func TestNewerViewsOfOtherVMsAreCopied(t *testing.T) { playFleets(t, "testdata/newer-views/*.txt") }
+
+func playFleets(t *testing.T, pattern string) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scripts: %v", err)
 	}
@@ -91,6 +99,7 @@
 	storeAt     tier.Millis // when the store had this view
 	members     []partitioner.Member
 	storeFault  string // "", refuses or silent
+	declines    bool   // shares
 	registered  bool
 }
 
@@ -111,6 +120,8 @@
 	slowness   tier.Millis // of the store
 	replyDelay tier.Millis // of VMs that are busy
 	readersAge tier.Millis // view of a VM that the store answers
+	fleetAge   tier.Millis // view of any VM while the store answers some VM
+	readableAt tier.Millis // since when the store has answered some VM
 }
 
 func (s *fleet) after(d tier.Millis, run func()) {
@@ -167,12 +178,13 @@
 			}
 		}
 	case "reset":
-		s.slowest, s.oldest, s.readersAge, s.calls = 0, 0, 0, 0
+		s.slowest, s.oldest, s.readersAge, s.fleetAge, s.calls = 0, 0, 0, 0, 0
 	case "expect":
-		got, ok := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "reader-view-age": float64(s.readersAge), "store-calls": s.calls}[words[1]]
+		got, ok := map[string]float64{"joined-within": float64(s.slowest), "view-age": float64(s.oldest), "reader-view-age": float64(s.readersAge), "fleet-view-age": float64(s.fleetAge), "store-calls": s.calls}[words[1]]
 		if !ok {
 			s.t.Fatalf("unknown figure %q", words[1])
 		}
+		s.t.Logf("%s is %.1f", words[1], got)
 		if got > number(2) {
 			s.t.Errorf("%s is %.1f, expected at most %s", words[1], got, words[2])
 		}
@@ -208,6 +220,9 @@
 	if v.joinedAt >= 0 && v.storeFault == "" && s.now-v.joinedAt > settleTime {
 		s.readersAge = max(s.readersAge, age)
 	}
+	if v.joinedAt >= 0 && s.readable() && s.now-max(v.joinedAt, s.readableAt) > settleTime {
+		s.fleetAge = max(s.fleetAge, age)
+	}
 	if v.joinedAt >= 0 && s.faults == 0 && s.now-s.calmAt > settleTime && s.now-v.joinedAt > settleTime {
 		s.oldest = max(s.oldest, age)
 	}
@@ -339,7 +354,7 @@
 		if v.generation != generation {
 			return
 		}
-		if other.up && other.joinedAt >= 0 {
+		if other.up && other.joinedAt >= 0 && !other.declines {
 			v.partitioner.Recovered(s.now, other.member.VM().Name())
 			return
 		}
