Copy views also of VMs that take no shares

Callers saw requests handled by a configuration that had been replaced up to 8 s before, by VMs that the store turned away beside others that read it.

Cause: one flag, suspected, stood for two things. A VM without links to leafs declines shares, is suspected for that until it takes shares again, and Relays left suspected VMs out.

Now a VM is unreachable if a fetch, a share's stream or a probe of it failed, and only that takes it out of the relays; an answer to a probe ends it, whatever it says of shares. The same flag also made a VM beside declining ones take itself for isolated and fail its readiness check, and left them out of warnings; both ask for reachable VMs now.

--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -271,12 +271,17 @@
 	response, err := e.peers.clientOf(m.VM().Address()).Ping(ctx, connect.NewRequest(&gatherv1.PingRequest{}))
 	if err != nil {
 		e.peers.drop(m.VM().Address())
+		e.mu.Lock()
+		e.scheduler.Partitioner().ProbeFailed(m.VM().Name())
+		e.mu.Unlock()
 		return
 	}
+	e.mu.Lock()
+	e.scheduler.Partitioner().Reached(m.VM().Name())
 	if !response.Msg.GetTakesShares() {
+		e.mu.Unlock()
 		return
 	}
-	e.mu.Lock()
 	recovered := e.scheduler.Partitioner().Recovered(e.clock.Now(), m.VM().Name())
 	e.mu.Unlock()
 	if recovered {
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -227,6 +227,9 @@
 		return 0, errors.Wrap(err, "Entry.fetchFrom")
 	}
 	reply := response.Msg
+	e.mu.Lock()
+	e.scheduler.Partitioner().Reached(vm.Name())
+	e.mu.Unlock()
 	e.hearLeafDelays(reply.GetDelays())
 	if reply.GetRevision() == 0 {
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -160,7 +160,7 @@
 	changes := e.tickLeafs()
 	e.scheduler.Quarantiner().Tick(e.clock.Now())
 	e.scheduler.Partitioner().Tick(e.clock.Now())
-	isolated := e.viewAge() > isolationViewAge && e.scheduler.Partitioner().MemberCount() > 1 && len(e.scheduler.Partitioner().HealthyPeers()) == 0
+	isolated := e.viewAge() > isolationViewAge && e.scheduler.Partitioner().MemberCount() > 1 && len(e.scheduler.Partitioner().ReachablePeers()) == 0
 	e.mu.Unlock()
 	e.leafClient.CloseExpired()
 	if e.isolated.Swap(isolated) != isolated {
--- a/tier/partitioner/partitioner.go
+++ b/tier/partitioner/partitioner.go
@@ -88,7 +88,8 @@
 type memberState struct {
 	member       Member
 	missingSince tier.Millis // when its registration was first missing, or 0
-	suspected    bool        // it gets no shares until a probe succeeds
+	suspected    bool        // it gets no shares until it answers a probe that it takes them
+	unreachable  bool        // it is suspected, and has answered nothing since
 	probeAt      tier.Millis // when to probe it
 	backoff      tier.Millis // wait before the next probe
 	recoveredAt  tier.Millis // when a probe last succeeded
--- a/tier/partitioner/relays.go
+++ b/tier/partitioner/relays.go
@@ -19,8 +19,9 @@
 	return list[:min(watcherCount, len(list))]
 }
 
-// Relays lists the large VMs of the deployment that are not suspected, in an order by
-// hash that all VMs with the same list of members share. Other VMs copy their view
+// Relays lists the large VMs of the deployment that are not unreachable, in an order by
+// hash that all VMs with the same list of members share. One that takes no shares, for instance
+// because it reaches no leaf, is among them: it may be the only one that the store answers. Other VMs copy their view
 // from them. The first ones watch the store; the next ones take their place if their
 // views grow old.
 func (p *Partitioner) Relays() []Member {
@@ -34,7 +35,7 @@
 	}
 	var list []scored
 	for name, m := range p.members {
-		if !m.suspected && m.member.cores >= minCoresFraction*maxCores {
+		if !m.unreachable && m.member.cores >= minCoresFraction*maxCores {
 			list = append(list, scored{m.member, picker.Score("watcher", "", name)})
 		}
 	}
@@ -115,12 +116,25 @@
 	return ok
 }
 
-// Neighbours lists the other VMs of the own region that are not suspected.
+// Neighbours lists the other VMs of the own region that are not unreachable, by name.
 func (p *Partitioner) Neighbours() []Member {
-	list := p.HealthyPeers()
+	list := p.ReachablePeers()
 	return slices.DeleteFunc(list, func(m Member) bool { return m.region != p.self.region })
 }
 
+// ReachablePeers lists the other VMs that are not unreachable, by name, whether they take shares
+// or not.
+func (p *Partitioner) ReachablePeers() []Member {
+	var list []Member
+	for name, m := range p.members {
+		if !m.unreachable && name != p.self.vm.Name() {
+			list = append(list, m.member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.vm.Name(), b.vm.Name()) })
+	return list
+}
+
 // Gateways lists the gateways to all other regions.
 func (p *Partitioner) Gateways() []Member {
 	var list []Member
@@ -130,8 +144,8 @@
 	return list
 }
 
-// HealthyPeers lists the other VMs that are not suspected, those of the own region
-// first.
+// HealthyPeers lists the other VMs that are not suspected, and so may get shares, those of the
+// own region first.
 func (p *Partitioner) HealthyPeers() []Member {
 	var list []Member
 	for name, m := range p.members {
--- a/tier/partitioner/suspicion.go
+++ b/tier/partitioner/suspicion.go
@@ -17,6 +17,9 @@
 	FetchFailed   Cause = "fetch-failed"   // it has not sent the changes of its view
 )
 
+// unreachable reports whether the VM has not answered at all.
+func (c Cause) unreachable() bool { return c == ShareFailed || c == FetchFailed }
+
 // Suspicion is the beginning of a suspicion.
 type Suspicion struct {
 	name  string
@@ -52,7 +55,11 @@
 // succeeds.
 func (p *Partitioner) Failed(now tier.Millis, name string, cause Cause) {
 	m, ok := p.members[name]
-	if !ok || m.suspected || name == p.self.vm.Name() {
+	if !ok || name == p.self.vm.Name() {
+		return
+	}
+	m.unreachable = m.unreachable || cause.unreachable()
+	if m.suspected {
 		return
 	}
 	if m.backoff == 0 || now-m.recoveredAt >= backoffResetAfter {
@@ -105,14 +112,28 @@
 	return due
 }
 
-// Recovered ends the suspicion of a VM that answered a probe in time. It reports
+// ProbeFailed handles a suspected VM that has not answered a probe.
+func (p *Partitioner) ProbeFailed(name string) {
+	if m, ok := p.members[name]; ok && m.suspected {
+		m.unreachable = true
+	}
+}
+
+// Reached handles an answer of a VM, whether it takes shares or not.
+func (p *Partitioner) Reached(name string) {
+	if m, ok := p.members[name]; ok {
+		m.unreachable = false
+	}
+}
+
+// Recovered ends the suspicion of a VM that has answered a probe in time and takes shares. It reports
 // whether the VM was suspected.
 func (p *Partitioner) Recovered(now tier.Millis, name string) bool {
 	m, ok := p.members[name]
 	if !ok || !m.suspected {
 		return false
 	}
-	m.suspected, m.recoveredAt = false, now
+	m.suspected, m.unreachable, m.recoveredAt = false, false, now
 	p.ownerCache = nil
 	return true
 }
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -314,6 +314,7 @@
 		}
 		told, storeAt, members := s.now-other.viewAt, other.storeAt, other.members
 		return took, func() (tier.Millis, bool) {
+			v.partitioner.Reached(other.member.VM().Name())
 			age := ViewAge(told, took)
 			if s.now-age > v.viewAt {
 				v.viewAt = s.now - age
