Tie the age of a view to its content, over returns of the store from a copy

Cause: revisions were compared as if they never went back. A VM dropped what another one had read at a lower revision, but took over the age that came with it, so that it never read the store itself; and a VM that reads the store went on from a revision that had been given out again.

The adapter now joins Store-Era to the revisions (40 bits for the revision, the era above), so that they rise over a return from a copy, and no other code compares eras. In the first era, and without the header, they are the store's own, so that messages between VMs are as before: a VM of an earlier build that gets a revision of a later era reads the store anew. A view of a lower revision counts as no fresher than the own one. After a return, leafs that the copy lacks stay for the return window, those that had left are not used again, the configuration in force is what other VMs get, and leases of an earlier era are given up: their ids may be another VM's.

The stand-in store tells its era and gives lease ids out again (Drill).

--- a/cicadagraded/entry/crashes.go
+++ b/cicadagraded/entry/crashes.go
@@ -257,12 +257,12 @@
 	if err != nil {
 		return errors.Wrap(err, "Entry.writeCrashReport")
 	}
-	if now := e.clock.Now(); e.crashLease == 0 || now-e.crashLeaseAt >= crashLeaseReuse {
+	if now := e.clock.Now(); e.crashLease == 0 || now-e.crashLeaseAt >= crashLeaseReuse || e.store.Era() != e.crashLeaseEra {
 		id, err := e.store.Grant(ctx, crashReportTTL)
 		if err != nil {
 			return errors.Wrap(err, "Entry.writeCrashReport")
 		}
-		e.crashLease, e.crashLeaseAt = id, now
+		e.crashLease, e.crashLeaseAt, e.crashLeaseEra = id, now, e.store.Era()
 	}
 	key := crashesPrefix + string(f) + "/" + e.settings.Load().Name()
 	if _, err := e.store.Put(ctx, key, raw, e.crashLease); err != nil {
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -70,6 +70,8 @@
 	crashReported    chan struct{}  // gets a value when crashReports has a new one
 	crashLease       storer.LeaseID // of reports in the store, used by RunCrashReports only
 	crashLeaseAt     tier.Millis    // when it was granted
+	crashLeaseEra    int64          // of the store when it was granted
+	registeredEra    int64          // of the store when the registration's lease was granted, used by RunRegistration only
 	reachMu          sync.Mutex     // serialises reachesLeafs
 	unreachedAt      time.Time      // when reachesLeafs last began to find that no leaf can be reached
 	background       sync.WaitGroup // calls to leafs and other VMs in progress
--- a/cicadagraded/entry/fleet_test.go
+++ b/cicadagraded/entry/fleet_test.go
@@ -24,11 +24,12 @@
 // their connections, when they get a request to a path that ends in /crash. They hold one to a path
 // that ends in /hold until release is closed.
 type testFleet struct {
-	t       *testing.T
-	store   *platform.Store
-	address string
-	entries []*Entry
-	servers []*httptest.Server // of the leafs
+	t           *testing.T
+	storeServer *storeserver.Server
+	store       *platform.Store
+	address     string
+	entries     []*Entry
+	servers     []*httptest.Server // of the leafs
 
 	services map[string]string // of the leafs, by id
 	group    sync.WaitGroup    // closes the connections of leafs
@@ -42,8 +43,9 @@
 
 func newTestFleet(t *testing.T, vms int) *testFleet {
 	t.Helper()
-	server := httptest.NewServer(storeserver.New(tier.NewClock()))
-	f := &testFleet{t: t, release: make(chan struct{}), services: map[string]string{}, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
+	storeServer := storeserver.New(tier.NewClock())
+	server := httptest.NewServer(storeServer)
+	f := &testFleet{t: t, storeServer: storeServer, release: make(chan struct{}), services: map[string]string{}, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
 	t.Cleanup(func() {
 		f.group.Wait()
 		for _, e := range f.entries {
--- a/cicadagraded/entry/members.go
+++ b/cicadagraded/entry/members.go
@@ -119,10 +119,23 @@
 	return nil
 }
 
+// wakeRegistration makes RunRegistration register again.
+func (e *Entry) wakeRegistration() {
+	select {
+	case e.unregistered <- struct{}{}:
+	default:
+	}
+}
+
 // endRegistration removes the registration with its lease.
 func (e *Entry) endRegistration(ctx context.Context, lease *storer.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
+	if e.store.Era() != e.registeredEra {
+		*lease = 0 // the id may be that of another VM's lease
+		e.registered.Store(false)
+		return nil
+	}
 	if err := e.store.Release(ctx, *lease); err != nil {
 		return errors.Wrap(err, "Entry.endRegistration")
 	}
@@ -133,7 +146,8 @@
 }
 
 // renewRegistration renews the lease of the registration. It registers again, under a new
-// lease, if the lease has expired or the registration is missing from the store.
+// lease, if the lease has expired, the registration is missing from the store, or the store has
+// returned from a copy: another VM may have got a lease with the same id since.
 func (e *Entry) renewRegistration(ctx context.Context, lease *storer.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
@@ -142,7 +156,7 @@
 		if err != nil {
 			return errors.Wrap(err, "Entry.renewRegistration")
 		}
-		if left > 0 && e.registered.Load() {
+		if left > 0 && e.registered.Load() && e.store.Era() == e.registeredEra {
 			return nil
 		}
 	}
@@ -154,11 +168,12 @@
 	if err != nil {
 		return errors.Wrap(err, "Entry.renewRegistration")
 	}
+	era := e.store.Era()
 	if _, err := e.store.Put(ctx, vmsPrefix+e.scheduler.Partitioner().Self().VM().Name(), raw, id); err != nil {
 		return errors.Wrap(err, "Entry.renewRegistration")
 	}
 	e.registered.Store(true)
-	*lease = id
+	*lease, e.registeredEra = id, era
 	e.log.Info("registered", "lease", int64(id))
 	return nil
 }
@@ -168,8 +183,8 @@
 func (e *Entry) replaceMembers(list []storer.Value, afterOutage bool) {
 	members := e.decodeMembers(list)
 	listed := slices.ContainsFunc(members, func(m partitioner.Member) bool { return m.VM().Name() == e.settings.Load().Name() })
-	if !listed {
-		e.registered.Store(false)
+	if !listed && e.registered.Swap(false) {
+		e.wakeRegistration()
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -211,10 +226,7 @@
 			e.mu.Lock()
 			e.scheduler.SetListed(false)
 			e.mu.Unlock()
-			select {
-			case e.unregistered <- struct{}{}:
-			default:
-			}
+			e.wakeRegistration()
 			return
 		}
 		e.mu.Lock()
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -154,6 +154,11 @@
 	if err := g.Wait(); err != nil {
 		return errors.Wrap(err, "Entry.readAll")
 	}
+	for _, revision := range at {
+		if revision != 0 && !platform.SameHistory(revision, at[1]) {
+			return errors.Errorf("Entry.readAll: the store has returned from a copy between reads at %d and %d", at[1], revision)
+		}
+	}
 	afterOutage := e.storeUnreachable.Load()
 	e.markStoreReachable()
 	list := slices.Concat(leafs, state, operator)
@@ -161,6 +166,12 @@
 	if at[0] != 0 {
 		revision = min(revision, at[0])
 	}
+	e.mu.Lock()
+	have := e.relayer.Revision()
+	e.mu.Unlock()
+	if revision < have {
+		return errors.Errorf("Entry.readAll: the store is at revision %d, before %d", revision, have)
+	}
 	e.replaceView(list, revision, afterOutage)
 	e.advanceView(revision, refresher.ViewAge(0, e.clock.Now()-start))
 	return nil
@@ -235,14 +246,17 @@
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
 	age := refresher.ViewAge(tier.Millis(reply.GetAgeMs()), e.clock.Now()-start)
-	if reply.GetRevision() >= have {
-		list := decodeItems(reply.GetItems())
-		if reply.GetWhole() {
-			e.replaceView(list, reply.GetRevision(), true)
-		} else {
-			for _, c := range list {
-				e.applyChange(c, reply.GetRevision(), true)
-			}
+	if reply.GetRevision() < have {
+		// It lacks changes that this VM has, so it is older, whatever age it tells: VMs that have not
+		// seen the store return from a copy count on in the history before.
+		return max(age, e.viewAge()), nil
+	}
+	list := decodeItems(reply.GetItems())
+	if reply.GetWhole() {
+		e.replaceView(list, reply.GetRevision(), true)
+	} else {
+		for _, c := range list {
+			e.applyChange(c, reply.GetRevision(), true)
 		}
 	}
 	e.advanceView(reply.GetRevision(), age)
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -24,15 +24,22 @@
 // replaceView replaces the whole view by a list read at a revision. afterOutage says that
 // entries may be missing because they could not be renewed while the store was unreachable.
 func (e *Entry) replaceView(list []storer.Value, revision int64, afterOutage bool) {
+	if e.followReturn(revision) {
+		afterOutage = true
+	}
 	var entries []lister.Entry
 	var members []storer.Value
 	var evacuations []storer.Value
 	kept := make([]storer.Value, 0, len(list))
+	hasConfiguration := false
 	for _, c := range list {
 		c = e.redactKeys(c)
 		switch {
 		case c.Key() == platform.ConfigurationKey:
-			e.applyConfiguration(c)
+			hasConfiguration = true
+			if e.applyConfiguration(c) {
+				c = e.configurationInForce(c.Revision())
+			}
 		case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
 			entry := e.decodeLeaf(c)
 			entries = append(entries, entry)
@@ -49,6 +56,9 @@
 		}
 		kept = append(kept, c)
 	}
+	if c := e.configurationInForce(revision); !hasConfiguration && c.Present() {
+		kept = append(kept, c)
+	}
 	e.mu.Lock()
 	kept = append(kept, e.replaceEvacuations(evacuations, revision)...)
 	e.relayer.Replace(kept, revision)
@@ -66,8 +76,8 @@
 	c = e.redactKeys(c)
 	switch {
 	case c.Key() == platform.ConfigurationKey:
-		if c.Present() {
-			e.applyConfiguration(c)
+		if c.Present() && e.applyConfiguration(c) {
+			c = e.configurationInForce(c.Revision())
 		}
 	case strings.HasPrefix(c.Key(), platform.LeafsPrefix):
 		affectsUse = e.applyLeaf(c)
@@ -91,17 +101,47 @@
 	e.relayer.Put(c, revision, affectsUse)
 }
 
+// followReturn handles a view that begins another history of the store, and reports whether this one
+// does: the store has returned from a copy, which may lack what leafs and VMs have written since, and
+// have what was removed.
+func (e *Entry) followReturn(revision int64) bool {
+	e.mu.Lock()
+	have := e.relayer.Revision()
+	if have == 0 || platform.SameHistory(have, revision) {
+		e.mu.Unlock()
+		return false
+	}
+	e.scheduler.Lister().StoreReturned()
+	e.mu.Unlock()
+	e.log.Warn("store-returned-from-copy", "revision", revision, "previous", have, "source", e.reading.source)
+	return true
+}
+
+// configurationInForce is the configuration that other VMs get from this one, with a revision: that in
+// force, though a store that has returned from a copy may have an older one. It is absent if this VM
+// has none.
+func (e *Entry) configurationInForce(revision int64) storer.Value {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.relayer.WithPrefix(platform.ConfigurationKey) {
+		if c.Key() == platform.ConfigurationKey {
+			return storer.NewValue(c.Key(), c.Data(), revision)
+		}
+	}
+	return storer.NewValue(platform.ConfigurationKey, nil, 0)
+}
+
 // applyConfiguration replaces the routing table by that of a configuration, unless it can't
-// be decoded or its version is not newer.
-func (e *Entry) applyConfiguration(c storer.Value) {
+// be decoded or its version is not newer. It reports whether it is older than the one in force.
+func (e *Entry) applyConfiguration(c storer.Value) bool {
 	t, err := platform.DecodeConfiguration(c.Data())
 	if err != nil {
 		e.log.Warn("configuration-unreadable", "revision", c.Revision(), "error", err)
-		return
+		return false
 	}
 	old := e.table.Load()
 	if old != nil && t.Version() <= old.Version() {
-		return
+		return t.Version() < old.Version()
 	}
 	keys := authenticator.New(e.keySecret, t.Organisations())
 	e.table.Store(t, keys)
@@ -116,6 +156,7 @@
 	e.log.Info("configuration-in-force", "version", t.Version(), "previous", previous,
 		"routes", t.RouteCount(), "revision", c.Revision(), "source", e.reading.source, "view-age-ms", int64(e.viewAge()))
 	e.logOrganisations(t, keys)
+	return false
 }
 
 // decodeLeaf decodes a leaf's registration. If that fails, it logs the error and returns an
@@ -239,11 +280,15 @@
 }
 
 // advanceView records that the view holds all changes up to a revision, as the store had
-// them age ago.
+// them age ago. A view of an earlier revision says nothing about the age of this one.
 func (e *Entry) advanceView(revision int64, age tier.Millis) {
 	e.mu.Lock()
+	older := revision < e.relayer.Revision()
 	e.relayer.AdvanceTo(revision)
 	e.mu.Unlock()
+	if older {
+		return
+	}
 	if at := int64(e.clock.Now() - age); at > e.storeAnsweredAt.Load() {
 		e.storeAnsweredAt.Store(at)
 	}
--- a/standin/storeserver/lease.go
+++ b/standin/storeserver/lease.go
@@ -23,8 +23,8 @@
 	ttl := min(max(tier.Millis(r.TTL), minTTL), maxTTL)
 	s.store.mu.Lock()
 	s.store.expireLeases()
-	s.store.nextID++
-	id := s.store.nextID
+	s.store.current.nextID++
+	id := s.store.current.nextID
 	s.store.leases[id] = newLease(ttl, s.store.clock.Now())
 	s.store.mu.Unlock()
 	return s.replyToWrite(c, leaseBody{Lease: id, TTL: int64(ttl)})
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -19,6 +21,7 @@
 	store  *store
 	faults *faultInjector
 	router *echo.Echo
+	era    atomic.Int64 // rises with each drill
 
 	mu      sync.Mutex
 	backups map[string]keyState
@@ -27,8 +30,10 @@
 // New returns an empty store whose leases expire by clock.
 func New(clock *tier.Clock) *Server {
 	s := &Server{store: newStore(clock), faults: newFaultInjector(clock), backups: map[string]keyState{}}
+	s.era.Store(1)
 	s.router = echo.New()
 	s.router.HideBanner = true
+	s.router.Pre(s.nameEra)
 	s.router.GET("/kv-key", s.getKey)
 	s.router.GET("/kv-range", s.getRange)
 	s.router.GET("/kv-watch", s.watch)
@@ -65,6 +70,16 @@
 	s.backups[name] = keys
 }
 
+// nameEra names the store's era in each reply.
+func (s *Server) nameEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			c.Response().Header().Set("Store-Era", strconv.FormatInt(s.era.Load(), 10))
+		})
+		return next(c)
+	}
+}
+
 // Restart simulates a restart of the store from the backup of that name, or without keys if
 // the name is "". It ends all watches and leases.
 func (s *Server) Restart(name string) error {
@@ -84,6 +99,13 @@
 	return nil
 }
 
+// Drill lets the store return from the backup of that name, as Restart does, and tell so: a new era
+// begins.
+func (s *Server) Drill(name string) error {
+	s.era.Add(1)
+	return s.Restart(name)
+}
+
 func (s *Server) getFaults(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) }
 
 func (s *Server) putFaults(c echo.Context) error {
--- a/standin/storeserver/store.go
+++ b/standin/storeserver/store.go
@@ -44,10 +44,11 @@
 type keyState struct {
 	records  map[string]record
 	revision int64
+	nextID   int64 // of leases
 }
 
 func (s keyState) copy() keyState {
-	return keyState{records: maps.Clone(s.records), revision: s.revision}
+	return keyState{records: maps.Clone(s.records), revision: s.revision, nextID: s.nextID}
 }
 
 // store holds all keys, their history and the leases. mu guards all fields but the clock;
@@ -60,7 +61,6 @@
 	history      []change
 	historyStart int64 // history has the changes after this revision
 	leases       map[int64]lease
-	nextID       int64
 	restarts     int64         // counted, so that watches notice one
 	changed      chan struct{} // closed and replaced at each change
 }
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -58,6 +58,8 @@
 	storeBackAt     tier.Millis // end of the last outage
 	inReturnWindow  bool
 	evacuations     evacuations
+	gone            map[string]goneEntry // entries that were removed less than goneMemory ago, by key
+	fromCopy        bool                 // the next list is that of a store that has returned from a copy
 }
 
 // Change is a change of a leaf's state, for logs and for code that keeps state for
@@ -89,24 +91,35 @@
 	return &Lister{
 		registrations: map[string]*registration{}, usableByService: map[string][]Leaf{},
 		keysByService: keysByName{}, keysByAddress: keysByName{}, staleServices: map[string]bool{},
-		evacuations: evacuations{byDataCentre: map[string]*evacuation{}, leftOut: map[string]bool{}},
+		gone: map[string]goneEntry{}, evacuations: evacuations{byDataCentre: map[string]*evacuation{}, leftOut: map[string]bool{}},
 	}
 }
 
 // StoreUnavailable records that the store cannot be read.
 func (l *Lister) StoreUnavailable() { l.storeDown, l.inReturnWindow = true, false }
 
+// StoreReturned records that the store has returned from a copy: the next list may lack leafs that
+// have registered since, and may have such as have left.
+func (l *Lister) StoreReturned() {
+	l.StoreUnavailable()
+	l.fromCopy = true
+}
+
 // Replace replaces the whole list by the entries in the store.
 func (l *Lister) Replace(now tier.Millis, entries []Entry) {
 	l.storeReadAgain(now)
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if l.fromCopy && l.hasLeft(e) {
+			continue
+		}
 		seen[e.key] = true
 		l.put(now, e)
 	}
+	l.fromCopy = false
 	for key := range l.registrations {
 		if !seen[key] {
-			l.remove(key)
+			l.remove(now, key)
 		}
 	}
 	l.rebuildStale()
@@ -124,7 +137,7 @@
 // Remove handles the removal of a key from the store.
 func (l *Lister) Remove(now tier.Millis, key string) {
 	l.storeReadAgain(now)
-	l.remove(key)
+	l.remove(now, key)
 	l.rebuildStale()
 }
 
@@ -132,6 +145,7 @@
 // data centres.
 func (l *Lister) Tick(now tier.Millis) {
 	l.tickEvacuations(now)
+	l.forgetGone(now)
 	if !l.inReturnWindow || l.storeDown || now-l.storeBackAt < ReturnWindow {
 		return
 	}
@@ -192,7 +206,7 @@
 	l.changes = append(l.changes, Change{leaf: leaf, state: state})
 }
 
-func (l *Lister) remove(key string) {
+func (l *Lister) remove(now tier.Millis, key string) {
 	r, known := l.registrations[key]
 	if !known || r.lapsed {
 		return
@@ -203,6 +217,7 @@
 		l.changes = append(l.changes, Change{leaf: r.entry.leaf, state: StateLapsed})
 		return
 	}
+	l.gone[key] = goneEntry{startTime: r.entry.leaf.startTime, sequence: r.entry.sequence, at: now}
 	l.drop(key)
 }
 
