Read the view anew when the changes since can't be read

Cause: a reply of the store was cut at 4 MB without an error of its own, failed to decode, and was asked for again as it was until the store had dropped its history. A read that fails because of what it asks for must not be repeated as it was.

The same cause elsewhere: with a valueBytes of over 3 MB in the settings no list with such a value could be read; replies have room for it now.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -121,7 +121,7 @@
 		peerLevels: map[bool]*shedder.Peers{false: shedder.NewPeers(), true: shedder.NewPeers()},
 	}
 	e.settings.Store(s)
-	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout))
+	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout), platform.WithValueBytes(s.ValueBytes()))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
 	e.quotas = newQuotas(vm, quotaBound(s))
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -102,7 +102,8 @@
 }
 
 // poll reads the changes since the last read from the store, or the whole view if that is
-// wanted, nothing has been read or the store no longer has the history.
+// wanted, nothing has been read, or the changes can't be had: the store no longer has the history, or
+// they are too many for a reply.
 func (e *Entry) poll(ctx context.Context, whole bool) error {
 	e.mu.Lock()
 	after := e.relayer.Revision()
@@ -113,9 +114,15 @@
 	start := e.clock.Now()
 	changes, at, err := e.store.Changes(ctx, "", after, 0)
 	var lost *platform.HistoryLostError
-	if errors.As(err, &lost) {
+	var unusable *platform.ReplyError
+	switch {
+	case errors.As(err, &lost):
 		e.log.Info("history-lost", "after", lost.After())
 		return e.readAll(ctx)
+	case errors.As(err, &unusable):
+		// The pages of lists are bounded, changes are not.
+		e.log.Warn("changes-unusable", "after", after, "error", err)
+		return e.readAll(ctx)
 	}
 	if err != nil {
 		return errors.Wrap(err, "Entry.poll")
