--- a/tier/refresher/fleet_faults_test.go
+++ b/tier/refresher/fleet_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/partitioner"
@@ -9,13 +10,16 @@
 
 // fault begins a fault of a script, as described at TestFleets.
 func (s *fleet) fault(words []string) {
+	if s.order == nil {
+		s.order = s.vms[0].partitioner.Relays()
+	}
 	switch words[0] {
 	case "power-loss":
 		for _, v := range s.vms {
 			s.kill(v, tier.Millis(s.number(words[1]))+tier.Millis(s.random.IntN(startSpread)))
 		}
 	case "kill-first":
-		s.kill(s.byName[s.vms[0].partitioner.Relays()[0].VM().Name()], tier.Millis(s.number(words[1])))
+		s.kill(s.byName[s.order[0].VM().Name()], tier.Millis(s.number(words[1])))
 	case "restart":
 		for _, v := range s.vms {
 			if s.random.Float64() < s.number(words[1]) {
@@ -30,16 +34,34 @@
 			}
 		}
 		s.after(tier.Millis(s.number(words[2])), func() { s.endStoreFaults() })
-	case "store-silent-first":
+	case "store-silent-first", "store-refuses-first":
 		s.faults++
-		for _, m := range s.vms[0].partitioner.Relays()[:int(s.number(words[1]))] {
-			s.byName[m.VM().Name()].storeFault = "store-silent"
+		for _, v := range s.firstRelays(words[1]) {
+			v.storeFault = strings.TrimSuffix(words[0], "-first")
 		}
 		s.after(tier.Millis(s.number(words[2])), func() { s.endStoreFaults() })
+	case "cut-first":
+		cut := s.firstRelays(words[1])
+		for _, v := range cut {
+			v.cut = true
+		}
+		s.after(tier.Millis(s.number(words[2])), func() {
+			for _, v := range cut {
+				v.cut = false
+			}
+			s.touch()
+		})
+	case "freeze-first":
+		v := s.firstRelays("1")[0]
+		v.frozen = true
+		s.after(tier.Millis(s.number(words[1])), func() {
+			v.frozen = false
+			s.touch()
+		})
 	case "links-lost-first":
-		for _, m := range s.vms[0].partitioner.Relays()[:int(s.number(words[1]))] {
-			s.setDeclines(s.byName[m.VM().Name()], true)
-			s.after(tier.Millis(s.number(words[2])), func() { s.setDeclines(s.byName[m.VM().Name()], false) })
+		for _, v := range s.firstRelays(words[1]) {
+			s.setDeclines(v, true)
+			s.after(tier.Millis(s.number(words[2])), func() { s.setDeclines(v, false) })
 		}
 	case "store-refuses-linked":
 		s.faults++
@@ -63,11 +85,9 @@
 }
 
 func (s *fleet) endStoreFaults() {
-	if !s.readable() {
-		s.readableAt = s.now
-	}
 	s.faults--
 	s.calmAt = s.now
+	s.touch()
 	for _, v := range s.vms {
 		v.storeFault = ""
 	}
@@ -89,7 +109,26 @@
 	}
 }
 
-// readable reports whether the store answers any VM.
-func (s *fleet) readable() bool {
-	return slices.ContainsFunc(s.vms, func(v *vm) bool { return v.up && v.storeFault == "" })
+// inTouch reports whether a VM could have the newest view: the store answers it, or a VM that it
+// reaches.
+func (s *fleet) inTouch(v *vm) bool {
+	return slices.ContainsFunc(s.vms, func(other *vm) bool {
+		return other.up && !other.frozen && other.storeFault == "" && other.cut == v.cut
+	})
+}
+
+// touch records which VMs are in touch again after the end of a fault.
+func (s *fleet) touch() {
+	for _, v := range s.vms {
+		v.touchedAt = s.now
+	}
+}
+
+// firstRelays lists the first relays.
+func (s *fleet) firstRelays(count string) []*vm {
+	var list []*vm
+	for _, m := range s.order[:min(len(s.order), int(s.number(count)))] {
+		list = append(list, s.byName[m.VM().Name()])
+	}
+	return list
 }
--- a/tier/refresher/fleet_test.go
+++ b/tier/refresher/fleet_test.go
@@ -35,6 +35,9 @@
 //	at MS leases-lapse           all registrations end
 //	at MS links-lost-first N FOR the first N relays decline shares, for which others suspect them
 //	at MS store-refuses-linked FOR  the store turns away the VMs that take shares
+//	at MS store-refuses-first N FOR the store turns away the first N relays
+//	at MS cut-first N FOR        the first N relays and the other VMs don't reach each other
+//	at MS freeze-first FOR       the VM that polls the store stands still
 //	run MS                       plays until then, and checks that all VMs have a view
 //	reset                        forgets the figures so far
 //	expect joined-within MS      from each start of a VM until it has a view
@@ -61,7 +64,7 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = in.Close() }()
-			s := &fleet{t: t, random: rand.New(rand.NewPCG(7, 11)), slowness: 1, byName: map[string]*vm{}, registered: map[string]partitioner.Member{}}
+			s := newFleet(t)
 			lines := bufio.NewScanner(in)
 			for lines.Scan() {
 				if words := strings.Fields(lines.Text()); len(words) > 0 && words[0] != "#" {
@@ -79,8 +82,10 @@
 	localCallTime  = 3 * tier.Millisecond
 	remoteCallTime = 43 * tier.Millisecond
 	deadCallTime   = 150 * tier.Millisecond
-	startSpread    = 400
-	leafPages      = 3 // of the list of leafs, read one after the other
+	// silentFetchTime is how long a VM waits for one that is cut off or frozen.
+	silentFetchTime = 300 * tier.Millisecond
+	startSpread     = 400
+	leafPages       = 3 // of the list of leafs, read one after the other
 	// settleTime is how long after a start or the end of a fault the age of views is not
 	// checked.
 	settleTime = 2 * tier.Second
@@ -100,6 +105,9 @@
 	members     []partitioner.Member
 	storeFault  string // "", refuses or silent
 	declines    bool   // shares
+	cut         bool   // from the VMs that are not
+	frozen      bool
+	touchedAt   tier.Millis // since when it has been in touch
 	registered  bool
 }
 
@@ -109,6 +117,7 @@
 	now        tier.Millis
 	queue      events
 	sequence   int
+	order      []partitioner.Member // the relays before the first fault
 	vms        []*vm
 	byName     map[string]*vm
 	registered map[string]partitioner.Member
@@ -121,7 +130,10 @@
 	replyDelay tier.Millis // of VMs that are busy
 	readersAge tier.Millis // view of a VM that the store answers
 	fleetAge   tier.Millis // view of any VM while the store answers some VM
-	readableAt tier.Millis // since when the store has answered some VM
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, random: rand.New(rand.NewPCG(7, 11)), slowness: 1, byName: map[string]*vm{}, registered: map[string]partitioner.Member{}}
 }
 
 func (s *fleet) after(d tier.Millis, run func()) {
@@ -220,7 +232,11 @@
 	if v.joinedAt >= 0 && v.storeFault == "" && s.now-v.joinedAt > settleTime {
 		s.readersAge = max(s.readersAge, age)
 	}
-	if v.joinedAt >= 0 && s.readable() && s.now-max(v.joinedAt, s.readableAt) > settleTime {
+	if v.frozen {
+		s.after(retryInterval, func() { s.step(v, generation) })
+		return
+	}
+	if v.joinedAt >= 0 && s.inTouch(v) && s.now-max(v.joinedAt, v.touchedAt) > settleTime {
 		s.fleetAge = max(s.fleetAge, age)
 	}
 	if v.joinedAt >= 0 && s.faults == 0 && s.now-s.calmAt > settleTime && s.now-v.joinedAt > settleTime {
@@ -297,8 +313,12 @@
 			took = remoteCallTime
 		}
 		took += s.replyDelay
-		if !other.up {
-			return deadCallTime, func() (tier.Millis, bool) {
+		if !other.up || other.frozen || other.cut != v.cut {
+			dead := deadCallTime
+			if other.up {
+				dead = silentFetchTime
+			}
+			return dead, func() (tier.Millis, bool) {
 				if v.joinedAt >= 0 {
 					v.partitioner.Failed(s.now, other.member.VM().Name(), partitioner.FetchFailed)
 					s.probe(v, other, v.generation)
@@ -355,7 +375,7 @@
 		if v.generation != generation {
 			return
 		}
-		if other.up && other.joinedAt >= 0 && !other.declines {
+		if other.up && other.joinedAt >= 0 && !other.declines && !other.frozen && other.cut == v.cut {
 			v.partitioner.Recovered(s.now, other.member.VM().Name())
 			return
 		}
