Send no request again on a connection that has brought a reply to it

Cause: all sends of an attempt have one id, so a late copy of a leaf's refusal of the first send passes for the answer to the second one, if that uses the same connection. It holds for requests that may be repeated, shares, hedges and calls for other VMs as well: they use the same client. An answer without an id passed for any request; on a connection whose answers have had ids it is lost now.

--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -170,13 +170,7 @@
 	ctx, cancel := context.WithTimeout(searchCtx, a.TimeLeft.Duration())
 	r.cancelCall[a.Call] = cancel
 	headers := platform.LeafCallHeaders(a.Leaf.ID(), a.TimeLeft)
-	call := leafclient.Call{Method: r.template.Method(), Request: r.template.Render(headers[:]...)}
-	if id := r.attemptID; id != "" {
-		call.IsReply = func(h http.Header) bool {
-			echoed := platform.ParseLeafReply(0, h).AttemptID()
-			return echoed == "" || echoed == id
-		}
-	}
+	call := leafclient.Call{Method: r.template.Method(), Request: r.template.Render(headers[:]...), ID: r.attemptID, EchoedID: platform.EchoedAttemptID}
 	if !r.idempotent {
 		call.MaxIdle = nonIdempotentMaxIdle
 	}
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -140,6 +140,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	hasReplied  bool
+	answered    answeredIDs
 }
 
 // Call is a request and the conditions for sending it.
@@ -148,9 +149,11 @@
 	Method string
 	// Request is the complete request as it is sent.
 	Request []byte
-	// IsReply reports, from a reply's header, whether it is the reply to this request and
-	// not a late one to an earlier request. If nil, any reply is accepted.
-	IsReply func(http.Header) bool
+	// ID is the request's id, which servers echo, and EchoedID returns the id from a reply's
+	// header, or "". A request that is sent again has the same id. If EchoedID is nil, any reply
+	// is accepted.
+	ID       string
+	EchoedID func(http.Header) string
 	// MaxIdle is the longest idle time of a connection reused for this request; 0 sets
 	// no limit beyond the client's.
 	MaxIdle tier.Millis
@@ -159,7 +162,7 @@
 // Do sends a request to an address and waits for the complete reply until ctx ends. The
 // error is a *NotSentError or a *NoReplyError.
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Reply, error) {
-	cn, err := c.acquire(ctx, address, call.MaxIdle)
+	cn, err := c.acquire(ctx, address, call)
 	if err != nil {
 		return nil, &NotSentError{address: address, cause: err}
 	}
@@ -236,7 +239,11 @@
 		if response.StatusCode < 200 {
 			continue // an interim (1xx) reply
 		}
-		if call.IsReply != nil && !call.IsReply(response.Header) {
+		isReply, err := cn.answered.add(call, response.Header)
+		if err != nil {
+			return nil, false, errors.Wrap(err, "Client.readReply")
+		}
+		if !isReply {
 			c.staleReplies.Add(1)
 			if response.Close {
 				return nil, false, errors.New("Client.readReply: the reply is to another request")
@@ -254,16 +261,16 @@
 	return nil, false, errors.New("Client.readReply: too many interim replies or replies to other requests")
 }
 
-// acquire returns an idle connection that is still open and, if maxIdle is not 0, was idle
-// for no longer than that, or a new connection.
-func (c *Client) acquire(ctx context.Context, address string, maxIdle tier.Millis) (*conn, error) {
+// acquire returns an idle connection that is still open, has not been idle for longer than the call
+// allows, and has brought no reply to the same request, or a new connection.
+func (c *Client) acquire(ctx context.Context, address string, call Call) (*conn, error) {
 	for {
-		cn := c.popIdle(address)
+		cn := c.popIdle(address, call.ID)
 		if cn == nil {
 			break
 		}
 		age := time.Since(cn.idleSince)
-		stale := age > cn.idleTimeout || maxIdle > 0 && age > maxIdle.Duration()
+		stale := age > cn.idleTimeout || call.MaxIdle > 0 && age > call.MaxIdle.Duration()
 		if !stale && c.isAlive(cn) {
 			return cn, nil
 		}
--- a/cicadagraded/leafclient/client_test.go
+++ b/cicadagraded/leafclient/client_test.go
@@ -85,7 +85,7 @@
 	template := NewTemplate(http.MethodGet, "/x", "h", http.Header{"Id": {id}}, nil)
 	return Call{
 		Method: http.MethodGet, Request: template.Render(),
-		IsReply: func(h http.Header) bool { return h.Get("Id") == id },
+		ID: id, EchoedID: func(h http.Header) string { return h.Get("Id") },
 	}
 }
 
@@ -211,7 +211,7 @@
 
 // idleIsAlive reports whether there is an idle connection to an address that is alive.
 func (c *Client) idleIsAlive(address string) bool {
-	n := c.popIdle(address)
+	n := c.popIdle(address, "")
 	if n == nil {
 		return false
 	}
--- a/cicadagraded/leafclient/pool.go
+++ b/cicadagraded/leafclient/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,18 +32,19 @@
 	return len(list) > 0 && time.Since(list[len(list)-1].idleSince) < list[len(list)-1].idleTimeout/4
 }
 
-// popIdle removes and returns the most recently used idle connection to an address, or nil.
-func (c *Client) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection to an address on which the
+// request with an id was not answered, or nil.
+func (c *Client) popIdle(address, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for k := len(list) - 1; k >= 0; k-- {
+		if cn := list[k]; !cn.answered.has(id) {
+			c.idle[address] = slices.Delete(list, k, k+1)
+			return cn
+		}
 	}
-	cn := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idle[address] = list[:len(list)-1]
-	return cn
+	return nil
 }
 
 // release returns a connection to the pool, or closes it if the pool is full or closed.
