Pass on no reply that is neither a leaf's success nor its own failure

Cause: whatever was no success and did not say that it had not run was a leaf's failure, which is passed on with its own status; a 2xx whose signature is missing was one, and so was a 503 or 429 without Not-Executed, which promises what nobody knows. Replies of leafs that another VM sends, perhaps of an earlier build, go through the same table.

--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -13,6 +13,7 @@
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/api/gather/v1/gatherv1connect"
+	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/partitioner"
 	"cicadagrade.example/tier/quarantiner"
@@ -184,9 +185,16 @@
 		case whole == nil && r.delegation.whole && len(reply.GetParts()) > 0:
 			return errors.New("searchRun.readShareReplies: the leaf's reply is missing")
 		case whole != nil && report.Last:
-			report.Failure = restoreReply(whole)
+			// An earlier build reports any reply as a failure.
+			if failure := restoreReply(whole); platform.ParseLeafReply(failure.Status(), failure.Header()).Failure() {
+				report.Failure = failure
+			}
 		case whole != nil:
-			report.Whole = restoreReply(whole)
+			success := restoreReply(whole)
+			if !platform.ParseLeafReply(success.Status(), success.Header()).Success() {
+				return errors.Errorf("searchRun.readShareReplies: status %d is no leaf's success", success.Status())
+			}
+			report.Whole = success
 		}
 		if report.Parts, err = shareParts(a, reply.GetParts()); err != nil {
 			return err
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -240,8 +241,8 @@
 		return searcher.NotRun{Reason: searcher.Shed}
 	case response.Success():
 		return searcher.Answered{Reply: reply}
-	case response.Usable():
+	case response.Failure():
 		return searcher.FailedReply{Reply: reply}
 	}
-	return searcher.Lost{Cause: "the reply is in an encoding that nobody asked for"}
+	return searcher.Lost{Cause: fmt.Sprintf("status %d, not as a leaf's reply (signature %v)", reply.Status(), response.Signature() != "")}
 }
