Close the connection of a caller that has gone instead of answering 200

A caller that gives up by ending its sending side, and reads on, got 200 with an empty body and without a signature: the handler returned without an answer, and net/http sends its default. Such a caller is still taken for one that has gone, but its connection is closed now. Answering such callers as any others is not done.

--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -241,7 +241,7 @@
 	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
-		return
+		closeUnanswered()
 	}
 	if !outcome.Success() {
 		e.writeFailure(w, q, outcome)
@@ -255,6 +255,10 @@
 	e.recordOutcome(q, outcome, http.StatusOK, string(outcome.Cause()))
 }
 
+// closeUnanswered ends the handler of a request whose caller has gone, and closes its connection. A
+// caller that has only ended its sending side still reads: a handler that returned would answer it 200.
+func closeUnanswered() { panic(http.ErrAbortHandler) }
+
 // mergeReplies merges the records in the replies of leafs and other VMs into top, and
 // returns signatures with those of the replies appended.
 func mergeReplies(top *ranker.Ranker, parts []searcher.Part, shares []any, signatures []string) []string {
@@ -286,7 +290,7 @@
 	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
-		return
+		closeUnanswered()
 	}
 	var reply *leafclient.Reply
 	switch {
