Play returns from a copy, unsigned replies and late refusals in the soak; postmortem

The stand-in store returns from a copy with the leases of then; leafs spoil the name of the header that signs a reply, or send a refusal again before the next reply on its connection. Each run of the soak plays one of each, drawn apart so that the plans of older seeds stay.

--- a/standin/responder/simulated.go
+++ b/standin/responder/simulated.go
@@ -32,6 +32,12 @@
 	faultModeCount
 )
 
+// Fault modes that are not counted among the others, so that plans drawn by older seeds stay.
+const (
+	UnsignedReply FaultMode = 100 + iota // spoils the name of the header that signs its reply
+	RepeatRefusal                        // refuses a request, and does so again, late, before its next reply
+)
+
 // FaultModeCount is the number of fault modes, including Healthy.
 const FaultModeCount = int(faultModeCount)
 
@@ -40,6 +46,8 @@
 	slowFactor = 10
 	// errorStatus is the status of failed requests in mode FailAlternate.
 	errorStatus = http.StatusInternalServerError
+	// spoiltSignature is the name of the header of signatures with one wrong byte.
+	spoiltSignature = "Response-Signatuse"
 	// recordsPerPart is the number of records in the reply of one service.
 	recordsPerPart = 8
 )
@@ -102,6 +110,11 @@
 
 // ServeHTTP replies to a request according to the fault mode.
 func (l *SimulatedLeaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.serveAs(w, r, FaultMode(l.faultMode.Load()))
+}
+
+// serveAs replies to a request according to a fault mode.
+func (l *SimulatedLeaf) serveAs(w http.ResponseWriter, r *http.Request, mode FaultMode) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -119,8 +132,11 @@
 		return
 	}
 	l.onArrive(request)
-	mode := FaultMode(l.faultMode.Load())
 	h.Set(headerAttempt, attemptID)
+	if mode == RepeatRefusal {
+		l.repeatRefusal(w, attemptID)
+		return
+	}
 	if mode == Overloaded {
 		h.Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -157,7 +173,11 @@
 	case mode == WrongAttemptID:
 		h.Set(headerAttempt, "0"+attemptID)
 	}
-	h.Set(headerSignature, signature(l.id, l.service, attemptID))
+	name := headerSignature
+	if mode == UnsignedReply {
+		name = spoiltSignature
+	}
+	h.Set(name, signature(l.id, l.service, attemptID))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if mode == TruncateReply {
 		body = body[:len(body)/2]
--- a/standin/soaker/inject.go
+++ b/standin/soaker/inject.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"cicadagrade.example/platform"
 	"cicadagrade.example/standin/relay"
 	"cicadagrade.example/standin/responder"
 	"cicadagrade.example/tier"
@@ -71,6 +72,8 @@
 		if w, _, _ := s.leafs[f.leaf].current(); w != nil {
 			s.leafs[f.leaf].replaceInstance(s.newInstance(s.leafs[f.leaf].zone, w.Service()))
 		}
+	case storeReturns:
+		return s.returnStore(ctx, t.duration)
 	case storeDown, storeSlow, storeLosesReplies, storeLosesHistory:
 		s.breakStore(ctx, f, t.duration)
 	}
@@ -157,3 +160,32 @@
 
 // allReplies has the store lose the replies to all writes.
 const allReplies = -1
+
+// storeAway is how long the store is away before it returns from a copy.
+const storeAway = 400 * tier.Millisecond
+
+// returnStore copies the store, and lets it return from the copy after a while. The operator writes the
+// newest configuration again, and leafs their registrations when these are due.
+func (s *Soak) returnStore(ctx context.Context, age tier.Millis) error {
+	s.drillMu.Lock()
+	defer s.drillMu.Unlock()
+	s.storeServer.Save(drillCopy)
+	sleep(ctx, age)
+	s.breakStore(ctx, storeDown{}, storeAway)
+	defer s.history.beginDisturbance(disturbance{description: storeReturns{}.String()})()
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
+	if err := s.storeServer.Drill(drillCopy); err != nil {
+		return errors.Wrap(err, "Soak.returnStore")
+	}
+	for ctx.Err() == nil {
+		if _, err := s.store.Put(ctx, platform.ConfigurationKey, s.newestConfiguration, 0); err == nil {
+			return nil
+		}
+		sleep(ctx, restartPause)
+	}
+	return nil
+}
+
+// drillCopy is the name of the copy from which the store returns.
+const drillCopy = "drill"
--- a/standin/soaker/operations.go
+++ b/standin/soaker/operations.go
@@ -52,6 +52,8 @@
 // evacuate writes the evacuation of a data centre to the store and removes it after a while,
 // each time until the store has confirmed it. Its leafs return cold.
 func (s *Soak) evacuate(ctx context.Context, zone string, duration tier.Millis) {
+	s.drillMu.Lock()
+	defer s.drillMu.Unlock()
 	key := platform.EvacuationsPrefix + zone
 	for ctx.Err() == nil {
 		if _, err := s.store.Put(ctx, key, []byte("{}"), 0); err == nil {
--- a/standin/soaker/plan.go
+++ b/standin/soaker/plan.go
@@ -42,6 +42,7 @@
 	storeSlow         struct{ delay tier.Millis } // every call is delayed
 	storeLosesReplies struct{}                    // writes take effect without a reply
 	storeLosesHistory struct{}                    // watches cannot resume from their revision
+	storeReturns      struct{}                    // it returns from a copy as old as the fault lasts
 	leafFaults        struct {
 		leafs []int
 		mode  responder.FaultMode
@@ -66,6 +67,7 @@
 func (storeSlow) isFault()           {}
 func (storeLosesReplies) isFault()   {}
 func (storeLosesHistory) isFault()   {}
+func (storeReturns) isFault()        {}
 func (leafFaults) isFault()          {}
 func (drainLeaf) isFault()           {}
 func (reuseAddress) isFault()        {}
@@ -92,6 +94,7 @@
 func (f storeSlow) String() string       { return fmt.Sprintf("the store takes %d ms", f.delay) }
 func (storeLosesReplies) String() string { return "the store loses its answers to writes" }
 func (storeLosesHistory) String() string { return "the store forgets its history" }
+func (storeReturns) String() string      { return "the store returns from a copy" }
 func (f leafFaults) String() string      { return fmt.Sprintf("leafs %v are in mood %d", f.leafs, f.mode) }
 func (f drainLeaf) String() string       { return fmt.Sprintf("leaf %d drains", f.leaf) }
 func (f reuseAddress) String() string {
@@ -135,6 +138,24 @@
 			fault:    drawFault(r, vms, leafs),
 		})
 	}
+	return append(plan, drawLateFaults(seed, leafs, period)...)
+}
+
+// drawLateFaults draws one fault of each kind that came to the soak later, apart from the others, so
+// that these stay the same for a seed.
+func drawLateFaults(seed uint64, leafs int, period tier.Millis) []step {
+	r := rand.New(rand.NewPCG(seed, 1))
+	kinds := []fault{
+		storeReturns{}, leafFaults{drawSubset(r, leafs), responder.UnsignedReply}, leafFaults{drawSubset(r, leafs), responder.RepeatRefusal},
+	}
+	plan := make([]step, len(kinds))
+	for i, f := range kinds {
+		plan[i] = step{
+			at:       warmUp + tier.Millis(r.Int64N(int64(period))),
+			duration: minFaultDuration + tier.Millis(r.Int64N(int64(maxFaultDuration-minFaultDuration))),
+			fault:    f,
+		}
+	}
 	return plan
 }
 
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -66,6 +66,8 @@
 	readyVMs            atomic.Pointer[[]*vm]
 	configurationMu     sync.Mutex
 	configurationNumber int64 // version of the newest configuration
+	newestConfiguration []byte
+	drillMu             sync.Mutex // held while a data centre is evacuated, and while the store returns from a copy
 	storeMu             sync.Mutex
 	storeFaults         storeserver.Faults
 }
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -214,6 +214,7 @@
 	if err != nil {
 		return err
 	}
+	s.newestConfiguration = raw
 	v := version{number: s.configurationNumber, routes: routes, keys: keysOfVersion(s.configurationNumber), writtenAt: time.Now(), confirmedAt: never}
 	// Recorded before the write, as VMs may apply the version before the write is confirmed.
 	s.history.update(func() { s.history.versions = append(s.history.versions, v) })
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -99,11 +99,17 @@
 	return nil
 }
 
-// Drill lets the store return from the backup of that name, as Restart does, and tell so: a new era
-// begins.
+// Drill lets the store return from the backup of that name and tell so: a new era begins. The leases of
+// the backup hold on.
 func (s *Server) Drill(name string) error {
 	s.era.Add(1)
-	return s.Restart(name)
+	if err := s.Restart(name); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.keepLeases(s.backups[name])
+	return nil
 }
 
 func (s *Server) getFaults(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) }
--- a/standin/storeserver/store.go
+++ b/standin/storeserver/store.go
@@ -44,7 +44,8 @@
 type keyState struct {
 	records  map[string]record
 	revision int64
-	nextID   int64 // of leases
+	nextID   int64           // of leases
+	leases   map[int64]lease // in a backup
 }
 
 func (s keyState) copy() keyState {
@@ -89,7 +90,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	return s.current.copy()
+	backup := s.current.copy()
+	backup.leases = maps.Clone(s.leases)
+	return backup
+}
+
+// keepLeases puts the leases of a backup back into force, from now on.
+func (s *store) keepLeases(backup keyState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range backup.leases {
+		s.leases[id] = newLease(l.ttl, s.clock.Now())
+	}
 }
 
 // notify wakes all watches.
