--- a/cicadagraded/entry/halfclose_test.go
+++ b/cicadagraded/entry/halfclose_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"cicadagrade.example/standin/responder"
 )
 
 // Guards against an empty success for a caller that gives up by ending its sending side and reads on.
@@ -27,7 +28,14 @@
 			}
 			defer func() { _ = c.Close() }()
 			_ = c.SetDeadline(time.Now().Add(time.Minute))
-			_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: search.example\r\nAttempt-Id: a1\r\nTime-Remaining: 60000\r\n\r\n", path)
+			request, err := http.NewRequest(http.MethodGet, "http://search.example"+path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			responder.SetCallerHeaders(request.Header, "a1", callerTimeoutMs)
+			if err := request.Write(c); err != nil {
+				t.Fatal(err)
+			}
 			for f.heldCount() == 0 {
 				time.Sleep(time.Millisecond)
 			}
