Count the time of applying a view into its age

Cause: a VM took the age of another VM's view when the reply had come, applied the view, and counted from the time after that. What lay between, a wait for a lock, the decoding of a large configuration, a VM that is suspended for seconds, made the view look younger than its content, here and on the VMs that copy it. It is one of the ways by which views that miss a version can count as current, as in the users' record of CONFIG and DENIED; that it happened there is not shown.

Change: what is kept is the time as of which the view has all changes, the begin of the read less the age that was told. The reads of the store do the same.

--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -163,7 +163,7 @@
 	for _, c := range changes {
 		e.applyChange(c, at, false)
 	}
-	e.advanceView(at, refresher.ViewAge(0, e.clock.Now()-start))
+	e.advanceView(at, start)
 	return nil
 }
 
@@ -210,7 +210,7 @@
 		return nil // another VM has sent later changes in the meantime
 	}
 	e.replaceView(list, revision, afterOutage)
-	e.advanceView(revision, refresher.ViewAge(0, e.clock.Now()-start))
+	e.advanceView(revision, start)
 	return nil
 }
 
@@ -282,11 +282,11 @@
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
 	defer e.beginApply(vm.Name())()
-	age := refresher.ViewAge(tier.Millis(reply.GetAgeMs()), e.clock.Now()-start)
+	asOf := refresher.AsOf(start, tier.Millis(reply.GetAgeMs()))
 	if reply.GetRevision() < e.revision() {
 		// It lacks changes that this VM has, so it is older, whatever age it tells: VMs that have not
 		// seen the store return from a copy count on in the history before.
-		return max(age, e.viewAge()), nil
+		return max(e.clock.Now()-asOf, e.viewAge()), nil
 	}
 	list := decodeItems(reply.GetItems())
 	if reply.GetWhole() {
@@ -296,7 +296,7 @@
 			e.applyChange(c, reply.GetRevision(), true)
 		}
 	}
-	e.advanceView(reply.GetRevision(), age)
+	e.advanceView(reply.GetRevision(), asOf)
 	e.mu.Lock()
 	e.fleetHeard = int(reply.GetFleet())
 	e.hearLevels(reply.GetLevels())
@@ -306,7 +306,7 @@
 	if differs {
 		e.log.Warn("view-differs", "peer", vm.Name(), "revision", reply.GetRevision())
 	}
-	return age, nil
+	return e.clock.Now() - asOf, nil
 }
 
 // revision is the revision up to which this VM has read.
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -280,9 +280,9 @@
 	}
 }
 
-// advanceView records that the view holds all changes up to a revision, as the store had
-// them age ago. A view of an earlier revision says nothing about the age of this one.
-func (e *Entry) advanceView(revision int64, age tier.Millis) {
+// advanceView records that the view holds all changes up to a revision, as the store had them at
+// a time. A view of an earlier revision says nothing about the age of this one.
+func (e *Entry) advanceView(revision int64, asOf tier.Millis) {
 	e.mu.Lock()
 	older := revision < e.relayer.Revision()
 	e.relayer.AdvanceTo(revision)
@@ -290,8 +290,8 @@
 	if older {
 		return
 	}
-	if at := int64(e.clock.Now() - age); at > e.storeAnsweredAt.Load() {
-		e.storeAnsweredAt.Store(at)
+	if int64(asOf) >= e.storeAnsweredAt.Load() {
+		e.storeAnsweredAt.Store(int64(asOf))
 	}
 }
 
--- a/tier/refresher/fleet_reads_test.go
+++ b/tier/refresher/fleet_reads_test.go
@@ -74,14 +74,12 @@
 		told, storeAt, members := s.now-other.viewAt, other.storeAt, other.members
 		return took, func() (tier.Millis, bool) {
 			v.partitioner.Reached(other.member.VM().Name())
-			age := ViewAge(told, took)
-			if s.now-age > v.viewAt {
-				v.viewAt = s.now - age
-			}
+			asOf := AsOf(s.now-took, told)
+			v.viewAt = max(v.viewAt, asOf)
 			if storeAt > v.storeAt {
 				s.apply(v, members, v.viewAt, storeAt)
 			}
-			return age, true
+			return s.now - asOf, true
 		}
 	case Seed:
 		other := s.byName[source.Address]
--- a/tier/refresher/refresher.go
+++ b/tier/refresher/refresher.go
@@ -180,10 +180,10 @@
 	return r
 }
 
-// ViewAge is the greatest age that a view can have at the end of the read that brought it: its age as
-// its source told it, plus the time of the read. Without the latter, VMs that copy from each other
-// would make a view look fresher with each copy.
-func ViewAge(told, took tier.Millis) tier.Millis { return told + took }
+// AsOf is the time as of which a view surely has all changes, if a read that began at a time has brought
+// it and its source told its age. Neither the time of the read nor that of applying the view makes it look
+// fresher, even if the VM is suspended meanwhile.
+func AsOf(began, told tier.Millis) tier.Millis { return began - told }
 
 // Loaded reports whether the VM has a view.
 func (r *Refresher) Loaded() bool { return r.loaded }
