Take over a newer configuration that other VMs have and the store has lost

What callers would see: a VM that starts after the store has returned from a copy without the newest configuration reads the older one from the store, and handles requests by it (404 on new routes, runs by the old service) until somebody writes the newest one again, though all other VMs have it in force.

Cause: VMs compare revisions, and the store's return makes the older configuration the one of the higher revision. The first 24 VMs read the store themselves when they start, and the first watcher asks nobody else, so nothing compares what it reads with what others have in force. Copies hold back an older version only on VMs that have had the newer one.

Change: each fetch tells the version in force, both ways, apart from revisions. The VM with the older one gets the newer one with the reply, or asks the calling VM next. While it knows of a newer one, for 10 s at most, an unknown route gets 503 with Retry-After instead of 404. Lines of refusals without a route tell the era, revision and source of the view, and the newer version that is known and since when. Messages: new fields only; builds that tell no version neither get nor send one, and skip them.

TestConfigurationThatTheStoreHasLostIsTakenOver (three cases), TestRouteThatANewerConfigurationMayHave- IsNotDenied and TestRefusalsOfUnknownRoutesTellTheView fail without the comparison in Fetch and pass with it.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -40,14 +40,16 @@
 	table            inForce
 	keySecret        []byte       // of the authenticators
 	storeAnsweredAt  atomic.Int64 // time of the store's answer that the view is based on
-	reading          reading      // how the reads of the view go
-	turns            turns        // how long goroutines wait for the processor
-	overload         overload     // used by RunTurnSamples only
-	registered       atomic.Bool  // this VM's registration is in the store
-	storeUnreachable atomic.Bool  // the last read of the store failed
-	isolated         atomic.Bool  // neither the store nor any other VM answers
-	linksLost        atomic.Bool  // this VM reaches no leaf
-	heldByCold       int64        // calls that logColdChanges has logged, used by RunLimitLog only
+	viewOrigin       atomic.Pointer[viewOrigin]
+	newer            atomic.Pointer[newerVersion] // of the configuration, that a VM has told of last
+	reading          reading                      // how the reads of the view go
+	turns            turns                        // how long goroutines wait for the processor
+	overload         overload                     // used by RunTurnSamples only
+	registered       atomic.Bool                  // this VM's registration is in the store
+	storeUnreachable atomic.Bool                  // the last read of the store failed
+	isolated         atomic.Bool                  // neither the store nor any other VM answers
+	linksLost        atomic.Bool                  // this VM reaches no leaf
+	heldByCold       int64                        // calls that logColdChanges has logged, used by RunLimitLog only
 	stopping         atomic.Bool
 	stoppingAt       atomic.Int64  // when it has begun to stop
 	lastAnswerAt     atomic.Int64  // when the last requests are answered, if it stops
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -109,11 +109,7 @@
 	pathOnly, _, _ := strings.Cut(path, "?")
 	route, ok := table.Match(r.Host, pathOnly)
 	if !ok {
-		if e.viewAge() > staleViewAge {
-			e.refuse(w, attempt, http.StatusServiceUnavailable, "no-route-in-stale-view", table.Version(), refusalRetryAfter)
-			return
-		}
-		e.refuse(w, attempt, http.StatusNotFound, "no-route", table.Version(), 0)
+		e.refuseUnrouted(w, attempt, table.Version())
 		return
 	}
 	q := &request{route: route, table: table, attempt: attempt, start: start}
@@ -154,6 +150,16 @@
 	e.serveSingle(w, r, q, template)
 }
 
+// refuseUnrouted responds to a request that no route matches. If a newer configuration may have one, the
+// caller may return.
+func (e *Entry) refuseUnrouted(w http.ResponseWriter, attempt platform.Attempt, version int64) {
+	status, cause, retryAfter := http.StatusNotFound, "no-route", tier.Millis(0)
+	if _, missed := e.missedVersion(); missed || e.viewAge() > staleViewAge {
+		status, cause, retryAfter = http.StatusServiceUnavailable, "no-route-in-stale-view", refusalRetryAfter
+	}
+	e.refuse(w, attempt, status, cause, version, retryAfter, e.describeView()...)
+}
+
 // readBody reads a request's body. The second result is the status of the response if that
 // fails, or 0.
 func readBody(w http.ResponseWriter, r *http.Request, limits router.Limits) ([]byte, int) {
--- a/cicadagraded/entry/refresh.go
+++ b/cicadagraded/entry/refresh.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	gatherv1 "cicadagrade.example/api/gather/v1"
 	"cicadagrade.example/platform"
@@ -259,7 +260,10 @@
 	defer cancel()
 	vm := source.Member.VM()
 	start := e.clock.Now()
-	request := &gatherv1.FetchRequest{After: after, Name: e.settings.Load().Name(), Levels: e.levelsForRelay(), Delays: e.leafDelays()}
+	request := &gatherv1.FetchRequest{
+		After: after, Name: e.settings.Load().Name(), Version: proto.Int64(e.versionInForce()),
+		Levels: e.levelsForRelay(), Delays: e.leafDelays(),
+	}
 	response, err := e.peers.clientOf(vm.Address()).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		if ctx.Err() != nil || after == 0 {
@@ -282,6 +286,7 @@
 		return 0, errors.Wrapf(errNoView, "Entry.fetchFrom %q", vm.Name())
 	}
 	defer e.beginApply(vm.Name())()
+	defer e.compareVersions(vm.Name(), reply)
 	asOf := refresher.AsOf(start, tier.Millis(reply.GetAgeMs()))
 	if reply.GetRevision() < e.revision() {
 		// It lacks changes that this VM has, so it is older, whatever age it tells: VMs that have not
@@ -342,7 +347,10 @@
 	e.hearLeafDelays(c.Msg.GetDelays())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := &gatherv1.FetchReply{Delays: delays, Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest()}
+	reply := &gatherv1.FetchReply{
+		Delays: delays, Revision: e.relayer.Revision(), AgeMs: int64(e.viewAge()), Version: e.versionInForce(),
+		Fleet: uint32(e.fleetSize()), KeyDigest: e.relayer.KeyDigest(),
+	}
 	if c.Msg.GetVmsOnly() {
 		reply.Items = encodeItems(e.relayer.WithPrefix(vmsPrefix))
 		return connect.NewResponse(reply), nil
@@ -352,12 +360,12 @@
 	}
 	e.hearLevels(c.Msg.GetLevels())
 	reply.Levels = e.hotLevels()
-	if reply.Revision == 0 || c.Msg.GetAfter() > reply.Revision {
-		return connect.NewResponse(reply), nil
+	if reply.Revision != 0 && c.Msg.GetAfter() <= reply.Revision {
+		list, whole := e.relayer.ChangesSince(c.Msg.GetAfter())
+		reply.Whole = whole
+		reply.Items = encodeItems(list)
 	}
-	list, whole := e.relayer.ChangesSince(c.Msg.GetAfter())
-	reply.Whole = whole
-	reply.Items = encodeItems(list)
+	e.addNewerConfiguration(c.Msg, reply)
 	return connect.NewResponse(reply), nil
 }
 
--- a/cicadagraded/entry/view.go
+++ b/cicadagraded/entry/view.go
@@ -123,10 +123,8 @@
 func (e *Entry) configurationInForce(revision int64) storer.Value {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, c := range e.relayer.WithPrefix(platform.ConfigurationKey) {
-		if c.Key() == platform.ConfigurationKey {
-			return storer.NewValue(c.Key(), c.Data(), revision)
-		}
+	if c := e.relayer.Value(platform.ConfigurationKey); c.Present() {
+		return storer.NewValue(c.Key(), c.Data(), revision)
 	}
 	return storer.NewValue(platform.ConfigurationKey, nil, 0)
 }
@@ -281,7 +279,8 @@
 }
 
 // advanceView records that the view holds all changes up to a revision, as the store had them at
-// a time. A view of an earlier revision says nothing about the age of this one.
+// a time. A view of an earlier revision says nothing about the age of this one. The caller has begun to
+// apply it.
 func (e *Entry) advanceView(revision int64, asOf tier.Millis) {
 	e.mu.Lock()
 	older := revision < e.relayer.Revision()
@@ -292,9 +291,16 @@
 	}
 	if int64(asOf) >= e.storeAnsweredAt.Load() {
 		e.storeAnsweredAt.Store(int64(asOf))
+		e.viewOrigin.Store(&viewOrigin{source: e.applying, revision: revision})
 	}
 }
 
+// viewOrigin is where the content and the age of the view are from.
+type viewOrigin struct {
+	source   string // a VM's name, or storeSource
+	revision int64
+}
+
 // viewAge is the time since the store last answered this VM, or the VM from which this one
 // fetched its view.
 func (e *Entry) viewAge() tier.Millis { return e.clock.Now() - tier.Millis(e.storeAnsweredAt.Load()) }
--- a/tier/refresher/picking.go
+++ b/tier/refresher/picking.go
@@ -62,3 +62,23 @@
 	}
 	return list[int(r.random()*float64(len(list)))%len(list)], true
 }
+
+// Announce has the VM with a name asked next, however fresh this VM's view is: it has told of a newer
+// configuration. The store may have lost that one, so that no other source has it.
+func (r *Refresher) Announce(name string) { r.announced = name }
+
+// takeAnnounced returns the VM that was announced last, once, unless it was asked in this round or
+// can't be reached.
+func (r *Refresher) takeAnnounced() (partitioner.Member, bool) {
+	name := r.announced
+	r.announced = ""
+	if name == "" {
+		return partitioner.Member{}, false
+	}
+	list := r.untried(r.partitioner.ReachablePeers())
+	i := slices.IndexFunc(list, func(m partitioner.Member) bool { return m.VM().Name() == name })
+	if i < 0 {
+		return partitioner.Member{}, false
+	}
+	return list[i], true
+}
--- a/tier/refresher/refresher.go
+++ b/tier/refresher/refresher.go
@@ -145,6 +145,8 @@
 
 	neighbourLoading bool // a VM has answered that it has no view yet
 
+	announced string // name of a VM that has told of a newer configuration, or ""
+
 	fleetSize int    // VMs, small ones included
 	reads     []read // in progress
 
@@ -288,6 +290,9 @@
 
 // nextRefresh continues a round of a VM that has a view.
 func (r *Refresher) nextRefresh(now, viewAge tier.Millis) Source {
+	if m, ok := r.takeAnnounced(); ok {
+		return Peer{Member: m}
+	}
 	relays := r.partitioner.Relays()
 	rank := r.place(relays)
 	fast := rank > 0 && len(relays) <= maxFastRelays
--- a/tier/relayer/relayer.go
+++ b/tier/relayer/relayer.go
@@ -84,6 +84,14 @@
 // that seems to change nothing here, but VMs that have read the first one need the last.
 func (r *Relayer) Copy(v storer.Value, revision int64) { r.Put(v, revision, true) }
 
+// Value returns the value of a key, which is not present if the copy lacks the key.
+func (r *Relayer) Value(key string) storer.Value {
+	if v, ok := r.items[key]; ok {
+		return v
+	}
+	return storer.NewValue(key, nil, 0)
+}
+
 // WithPrefix returns the values of the keys with a prefix, by key.
 func (r *Relayer) WithPrefix(prefix string) []storer.Value {
 	var list []storer.Value
