Divide a quota between two VMs that both keep its account

Cause: the seventh VM reaches all others, so it lets the whole rate through; the next VM, to which the others report, lets the part of six VMs through. After the cut the six trust the seventh again at different times, up to 6.4 s later. Nothing compares who keeps an account.

Change: levels of accounts name the VM that keeps the account. One that hears of another account of the same organisation lets through its part of the rate and of the bucket, by the requests that it hears of itself, and tells the VMs that report to it the rate of all.

--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -60,7 +60,7 @@
 
 func newQuotas(self tier.VM, bound accountant.Bound) *quotas {
 	return &quotas{
-		reporter: accountant.NewReporter(self.Name(), uint64(self.Incarnation()), 0, bound), ledger: accountant.NewLedger(bound),
+		reporter: accountant.NewReporter(self.Name(), uint64(self.Incarnation()), 0, bound), ledger: accountant.NewLedger(self.Name(), bound),
 		news: accountant.NewNews(), suspects: map[string]accountantSuspicion{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -196,6 +196,9 @@
 			}
 			e.wakeReports()
 			return e.quotas.reporter.Forward(now, u, q, repeated)
+		}).
+		Beside(func(organisation string) (int, float64) {
+			return e.quotas.news.Rivals(now, organisation, e.scheduler.Partitioner().Self().VM().Name())
 		})
 }
 
@@ -335,7 +338,7 @@
 	levels := make([]*gatherv1.Level, len(list))
 	for i, l := range list {
 		levels[i] = &gatherv1.Level{
-			Organisation: l.Organisation(), Tokens: l.Tokens(), Vms: uint32(l.VMs()), Demand: l.Demand(), AgeMs: int64(l.Age()),
+			Organisation: l.Organisation(), Tokens: l.Tokens(), Vms: uint32(l.VMs()), Demand: l.Demand(), AgeMs: int64(l.Age()), Keeper: l.Keeper(),
 		}
 	}
 	return levels
@@ -344,7 +347,7 @@
 func decodeLevels(list []*gatherv1.Level) []accountant.Level {
 	levels := make([]accountant.Level, len(list))
 	for i, l := range list {
-		levels[i] = accountant.NewLevel(l.GetOrganisation(), l.GetTokens(), int(l.GetVms()), l.GetDemand(), tier.Millis(l.GetAgeMs()))
+		levels[i] = accountant.NewLevel(l.GetOrganisation(), l.GetTokens(), int(l.GetVms()), l.GetDemand(), tier.Millis(l.GetAgeMs())).KeptBy(l.GetKeeper())
 	}
 	return levels
 }
--- a/tier/accountant/accountant_test.go
+++ b/tier/accountant/accountant_test.go
@@ -24,7 +24,7 @@
 // kept for ever.
 func TestLedger(t *testing.T) {
 	q := NewQuota(10, 20)
-	l := NewLedger(testBound)
+	l := NewLedger("vm-0", testBound)
 	now := tier.Minute
 	tokens := func(incarnation, sequence uint64, requests int64, terms Terms) float64 {
 		t.Helper()
--- a/tier/accountant/faults_test.go
+++ b/tier/accountant/faults_test.go
@@ -216,3 +216,60 @@
 		}
 	}
 }
+
+// unheardFleet is a fleet in a surge of an organisation, while others get no replies of its accountant.
+type unheardFleet struct {
+	vms, large   int
+	usual, burst float64
+	before       float64 // seconds of the cut before the surge
+	times        float64 // of the usual rate, in the surge
+}
+
+// check plays the fault with 20 seeds: the cut ends after 5.5 s, the surge after 6.5 s.
+func (c unheardFleet) check(t *testing.T) {
+	t.Helper()
+	const cut, surge = 5500 * tier.Millisecond, 6500 * tier.Millisecond
+	quota := NewQuota(1.6*c.usual, c.burst)
+	worst, refused := 0, 0
+	for seed := range uint64(20) {
+		f := newFleet(c.vms, c.large, quota, seed)
+		f.run(10*tier.Second, c.usual, f.anyVM)
+		first := f.accountant()
+		first.mute = true
+		before := tier.Millis(c.before * float64(tier.Second))
+		f.run(before, c.usual, f.anyVM)
+		refused += len(f.refused)
+		f.run(cut-before, c.usual*c.times, f.anyVM)
+		first.mute = false
+		f.run(surge-(cut-before), c.usual*c.times, f.anyVM)
+		f.run(5*tier.Second, c.usual, f.anyVM)
+		worst = max(worst, f.worst())
+	}
+	allowed := newFleet(1, 1, quota, 0).bound.Allowed(quota)
+	t.Logf("%+v: worst window %d of %.0f", c, worst, allowed)
+	if float64(worst) > allowed {
+		t.Errorf("%+v: %d requests in a window, allowed are %.0f", c, worst, allowed)
+	}
+	if refused > 0 {
+		t.Errorf("%+v: %d requests refused at the usual rate", c, refused)
+	}
+}
+
+// TestQuotaWhereTheAccountantIsNotHeard guards against two accountants that each admit the whole rate: the others
+// get no replies of the first one, which gets theirs, and when they get them again they trust it at
+// different times.
+func TestQuotaWhereTheAccountantIsNotHeard(t *testing.T) {
+	for _, c := range []unheardFleet{
+		{7, 7, 12.5, 20, 4, 7.5}, {7, 7, 12.5, 20, 1, 7.5}, {7, 7, 12.5, 20, 5.5, 7.5}, {7, 7, 12.5, 20, 3, 3}, {10, 10, 40, 20, 4, 4},
+	} {
+		c.check(t)
+	}
+}
+
+// TestQuotaOfManyVMsWhereTheAccountantIsNotHeard does the same with 84 VMs, whose reports to the accountant are each
+// lost for 300 ms.
+func TestQuotaOfManyVMsWhereTheAccountantIsNotHeard(t *testing.T) {
+	for _, c := range []unheardFleet{{84, 12, 13.6, 30, 4, 9}, {84, 12, 13.6, 30, 1, 9}} {
+		c.check(t)
+	}
+}
--- a/tier/accountant/fleet_test.go
+++ b/tier/accountant/fleet_test.go
@@ -15,7 +15,8 @@
 	regions       = 3
 	nearRoundTrip = 2 * tier.Millisecond
 	farRoundTrip  = 40 * tier.Millisecond
-	suspicion     = 800 * tier.Millisecond // from a failed report to the next trial
+	suspicion     = 800 * tier.Millisecond // from a failed report to the next trial, twice as long after each
+	maxSuspicion  = 6400 * tier.Millisecond
 	fetchInterval = 300 * tier.Millisecond
 	watchers      = 3
 	retryGap      = 350 * tier.Millisecond // at which large VMs probe each other
@@ -30,8 +31,10 @@
 	large    bool
 	dead     bool
 	pausedTo tier.Millis
-	side     int // VMs of different sides don't reach each other
+	side     int  // VMs of different sides don't reach each other
+	mute     bool // others get no replies of it
 	suspects map[int]tier.Millis
+	silent   map[int]silence // VMs that have not answered a report
 	since    tier.Millis
 	quota    Quota
 	nextDue  tier.Millis
@@ -40,6 +43,9 @@
 	fetchAt  tier.Millis
 }
 
+// silence is that of a VM which gets no reports until a time.
+type silence struct{ until, pause tier.Millis }
+
 // message is on its way.
 type message struct {
 	at tier.Millis
@@ -83,9 +89,10 @@
 func (f *fleet) start(v *vm) {
 	f.starts++
 	v.dead, v.nextDue, v.since, v.suspects = false, 0, f.now, map[int]tier.Millis{}
+	v.silent = map[int]silence{}
 	v.reporter = NewReporter(v.name, f.starts, f.now, f.bound)
 	v.reporter.SetVMs(len(f.vms))
-	v.ledger, v.news = NewLedger(f.bound), NewNews()
+	v.ledger, v.news = NewLedger(v.name, f.bound), NewNews()
 }
 
 func (f *fleet) after(d tier.Millis, do func()) {
@@ -110,7 +117,7 @@
 	return func(organisation string) (string, bool) {
 		best, score := "", uint64(0)
 		for _, m := range f.large {
-			if until, ok := v.suspects[m.index]; ok && f.now < until {
+			if f.suspects(v, m) {
 				continue
 			}
 			if s := picker.Score("account", organisation, m.name); best == "" || s > score {
@@ -121,10 +128,14 @@
 	}
 }
 
+func (f *fleet) suspects(v, other *vm) bool {
+	return f.now < v.suspects[other.index] || f.now < v.silent[other.index].until
+}
+
 func (f *fleet) part(v *vm) float64 {
 	sound := 0
 	for _, m := range f.large {
-		if until, ok := v.suspects[m.index]; !ok || f.now >= until {
+		if !f.suspects(v, m) {
 			sound++
 		}
 	}
@@ -139,7 +150,8 @@
 				return Level{}, false
 			}
 			return v.reporter.Forward(f.now, u, v.quota, repeated)
-		})
+		}).
+		Beside(func(organisation string) (int, float64) { return v.news.Rivals(f.now, organisation, v.name) })
 }
 
 func (f *fleet) byName(name string) *vm {
@@ -186,7 +198,8 @@
 			return
 		}
 		answered = true
-		v.suspects[to.index] = f.now + suspicion
+		pause := min(max(suspicion, 2*v.silent[to.index].pause), maxSuspicion)
+		v.silent[to.index] = silence{until: f.now + pause, pause: pause}
 		v.since = f.now
 		reporter.Failed(f.now, r, f.accountantOf(v))
 		f.report(v)
@@ -202,10 +215,11 @@
 		levels := to.ledger.Report(f.now, r, f.terms(to))
 		f.report(to) // what it passes on
 		f.after(f.oneWay(v, to), func() {
-			if answered || v.reporter != reporter || !f.reaches(v, to) {
+			if answered || v.reporter != reporter || !f.reaches(v, to) || to.mute && to != v {
 				return
 			}
 			answered = true
+			delete(v.silent, to.index)
 			reporter.Answered(f.now, r, levels)
 			f.report(v)
 		})
@@ -268,6 +282,9 @@
 		if v.large {
 			f.hear(from, sent)
 		}
+		if from.mute {
+			return
+		}
 		got := f.hot(from)
 		f.after(f.oneWay(v, from), func() {
 			if f.reaches(v, from) {
@@ -281,7 +298,7 @@
 func (f *fleet) hear(v *vm, levels []Level) {
 	aged := make([]Level, len(levels))
 	for i, l := range levels {
-		aged[i] = NewLevel(l.organisation, l.tokens, l.vms, l.demand, l.age+farRoundTrip/2)
+		aged[i] = NewLevel(l.organisation, l.tokens, l.vms, l.demand, l.age+farRoundTrip/2).KeptBy(l.keeper)
 	}
 	v.reporter.Heard(f.now, v.news.Hear(f.now, aged), func(string) (Quota, bool) { return v.quota, true })
 }
@@ -295,10 +312,11 @@
 		for _, b := range f.large {
 			until, suspected := a.suspects[b.index]
 			suspected = suspected && f.now < until
-			if reached := a == b || f.reaches(a, b); reached == suspected {
+			reached := a == b || f.reaches(a, b) && !b.mute
+			if reached == suspected {
 				a.since = f.now
 			}
-			if a == b || f.reaches(a, b) {
+			if reached {
 				delete(a.suspects, b.index)
 			} else {
 				a.suspects[b.index] = f.now + suspicion
--- a/tier/accountant/ledger.go
+++ b/tier/accountant/ledger.go
@@ -38,6 +38,7 @@
 
 // Ledger holds the accounts that one VM keeps. It is not safe for concurrent use.
 type Ledger struct {
+	name      string // of the VM
 	bound     Bound
 	buckets   map[string]*bucket
 	reporters map[string]*reporterState
@@ -45,17 +46,18 @@
 }
 
 type bucket struct {
-	quota      Quota
-	level      float64
-	at         tier.Millis // when level was computed
-	since      tier.Millis // when this VM may have become the accountant
-	reportedAt tier.Millis
-	reporters  map[string]tier.Millis // by name of the VM, when it last reported
-	countedAt  tier.Millis            // when reporters was last cleared of old ones
-	demand     float64                // moving average of requests a second
-	demandAt   tier.Millis
-	tookOver   bool        // from another VM that may go on for a moment
-	hotAt      tier.Millis // when the organisation was last about to exceed its quota, or 0
+	name            string // of the organisation
+	quota           Quota
+	level           float64
+	at              tier.Millis // when level was computed
+	since           tier.Millis // when this VM may have become the accountant
+	reportedAt      tier.Millis
+	reporters       map[string]tier.Millis // by name of the VM, when it last reported
+	countedAt       tier.Millis            // when reporters was last cleared of old ones
+	demand          float64                // moving average of requests a second
+	countedDemandAt tier.Millis
+	tookOver        bool        // from another VM that may go on for a moment
+	hotAt           tier.Millis // when the organisation was last about to exceed its quota, or 0
 }
 
 type reporterState struct {
@@ -64,9 +66,9 @@
 	at          tier.Millis
 }
 
-// NewLedger returns a ledger without accounts.
-func NewLedger(bound Bound) *Ledger {
-	return &Ledger{bound: bound, buckets: map[string]*bucket{}, reporters: map[string]*reporterState{}}
+// NewLedger returns the ledger of a VM without accounts.
+func NewLedger(name string, bound Bound) *Ledger {
+	return &Ledger{name: name, bound: bound, buckets: map[string]*bucket{}, reporters: map[string]*reporterState{}}
 }
 
 // Configure changes the bound.
@@ -79,6 +81,35 @@
 	part  float64
 	heard func(organisation string) (Level, bool)
 	pass  func(u Usage, repeated bool) (Level, bool)
+	// rivals returns the VMs that report to others which keep the account of an organisation as well, and
+	// the rate of their requests.
+	rivals func(organisation string) (vms int, demand float64)
+}
+
+// Beside returns the terms with a function that returns how many VMs report on an organisation to other
+// VMs, which keep its account as well, and the rate of these requests. Each of these VMs uses its part of
+// the rate, by the requests that it hears of.
+func (t Terms) Beside(rivals func(organisation string) (vms int, demand float64)) Terms {
+	t.rivals = rivals
+	return t
+}
+
+// rivalsOf returns what rivals returns, if it is set.
+func (t Terms) rivalsOf(organisation string) (vms int, demand float64) {
+	if t.rivals == nil {
+		return 0, 0
+	}
+	return t.rivals(organisation)
+}
+
+// partOf is the part of the rate that this VM lets through of an organisation.
+func (t Terms) partOf(now tier.Millis, b *bucket) float64 {
+	_, others := t.rivalsOf(b.name)
+	if others <= 0 {
+		return t.part
+	}
+	own := b.demandAt(now)
+	return min(t.part, own/(own+others))
 }
 
 // PassedOn returns the terms with a function that passes on a usage if this VM believes that
@@ -122,8 +153,11 @@
 			b.level = min(l.bound.capacity(q), b.level-float64(u.requests))
 		}
 		b.countDemand(now, float64(max(u.requests, 0)+u.refused))
-		l.noteHot(now, b)
-		levels = append(levels, b.told(now, u.organisation))
+		vms, demand := terms.rivalsOf(u.organisation)
+		l.noteHot(now, b, demand)
+		level := l.told(now, b)
+		level.vms, level.demand = level.vms+vms, level.demand+demand
+		levels = append(levels, level)
 	}
 	if now-l.sweptAt >= sweepInterval {
 		l.sweep(now, terms)
@@ -150,7 +184,7 @@
 func (l *Ledger) bucket(now tier.Millis, organisation string, q Quota, terms Terms) *bucket {
 	b, ok := l.buckets[organisation]
 	if !ok {
-		b = &bucket{quota: q, level: l.bound.startLevel(q), at: terms.since, since: terms.since, reporters: map[string]tier.Millis{}}
+		b = &bucket{name: organisation, quota: q, level: l.bound.startLevel(q), at: terms.since, since: terms.since, reporters: map[string]tier.Millis{}}
 		l.buckets[organisation] = b
 	}
 	l.fill(now, b, terms)
@@ -160,7 +194,7 @@
 	if terms.since > b.since && now-b.reportedAt >= newsTTL {
 		// Another VM may have kept the account since the last report.
 		b.since = terms.since
-		b.level = min(b.level, l.bound.startLevel(q)+l.grown(b, terms.since, now, terms.part))
+		b.level = min(b.level, l.bound.startLevel(q)+l.grown(b, terms.since, now, terms.partOf(now, b)))
 		l.takeOver(now, b, organisation, terms)
 	}
 	if b.quota != q {
@@ -178,7 +212,7 @@
 	if !ok {
 		return
 	}
-	b.demand, b.demandAt = max(b.demand, heard.demand), now
+	b.demand, b.countedDemandAt = max(b.demand, heard.demand), now
 	b.level = min(b.level, heard.tokens)
 	b.hotAt = max(now, 1)
 	b.at, b.since, b.tookOver = now, now, true
@@ -186,7 +220,11 @@
 
 // fill adds what the rate has left room for since the last time.
 func (l *Ledger) fill(now tier.Millis, b *bucket, terms Terms) {
-	b.level = min(l.bound.capacity(b.quota), b.level+l.grown(b, b.at, now, terms.part))
+	part, capacity := terms.partOf(now, b), l.bound.capacity(b.quota)
+	if _, others := terms.rivalsOf(b.name); others > 0 {
+		capacity = max(1, capacity*part)
+	}
+	b.level = min(capacity, b.level+l.grown(b, b.at, now, part))
 	b.at = max(b.at, now)
 }
 
@@ -202,20 +240,25 @@
 }
 
 // told is the level that VMs are told.
-func (b *bucket) told(now tier.Millis, organisation string) Level {
-	return NewLevel(organisation, b.level, b.countReporters(now), b.demand, 0)
+func (l *Ledger) told(now tier.Millis, b *bucket) Level {
+	return NewLevel(b.name, b.level, b.countReporters(now), b.demand, 0).KeptBy(l.name)
+}
+
+// demandAt is the moving average of requests at a time.
+func (b *bucket) demandAt(now tier.Millis) float64 {
+	return b.demand * math.Exp(-float64(max(0, now-b.countedDemandAt))/float64(demandTime))
 }
 
 // countDemand adds requests to the moving average, and decays it.
 func (b *bucket) countDemand(now tier.Millis, requests float64) {
-	b.demand *= math.Exp(-float64(now-b.demandAt) / float64(demandTime))
-	b.demandAt = now
-	b.demand += requests * float64(tier.Second) / float64(demandTime)
+	b.demand = b.demandAt(now) + requests*float64(tier.Second)/float64(demandTime)
+	b.countedDemandAt = now
 }
 
-// noteHot remembers that an organisation uses its quota up.
-func (l *Ledger) noteHot(now tier.Millis, b *bucket) {
-	if l.bound.exhausts(b.quota, b.level, b.demand) {
+// noteHot remembers that an organisation uses its quota up. others is the rate of requests that other VMs
+// hear of.
+func (l *Ledger) noteHot(now tier.Millis, b *bucket, others float64) {
+	if l.bound.exhausts(b.quota, b.level, b.demand+others) {
 		b.hotAt = max(now, 1)
 	}
 }
@@ -230,8 +273,9 @@
 		}
 		l.fill(now, b, terms)
 		b.countDemand(now, 0)
-		l.noteHot(now, b)
-		hot = append(hot, b.told(now, name))
+		_, others := terms.rivalsOf(name)
+		l.noteHot(now, b, others)
+		hot = append(hot, l.told(now, b))
 	}
 	slices.SortFunc(hot, func(a, b Level) int { return strings.Compare(a.organisation, b.organisation) })
 	return hot
--- a/tier/accountant/quota.go
+++ b/tier/accountant/quota.go
@@ -148,6 +148,7 @@
 	vms          int
 	demand       float64
 	age          tier.Millis
+	keeper       string
 }
 
 // NewLevel returns a level, age after the accountant told it: the requests for which there is
@@ -157,6 +158,15 @@
 	return Level{organisation: organisation, tokens: tokens, vms: max(vms, 1), demand: max(demand, 0), age: max(age, 0)}
 }
 
+// KeptBy returns the level with the name of the VM that keeps the account, "" if that is not known.
+func (l Level) KeptBy(vm string) Level {
+	l.keeper = vm
+	return l
+}
+
+// Keeper is the name of the VM that keeps the account, or "" if that is not known.
+func (l Level) Keeper() string { return l.keeper }
+
 // Organisation is the name of the organisation.
 func (l Level) Organisation() string { return l.organisation }
 
