Do not suspect the last VM that can serve for being late

Cause: the VM gives its requests to others. Those that had not accepted one within some 200 ms were suspected, one after the other, until none was left, and what nobody takes is refused at once. On the machine all VMs, the suspecting one included, had waited for the processor.

Change: a VM that reaches no leafs doesn't suspect the last other one for being late. One that can't be reached, or declines, is suspected as before, and VMs with links do as before.

TestLastVMIsNotSuspectedForBeingLate fails before.

--- a/tier/partitioner/suspicion.go
+++ b/tier/partitioner/suspicion.go
@@ -74,7 +74,8 @@
 
 // TimedOut handles a VM that has not accepted a share within a time. One that has accepted
 // another share shortly before may just be busy: if it were suspected, others would get its
-// load, and the next one would be late. It is suspected if it misses maxTimeouts in a row.
+// load, and the next one would be late. It is suspected if it misses maxTimeouts in a row, unless it is the
+// last one that may serve requests of a VM which reaches no leafs: late is better than refused.
 // It reports whether the VM is suspected now.
 func (p *Partitioner) TimedOut(now tier.Millis, name string, waited tier.Millis) bool {
 	m, ok := p.members[name]
@@ -83,12 +84,23 @@
 	}
 	m.timeouts++
 	m.roundTripMs = min(max(m.roundTripMs, float64(waited)), maxRoundTripMs)
-	if m.timeouts >= maxTimeouts || m.answeredAt == 0 || now-m.answeredAt >= recentAnswer {
+	late := m.timeouts >= maxTimeouts || m.answeredAt == 0 || now-m.answeredAt >= recentAnswer
+	if late && (!p.selfExcluded || !p.isOnlyHealthy(name)) {
 		p.Failed(now, name, ShareLate)
 	}
 	return m.suspected
 }
 
+// isOnlyHealthy reports whether all other VMs but one are suspected.
+func (p *Partitioner) isOnlyHealthy(name string) bool {
+	for other, m := range p.members {
+		if other != name && other != p.self.vm.Name() && !m.suspected {
+			return false
+		}
+	}
+	return true
+}
+
 // ExcludeSelf sets whether the own VM queries no shards, because it reaches no leafs. It ends
 // all suspicions: shares of others may have failed for what this VM had not done in time.
 func (p *Partitioner) ExcludeSelf(now tier.Millis, excluded bool) {
