Heed what leafs say of leaving and of rest, in one place

A leaf that asked for a rest got retries 25 ms later.

Change: notices.go decodes what a reply says of its leaf, once: that it leaves, a rest, a limit, its load. A leaf that leaves is out of the list at once and until it starts again, also if its entry lapses, is written again or stands in a copy; the VM that passes the reply on learns of it from the one that got it (a new field of shares' replies, which earlier builds skip). A leaf that rests is left out by everything that picks leafs until the time is over and up to 0.3 s more, 10 minutes at most; if all leafs of a service rest, requests, also queued ones, are refused at once with the earliest end as Retry-After (leafs-resting). A rest binds this VM alone: another one may call the leaf.

--- a/cicadagraded/entry/fleet_test.go
+++ b/cicadagraded/entry/fleet_test.go
@@ -32,7 +32,8 @@
 	servers     []*httptest.Server // of the leafs
 
 	services map[string]string // of the leafs, by id
-	group    sync.WaitGroup    // closes the connections of leafs
+	leafs    map[string]*responder.FixedLeaf
+	group    sync.WaitGroup // closes the connections of leafs
 	nextID   int
 
 	mu      sync.Mutex
@@ -45,7 +46,7 @@
 	t.Helper()
 	storeServer := storeserver.New(tier.NewClock())
 	server := httptest.NewServer(storeServer)
-	f := &testFleet{t: t, storeServer: storeServer, release: make(chan struct{}), services: map[string]string{}, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
+	f := &testFleet{t: t, storeServer: storeServer, release: make(chan struct{}), services: map[string]string{}, leafs: map[string]*responder.FixedLeaf{}, store: platform.NewStore(server.URL), address: server.Listener.Addr().String()}
 	t.Cleanup(func() {
 		f.group.Wait()
 		for _, e := range f.entries {
@@ -112,6 +113,7 @@
 		f.nextID++
 		id := fmt.Sprint("i-", f.nextID)
 		leaf := responder.NewFixedLeaf(id, "abc")
+		f.leafs[id] = leaf
 		var server *httptest.Server
 		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch {
--- a/cicadagraded/entry/limits.go
+++ b/cicadagraded/entry/limits.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 
-	"cicadagrade.example/cicadagraded/leafclient"
-	"cicadagrade.example/platform"
 	"cicadagrade.example/tier"
 	"cicadagrade.example/tier/balancer"
 	"cicadagrade.example/tier/lister"
@@ -19,24 +17,6 @@
 // requests.
 const limitUseInterval = tier.Second
 
-// rateNotice returns what a reply says of the rate of requests that a leaf takes, or nil if
-// there is no reply of that leaf.
-func (e *Entry) rateNotice(leaf lister.Leaf, reply *leafclient.Reply, err error) throttler.Notice {
-	if err != nil {
-		return nil
-	}
-	response := platform.ParseLeafReply(reply.Status(), reply.Header())
-	if response.WrongServer() {
-		return nil
-	}
-	notice, err := response.RateNotice()
-	if err != nil {
-		e.log.RateLimitedInfo("leaf-limit-unreadable", "leaf", leaf.ID(), "error", err)
-		return nil
-	}
-	return notice
-}
-
 // hearRateNotice records a notice and logs a change. The caller holds the lock.
 func (e *Entry) hearRateNotice(now, sentAt tier.Millis, leaf lister.Leaf, n throttler.Notice) {
 	change, changed := e.scheduler.Balancer().Heard(now, sentAt, leaf, n)
--- a/cicadagraded/entry/peers.go
+++ b/cicadagraded/entry/peers.go
@@ -105,10 +105,12 @@
 		regions: regions, organisation: request.GetOrganisation(), weight: request.GetWeight(),
 	}
 	run.flush = func(f searcher.Flush) error {
+		reply := shareReply(request, f)
 		if whole {
-			return stream.Send(wholeReply(f))
+			reply = wholeReply(f)
 		}
-		return stream.Send(shareReply(request, f))
+		reply.Leaving = run.takeLeaving()
+		return stream.Send(reply)
 	}
 	run.suspected = func() {
 		if err := stream.Send(&gatherv1.GatherReply{Suspected: true}); err != nil {
@@ -127,6 +129,7 @@
 	}
 	last := &gatherv1.GatherReply{
 		Last: true, MayHaveRun: outcome.MayHaveRun(), Calls: uint32(outcome.CallsSent()), Extra: uint32(outcome.ExtraCalls()),
+		Leaving: run.takeLeaving(),
 	}
 	for _, leaf := range outcome.Ended() {
 		last.Ended = append(last.Ended, leaf.ID())
--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -40,7 +40,8 @@
 	wakeup      chan struct{}
 	cancelCall  map[int]context.CancelFunc
 	cancelShare map[int]context.CancelFunc
-	nextTick    tier.Millis // when the search has to be stepped at the latest
+	nextTick    tier.Millis   // when the search has to be stepped at the latest
+	leaving     []lister.Leaf // that have said so, and the delegating VM has not been told
 	outcome     searcher.Outcome
 	done        bool
 }
@@ -185,14 +186,11 @@
 			r.entry.crossRegionBytes.Add(int64(len(reply.Body())))
 		}
 		result := classifyResult(reply, err)
-		notice := r.entry.rateNotice(a.Leaf, reply, err)
-		load, told := r.entry.replyLoad(a.Leaf, reply, err)
+		notices := r.entry.readNotices(a.Leaf, reply, err)
 		r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
-			if notice != nil {
-				r.entry.hearRateNotice(now, sentAt, a.Leaf, notice)
-			}
-			if told {
-				r.entry.scheduler.Balancer().HeardLoad(now, a.Leaf, load)
+			r.entry.hearNotices(now, sentAt, a.Leaf, notices)
+			if notices.leaving {
+				r.leaving = append(r.leaving, a.Leaf)
 			}
 			return s.CallEnded(now, a.Call, result)
 		})
--- a/cicadagraded/entry/session_test.go
+++ b/cicadagraded/entry/session_test.go
@@ -70,6 +70,9 @@
 //	                                anything, and print what came before the VM
 //	                                closed them
 //	limit ID [TEXT]                 make the leaf name a limit in its replies, or none
+//	leaves ID                       make the leaf say in its replies that it leaves
+//	rest ID TEXT                    make the leaf ask in its replies for a rest
+//	reached ID                      print how many requests have reached the leaf
 //	limits                          print the limits of leafs that the VM knows
 //	seen ID                         print the requests that the leaf has executed
 //	hold ID                         make the leaf delay its replies until release
@@ -179,6 +182,12 @@
 		s.out.WriteString(<-s.pending)
 	case "limit":
 		s.leafs[words[1]].NameLimit(strings.Join(words[2:], " "))
+	case "leaves":
+		s.leafs[words[1]].SayLeaving()
+	case "rest":
+		s.leafs[words[1]].AskForRest(words[2])
+	case "reached":
+		fmt.Fprintf(&s.out, "  %d\n", s.leafs[words[1]].Received())
 	case "limits":
 		s.printLimits()
 	case "seen":
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -26,6 +26,8 @@
 	headerSignature      = "Response-Signature"
 	headerPartSignatures = "Part-Signatures"
 	headerServerLimit    = "Server-Limit"
+	headerServerLeaving  = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 	headerAuthorization  = "Authorization"
 	headerOrganisation   = "Tenant"
 )
@@ -45,14 +47,24 @@
 
 	mu       sync.Mutex
 	executed []string
-	limit    string        // of requests a second, as named in replies; empty for none
+	received int           // requests, also those that it has not executed
+	said     http.Header   // what its replies say of the leaf
 	released chan struct{} // closed when held requests may continue; nil if none are held
 }
 
 // NewFixedLeaf returns a leaf. The answer is one of: letters, each sent as one record
 // of that letter repeated; a status such as 500; a status with "!", such as 503!, which
 // also says that the request was not executed; or NoReply.
-func NewFixedLeaf(id, answer string) *FixedLeaf { return &FixedLeaf{id: id, answer: answer} }
+func NewFixedLeaf(id, answer string) *FixedLeaf {
+	return &FixedLeaf{id: id, answer: answer, said: http.Header{}}
+}
+
+// Received returns how many requests have reached the leaf, also those that it has not executed.
+func (l *FixedLeaf) Received() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.received
+}
 
 // Executed returns the requests that the leaf has executed.
 func (l *FixedLeaf) Executed() []string {
@@ -73,10 +85,22 @@
 
 // NameLimit makes the leaf name a limit of requests a second in its replies, or none if text
 // is empty. It does not hold callers to it.
-func (l *FixedLeaf) NameLimit(text string) {
+func (l *FixedLeaf) NameLimit(text string) { l.say(headerServerLimit, text) }
+
+// SayLeaving makes the leaf say in its replies that it leaves. It serves on.
+func (l *FixedLeaf) SayLeaving() { l.say(headerServerLeaving, "1") }
+
+// AskForRest makes the leaf ask in its replies for no request for a time, in seconds.
+func (l *FixedLeaf) AskForRest(text string) { l.say(headerRetryAfter, text) }
+
+// say adds a header to the replies, or none if text is empty.
+func (l *FixedLeaf) say(header, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limit = text
+	delete(l.said, header)
+	if text != "" {
+		l.said[header] = []string{text}
+	}
 }
 
 // Registration returns the entry with which the leaf registers in the store.
@@ -115,8 +139,9 @@
 	h := w.Header()
 	h.Set(headerAttempt, r.Header.Get(headerAttempt))
 	l.mu.Lock()
-	if l.limit != "" {
-		h.Set(headerServerLimit, l.limit)
+	l.received++
+	for name, values := range l.said {
+		h[name] = values
 	}
 	l.mu.Unlock()
 	text, notExecuted := strings.CutSuffix(l.answer, "!")
--- a/tier/balancer/balancer.go
+++ b/tier/balancer/balancer.go
@@ -95,7 +95,7 @@
 	if now-s.resetAt < resetWindow {
 		limit = limitAfterReset
 	}
-	return s.inFlight < limit && b.permitWait(now, s) == 0
+	return s.inFlight < limit && now >= s.restUntil && b.permitWait(now, s) == 0
 }
 
 // Distance is how far away a data centre is.
@@ -127,6 +127,7 @@
 	resetAt          tier.Millis // when it last reset a new connection
 	coldUntil        tier.Millis
 	misdirectedUntil tier.Millis // skipped because another server answered at its address
+	restUntil        tier.Millis // it wants no request before
 	refusalRate      float64     // moving average
 	refusalRateAt    tier.Millis // when refusalRate was updated
 	repliedAt        tier.Millis // when it last replied
@@ -155,6 +156,7 @@
 	services      map[string]*serviceState
 	useCounts     UseCounts
 	signs         map[string]sign // by id
+	lastRestEnd   tier.Millis     // the latest restUntil of any leaf
 }
 
 // Option changes a Balancer.
--- a/tier/lister/gone.go
+++ b/tier/lister/gone.go
@@ -10,6 +10,7 @@
 type goneEntry struct {
 	startTime int64
 	sequence  int64
+	leaving   bool
 	at        tier.Millis // of the removal
 }
 
--- a/tier/lister/lister.go
+++ b/tier/lister/lister.go
@@ -175,6 +175,8 @@
 		return known
 	}
 	if !known {
+		gone, left := l.gone[e.key]
+		e.leaf.leaving = e.leaf.leaving || left && gone.leaving && gone.startTime == e.leaf.startTime
 		l.setRegistration(e.key, &registration{entry: e, receivedAt: now, leaving: e.leaf.leaving})
 		l.addChange(e.leaf)
 		return true
@@ -217,7 +219,7 @@
 		l.changes = append(l.changes, Change{leaf: r.entry.leaf, state: StateLapsed})
 		return
 	}
-	l.gone[key] = goneEntry{startTime: r.entry.leaf.startTime, sequence: r.entry.sequence, at: now}
+	l.gone[key] = goneEntry{startTime: r.entry.leaf.startTime, sequence: r.entry.sequence, leaving: r.leaving, at: now}
 	l.drop(key)
 }
 
--- a/tier/searcher/cold.go
+++ b/tier/searcher/cold.go
@@ -153,7 +153,7 @@
 		return slices.ContainsFunc(s.shares, func(sh share) bool { return sh.member.VM().Name() == name && slices.Contains(sh.parts, partIndex) })
 	}
 	var list []partitioner.Member
-	for _, leaf := range sc.usableLeafs(s.parts[partIndex].service, s.terms.regions) {
+	for _, leaf := range sc.usableLeafs(now, s.parts[partIndex].service, s.terms.regions) {
 		if sc.balancer.MayCall(now, leaf) {
 			continue
 		}
@@ -196,7 +196,7 @@
 // leaf that is too cold for this VM to call it.
 func (sc *Scheduler) coldWait(now tier.Millis, service string, regions tier.RegionSet) tier.Millis {
 	least := tier.Millis(0)
-	for _, leaf := range sc.usableLeafs(service, regions) {
+	for _, leaf := range sc.usableLeafs(now, service, regions) {
 		if wait := sc.balancer.ColdRemaining(now, leaf); !sc.balancer.MayCall(now, leaf) && (least == 0 || wait < least) {
 			least = max(wait, 1)
 		}
@@ -206,6 +206,11 @@
 
 // giveUp loses a part without a leaf that this VM may call.
 func (s *Search) giveUp(now tier.Millis, p *part) {
+	if rest := s.scheduler.restWait(now, p.service, s.terms.regions); rest > 0 {
+		s.retryAfter = max(s.retryAfter, rest)
+		s.markLost(p, restReason)
+		return
+	}
 	wait := s.scheduler.coldWait(now, p.service, s.terms.regions)
 	if wait == 0 {
 		s.markLost(p, s.noLeafReason(p))
@@ -216,13 +221,13 @@
 	s.markLost(p, coldReason)
 }
 
-// unqueueCold takes a part out of the queue if its leafs have all become too cold for this VM
+// unqueueIdle takes a part out of the queue if its leafs all rest, or have all become too cold for this VM,
 // meanwhile. It reports whether it has.
-func (s *Search) unqueueCold(now tier.Millis, partIndex int) bool {
+func (s *Search) unqueueIdle(now tier.Millis, partIndex int) bool {
 	sc, service := s.scheduler, s.parts[partIndex].service
-	if sc.coldWait(now, service, s.terms.regions) == 0 || slices.ContainsFunc(sc.usableLeafs(service, s.terms.regions), func(leaf lister.Leaf) bool {
-		return sc.balancer.MayCall(now, leaf)
-	}) {
+	cold := sc.coldWait(now, service, s.terms.regions) > 0 && !slices.ContainsFunc(sc.usableLeafs(now, service, s.terms.regions),
+		func(leaf lister.Leaf) bool { return sc.balancer.MayCall(now, leaf) })
+	if !cold && sc.restWait(now, service, s.terms.regions) == 0 {
 		return false
 	}
 	sc.dequeue(now, s, partIndex)
--- a/tier/searcher/events.go
+++ b/tier/searcher/events.go
@@ -155,6 +155,7 @@
 	LeafFailure    Cause = "leaf-failure"   // a leaf's failure reply is passed on
 	NoLeaf         Cause = "no-leaf"        // no call was made: too many services have no usable leaf
 	LeafsLimited   Cause = "leafs-limited"  // no call was made: the leafs' limits allow none in time
+	LeafsResting   Cause = "leafs-resting"  // no call was made: the leafs have all asked for a rest
 	QueueTooLong   Cause = "queue-too-long" // no call was made: too many parts wait before it
 	Quarantined    Cause = "quarantined"    // no call was made: several leafs have ended under the request
 	LinksLost      Cause = "links-lost"     // no call was made: this VM reaches no leaf, and no other VM took the request
--- a/tier/searcher/finish.go
+++ b/tier/searcher/finish.go
@@ -91,6 +91,8 @@
 		return Quarantined
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == queueReason:
 		return QueueTooLong
+	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == restReason:
+		return LeafsResting
 	case len(s.calls) == 0 && !s.mayHaveRun && s.retryAfter > 0:
 		return LeafsLimited
 	case len(s.calls) == 0 && !s.mayHaveRun && s.parts[0].lossReason == linksLostReason:
@@ -145,7 +147,7 @@
 		if p.arrived && p.reply != nil {
 			o.parts = append(o.parts, Part{index: i, reply: p.reply})
 		}
-		if p.lost && ((isNoLeafReason(p.lossReason) || p.lossReason == coldReason) && len(p.tried) == 0 || (p.lossReason == linksLostReason || p.lossReason == vmsOverloadedReason) && !p.mayHaveRun) {
+		if p.lost && p.isUncalled() {
 			o.uncalled = append(o.uncalled, i)
 		}
 		if p.lost && p.lossReason == endedUnderRequest {
@@ -155,6 +157,18 @@
 	return append(actions, Finish{Outcome: o})
 }
 
+// isUncalled reports whether a lost part has reached no leaf, because this VM knew none that it may call or
+// reached none. The VM that has delegated it may call one.
+func (p *part) isUncalled() bool {
+	switch p.lossReason {
+	case coldReason, restReason:
+		return len(p.tried) == 0
+	case linksLostReason, vmsOverloadedReason:
+		return !p.mayHaveRun
+	}
+	return isNoLeafReason(p.lossReason) && len(p.tried) == 0
+}
+
 // endedLeafs lists the leafs that have ended the connection of a call, each once.
 func (s *Search) endedLeafs() []lister.Leaf {
 	var list []lister.Leaf
--- a/tier/searcher/placement.go
+++ b/tier/searcher/placement.go
@@ -35,9 +35,18 @@
 	return !regions.Restricted() || region != "" && regions.Allows(region)
 }
 
-// usableLeafs are the leafs of a service that a request may be sent to, by id. The caller must
+// usableLeafs are the placed leafs of a service that don't rest. The caller must not modify the slice.
+func (sc *Scheduler) usableLeafs(now tier.Millis, service string, regions tier.RegionSet) []lister.Leaf {
+	leafs := sc.placedLeafs(service, regions)
+	if !sc.balancer.AnyRests(now) {
+		return leafs
+	}
+	return slices.DeleteFunc(slices.Clone(leafs), func(leaf lister.Leaf) bool { return sc.balancer.RestRemaining(now, leaf) > 0 })
+}
+
+// placedLeafs are the leafs of a service that a request may be sent to, by id. The caller must
 // not modify the slice. The region of this VM does not matter, as the request is here already.
-func (sc *Scheduler) usableLeafs(service string, regions tier.RegionSet) []lister.Leaf {
+func (sc *Scheduler) placedLeafs(service string, regions tier.RegionSet) []lister.Leaf {
 	leafs := sc.lister.Leafs(service)
 	if !regions.Restricted() || !slices.ContainsFunc(leafs, sc.outside(regions)) {
 		return leafs
@@ -83,7 +92,7 @@
 // loseUnplaced gives up a part that regions or evacuations leave without a usable leaf. No other
 // VM is asked for such a part again, which would have to find the same.
 func (s *Search) loseUnplaced(p *part) bool {
-	if !s.mayBeUnplaced() || len(s.scheduler.usableLeafs(p.service, s.terms.regions)) > 0 {
+	if !s.mayBeUnplaced() || len(s.scheduler.placedLeafs(p.service, s.terms.regions)) > 0 {
 		return false
 	}
 	s.markLost(p, s.noLeafReason(p))
@@ -109,7 +118,7 @@
 	}
 	placed := 0
 	for i := range s.parts {
-		if len(s.scheduler.usableLeafs(s.parts[i].service, s.terms.regions)) > 0 {
+		if len(s.scheduler.placedLeafs(s.parts[i].service, s.terms.regions)) > 0 {
 			placed++
 		}
 	}
--- a/tier/searcher/placement_test.go
+++ b/tier/searcher/placement_test.go
@@ -68,7 +68,7 @@
 	s.play("search q target 100 deadline 500 s")
 	q := s.searches["q"]
 	if n := testing.AllocsPerRun(100, func() {
-		s.scheduler.usableLeafs("s", q.terms.regions)
+		s.scheduler.usableLeafs(s.now, "s", q.terms.regions)
 		q.refuseUnplaced()
 		s.scheduler.ForecasterOf(q.terms.regions)
 	}); n != 0 {
--- a/tier/searcher/queue.go
+++ b/tier/searcher/queue.go
@@ -36,7 +36,7 @@
 func (q queuedPart) soonestReply(now tier.Millis) (tier.Millis, bool) {
 	scheduler := q.search.scheduler
 	p := &q.search.parts[q.part]
-	_, cost, found := scheduler.balancer.Pick(now, q.search.terms.class, scheduler.usableLeafs(p.service, q.search.terms.regions), nil)
+	_, cost, found := scheduler.balancer.Pick(now, q.search.terms.class, scheduler.usableLeafs(now, p.service, q.search.terms.regions), nil)
 	return now + tier.Millis(cost), found
 }
 
@@ -135,7 +135,7 @@
 func (sc *Scheduler) pickWithCapacity(now tier.Millis, s *Search, p *part) (lister.Leaf, float64, bool) {
 	owner := sc.ownerCount(now, p.service) > 0
 	allowTried := p.inFlight == 0 && !s.hasUntriedLeaf(now, p)
-	return sc.balancer.Pick(now, s.terms.class, sc.usableLeafs(p.service, s.terms.regions), func(leaf lister.Leaf) bool {
+	return sc.balancer.Pick(now, s.terms.class, sc.usableLeafs(now, p.service, s.terms.regions), func(leaf lister.Leaf) bool {
 		return sc.balancer.HasCapacity(now, leaf, owner) && (allowTried || !contains(p.tried, leaf.ID()))
 	})
 }
--- a/tier/searcher/rates.go
+++ b/tier/searcher/rates.go
@@ -59,7 +59,7 @@
 // behind those that are queued before it. It is 0 unless all these leafs have limits.
 func (sc *Scheduler) limitWait(now tier.Millis, s *Search, service string) tier.Millis {
 	perSecond := 0.0
-	for _, leaf := range sc.usableLeafs(service, s.terms.regions) {
+	for _, leaf := range sc.usableLeafs(now, service, s.terms.regions) {
 		rate, limited := sc.balancer.RateOf(now, leaf)
 		if !limited {
 			return 0
--- a/tier/searcher/scheduler.go
+++ b/tier/searcher/scheduler.go
@@ -127,7 +127,7 @@
 // and leafs in the regions in which the request may be served.
 func (sc *Scheduler) Divide(class string, shards []string, regions tier.RegionSet) []partitioner.Share {
 	locationsOf := func(shard string) []partitioner.Location {
-		leafs := sc.usableLeafs(shard, regions)
+		leafs := sc.placedLeafs(shard, regions)
 		list := make([]partitioner.Location, len(leafs))
 		for i, leaf := range leafs {
 			list[i] = partitioner.Location{DataCentre: leaf.DataCentre(), Region: sc.regionOf(leaf.DataCentre())}
--- a/tier/searcher/script_test.go
+++ b/tier/searcher/script_test.go
@@ -53,6 +53,8 @@
 //	leaf ID SERVICE DC [SLOTS]      registers a leaf; DC a or b is in the home region, e in
 //	                                third, and any other one in away
 //	evacuate DC | return DC         an evacuation begins, or ends
+//	leaves ID                       the leaf says in a reply that it leaves
+//	rest ID MS                      the leaf, which has turned a call away, asks for a rest
 //	limit ID RATE                   the leaf names a limit of requests a second
 //	peer NAME REGION [DC CORES]     adds another VM, in DC x with 1 core
 //	search NAME target MS deadline MS [minimum N] [attempts N] [once] [peer] [rank N]
@@ -166,6 +168,14 @@
 				s.scheduler.balancer.Heard(s.now, s.now, leaf, throttler.RateLimit{PerSecond: s.float(words[2])})
 			}
 		}
+	case "leaves":
+		s.lister.SaidLeaving("s", words[1], 0)
+	case "rest":
+		for _, leaf := range s.lister.Leafs("s") {
+			if leaf.ID() == words[1] {
+				s.scheduler.balancer.WantsRest(s.now, leaf, tier.Millis(s.number(words[2])))
+			}
+		}
 	case "peer":
 		dataCentre, cores := "x", 1.0
 		if len(words) > 3 {
--- a/tier/searcher/searcher.go
+++ b/tier/searcher/searcher.go
@@ -238,7 +238,7 @@
 		}
 		if now >= p.retryAt {
 			p.retryAt = never
-			if p.queued && !s.unqueueCold(now, i) {
+			if p.queued && !s.unqueueIdle(now, i) {
 				p.retryAt = now + queuePollInterval
 				s.scheduler.dispatchQueued(now, p.service)
 			} else {
--- a/tier/searcher/send.go
+++ b/tier/searcher/send.go
@@ -103,7 +103,7 @@
 // pickLeaf picks the leaf with the least expected cost, among those without a call
 // of the part if untriedOnly is set.
 func (s *Search) pickLeaf(now tier.Millis, p *part, untriedOnly bool) (lister.Leaf, float64, bool) {
-	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.usableLeafs(p.service, s.terms.regions), func(leaf lister.Leaf) bool {
+	return s.scheduler.balancer.Pick(now, s.terms.class, s.scheduler.usableLeafs(now, p.service, s.terms.regions), func(leaf lister.Leaf) bool {
 		return (!untriedOnly || !contains(p.tried, leaf.ID())) && s.scheduler.balancer.MayCall(now, leaf)
 	})
 }
