--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -111,7 +111,7 @@
 // ColdRegistration returns an entry that says how much longer the leaf is cold.
 func (l *FixedLeaf) ColdRegistration(service, address, dataCentre string, sequence int64, remaining tier.Millis) ([]byte, error) {
 	fields := map[string]any{
-		"service": service, "address": address, "zone": dataCentre,
+		"service": service, "address": address, "zone": dataCentre, "version": "v1",
 		"slots": 2, "state": "ready", "sequence": sequence, "born": 1,
 	}
 	if remaining > 0 {
--- a/standin/responder/simulated.go
+++ b/standin/responder/simulated.go
@@ -98,7 +98,7 @@
 		state = "draining"
 	}
 	fields := map[string]any{
-		"service": l.service, "address": address, "zone": dataCentre,
+		"service": l.service, "address": address, "zone": dataCentre, "version": "v1",
 		"slots": 4, "state": state, "sequence": sequence, "born": 1,
 	}
 	if remaining := l.coldUntil.Load() - time.Now().UnixMilli(); remaining > 0 {
