Name the VM that has told of a leaf which leaves

Cause: leaf-said-leaving logged a constant in place of the VM that had got the reply, and a field of the newer version was hard to tell from another one. Change: names only, and the VM's name in the line. All tests of cicadagraded/entry on these pass.

--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -206,7 +206,7 @@
 			return err
 		}
 		r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
-			r.hearLeaving(reply.GetLeaving())
+			r.entry.hearLeavingFrom(a.Member.VM().Name(), reply.GetLeaving())
 			return s.ShareReported(now, a.Share, report)
 		})
 		if report.Last {
--- a/cicadagraded/entry/notices.go
+++ b/cicadagraded/entry/notices.go
@@ -63,7 +63,8 @@
 	}
 }
 
-// hearLeaving records that a leaf has said that it leaves, to this VM or to a peer. The caller holds the lock.
+// hearLeaving records that a leaf has said that it leaves, to this VM or to a peer that is named. The caller
+// holds the lock.
 func (e *Entry) hearLeaving(service, id string, startTime int64, peer string) {
 	if e.scheduler.Lister().SaidLeaving(service, id, startTime) {
 		e.log.RateLimitedInfo("leaf-said-leaving", "leaf", id, "service", service, "peer", peer)
@@ -81,9 +82,9 @@
 	return list
 }
 
-// hearLeaving records leafs that have said to another VM that they leave. The caller holds the lock.
-func (r *searchRun) hearLeaving(leafs []*gatherv1.LeavingLeaf) {
+// hearLeavingFrom records leafs that have said to another VM that they leave. The caller holds the lock.
+func (e *Entry) hearLeavingFrom(peer string, leafs []*gatherv1.LeavingLeaf) {
 	for _, l := range leafs {
-		r.entry.hearLeaving(l.GetService(), l.GetId(), l.GetStartTime(), "another-vm")
+		e.hearLeaving(l.GetService(), l.GetId(), l.GetStartTime(), peer)
 	}
 }
--- a/cicadagraded/entry/versions.go
+++ b/cicadagraded/entry/versions.go
@@ -15,10 +15,10 @@
 
 // newerVersion is a version of the configuration that is newer than the one in force here.
 type newerVersion struct {
-	version   int64
-	vm        string // that has told of it last
-	firstAt   tier.Millis
-	heardLast tier.Millis
+	version int64
+	vm      string      // that has told of it last
+	firstAt tier.Millis // when a newer version was first heard of
+	lastAt  tier.Millis
 }
 
 // versionInForce is the version of the configuration that requests are routed by, or 0.
@@ -68,7 +68,7 @@
 // has it asked for that. The caller holds the lock.
 func (e *Entry) hearNewerVersion(vm string, version int64) {
 	now := e.clock.Now()
-	n := newerVersion{version: version, vm: vm, firstAt: now, heardLast: now}
+	n := newerVersion{version: version, vm: vm, firstAt: now, lastAt: now}
 	if known, ok := e.missedVersion(); ok {
 		n.version, n.firstAt = max(version, known.version), known.firstAt
 	}
@@ -80,7 +80,7 @@
 // newer than the one in force here.
 func (e *Entry) missedVersion() (newerVersion, bool) {
 	n := e.newer.Load()
-	if n == nil || n.version <= e.versionInForce() || e.clock.Now()-n.heardLast > newerVersionTTL {
+	if n == nil || n.version <= e.versionInForce() || e.clock.Now()-n.lastAt > newerVersionTTL {
 		return newerVersion{}, false
 	}
 	return *n, true
--- a/cicadagraded/entry/versions_test.go
+++ b/cicadagraded/entry/versions_test.go
@@ -111,7 +111,7 @@
 		t.Errorf("a route that a newer configuration may have: %d, %v", response.Code, response.Header())
 	}
 	missed, _ := vm.missedVersion()
-	missed.heardLast -= newerVersionTTL + 1
+	missed.lastAt -= newerVersionTTL + 1
 	vm.newer.Store(&missed)
 	if got := f.send(vm, "/other/1", 3).Code; got != http.StatusNotFound {
 		t.Errorf("no VM has told of the newer configuration any more: %d", got)
