Let leafs of the soak leave in words and ask for a rest

Change: one of each in each run, on leafs of the service whose calls are always those of the VM that has the caller's request.

TestEachCheckFindsItsBreach has a breach of both.

--- a/standin/responder/simulated.go
+++ b/standin/responder/simulated.go
@@ -36,11 +36,16 @@
 const (
 	UnsignedReply FaultMode = 100 + iota // spoils the name of the header that signs its reply
 	RepeatRefusal                        // refuses a request, and does so again, late, before its next reply
+	AskForRest                           // refuses a request, and wants none of that VM for Rest
+	SayLeaving                           // says in its replies that it leaves, and serves on
 )
 
 // FaultModeCount is the number of fault modes, including Healthy.
 const FaultModeCount = int(faultModeCount)
 
+// Rest is for how long a leaf in mode AskForRest wants no request.
+const Rest = 1500 * tier.Millisecond
+
 const (
 	// slowFactor multiplies the service time of a leaf in mode Slow.
 	slowFactor = 10
@@ -59,6 +64,7 @@
 	TimeRemaining                          tier.Millis
 	Organisation                           string // as the entry VM names it
 	Headers                                string // the whole header, in the format of HTTP/1.1
+	AsksForRest                            bool   // the leaf refuses it, and wants no further one for Rest
 }
 
 // SimulatedLeaf is a backend server that replies to each request with records of its
@@ -131,8 +137,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	request.AsksForRest = mode == AskForRest
 	l.onArrive(request)
 	h.Set(headerAttempt, attemptID)
+	switch mode {
+	case SayLeaving:
+		h.Set(headerServerLeaving, "1")
+	case AskForRest:
+		h.Set(headerRetryAfter, strconv.FormatFloat(float64(Rest)/float64(tier.Second), 'f', -1, 64))
+		mode = Overloaded
+	}
 	if mode == RepeatRefusal {
 		l.repeatRefusal(w, attemptID)
 		return
@@ -249,3 +263,12 @@
 func (l *SimulatedLeaf) Signature(attemptID string) string {
 	return signature(l.id, l.service, attemptID)
 }
+
+// SaysLeaving returns the id of the leaf that has sent an answer if it says there that it leaves, else "".
+func SaysLeaving(h http.Header) string {
+	if h.Get(headerServerLeaving) == "" {
+		return ""
+	}
+	leaf, _, _ := strings.Cut(h.Get(headerSignature), ".")
+	return leaf
+}
--- a/standin/soaker/checks.go
+++ b/standin/soaker/checks.go
@@ -87,6 +87,8 @@
 		{"no-exit", false, noUnexpectedExits},
 		{"memory", false, boundedMemory},
 		{"older-again", false, regressions},
+		{"rest", false, rests},
+		{"leaving", true, leavings},
 		{"time-left", true, remainingTime},
 		{"caller-left", true, noCallsAfterCallerLeft},
 		{"configuration", true, configurationPropagation},
--- a/standin/soaker/checks_test.go
+++ b/standin/soaker/checks_test.go
@@ -100,6 +100,8 @@
 			h.addMarker(2, "vm-0", 200, 11_000)
 			h.addMarker(1, "vm-0", 200, 12_000)
 		},
+		"rest":       func(h *history) { h.restLeaf() },
+		"leaving":    func(h *history) { h.leaveLeaf() },
 		"denied":     func(h *history) { h.addSweeps(toleratedDenials+1, 1); h.denyAll() },
 		"drain":      func(h *history) { h.drains = []drainRecord{{"w-a0", after(15_000)}} },
 		"stop":       func(h *history) { h.stops = []plannedStop{{vm: "vm-0", from: after(1), to: after(20_000), code: 0}} },
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -46,6 +46,7 @@
 	description string
 	from, to    time.Time // to is zero while it is in effect
 	planned     bool
+	ofLeafLinks bool // of the links to a leaf: its replies may not arrive
 }
 
 // drainRecord is the time at which a leaf's draining state was first in the store.
--- a/standin/soaker/inject.go
+++ b/standin/soaker/inject.go
@@ -42,11 +42,13 @@
 	case loseReplies:
 		s.degradeLink(ctx, "", f.String(), s.vms[f.vm].peerLink, relay.NewCondition(relay.CutNone, 0, true), t.duration)
 	case cutLeaf:
-		s.degradeLink(ctx, "", f.String(), s.leafs[f.leaf].link, relay.NewCondition(f.cut, 0, false), t.duration)
+		s.degradeLeafLink(ctx, f, s.leafs[f.leaf].link, relay.NewCondition(f.cut, 0, false), t.duration)
 	case delayLeaf:
-		s.degradeLink(ctx, "", f.String(), s.leafs[f.leaf].link, relay.NewCondition(relay.CutNone, f.delay, false), t.duration)
+		s.degradeLeafLink(ctx, f, s.leafs[f.leaf].link, relay.NewCondition(relay.CutNone, f.delay, false), t.duration)
 	case leafFaults:
 		s.setFaultModes(ctx, f, t.duration)
+	case sayLeaving:
+		s.sayLeaving(ctx, s.leafs[f.leaf])
 	case drainLeaf:
 		s.drainAndReplace(ctx, s.leafs[f.leaf])
 	case reuseAddress:
@@ -104,6 +106,14 @@
 	l.SetCondition(relay.NewCondition(relay.CutNone, 0, false))
 }
 
+// degradeLeafLink does so with the links to a leaf.
+func (s *Soak) degradeLeafLink(ctx context.Context, f fault, l *relay.Link, c relay.Condition, duration tier.Millis) {
+	defer s.history.beginDisturbance(disturbance{description: f.String(), ofLeafLinks: true})()
+	l.SetCondition(c)
+	sleep(ctx, duration)
+	l.SetCondition(relay.NewCondition(relay.CutNone, 0, false))
+}
+
 // setFaultModes puts leafs into a fault mode for a while.
 func (s *Soak) setFaultModes(ctx context.Context, f leafFaults, duration tier.Millis) {
 	var group sync.WaitGroup
--- a/standin/soaker/plan.go
+++ b/standin/soaker/plan.go
@@ -47,6 +47,7 @@
 		leafs []int
 		mode  responder.FaultMode
 	} // leafs misbehave in one way
+	sayLeaving          struct{ leaf int }     // a leaf says that it leaves in its replies only, and a new one replaces it
 	drainLeaf           struct{ leaf int }     // a leaf drains, and a new one replaces it
 	reuseAddress        struct{ leaf, by int } // a leaf stops, and another service gets its address
 	changeConfiguration struct{ reshard bool } // a new version, with or without other shards
@@ -69,6 +70,7 @@
 func (storeLosesHistory) isFault()   {}
 func (storeReturns) isFault()        {}
 func (leafFaults) isFault()          {}
+func (sayLeaving) isFault()          {}
 func (drainLeaf) isFault()           {}
 func (reuseAddress) isFault()        {}
 func (changeConfiguration) isFault() {}
@@ -96,7 +98,9 @@
 func (storeLosesHistory) String() string { return "the store forgets its history" }
 func (storeReturns) String() string      { return "the store returns from a copy" }
 func (f leafFaults) String() string      { return fmt.Sprintf("leafs %v are in mood %d", f.leafs, f.mode) }
-func (f drainLeaf) String() string       { return fmt.Sprintf("leaf %d drains", f.leaf) }
+
+func (f sayLeaving) String() string { return fmt.Sprintf("leaf %d says that it leaves", f.leaf) }
+func (f drainLeaf) String() string  { return fmt.Sprintf("leaf %d drains", f.leaf) }
 func (f reuseAddress) String() string {
 	return fmt.Sprintf("leaf %d ends, leaf %d takes its address", f.leaf, f.by)
 }
@@ -148,6 +152,8 @@
 	kinds := []fault{
 		storeReturns{}, leafFaults{drawSubset(r, leafs), responder.UnsignedReply}, leafFaults{drawSubset(r, leafs), responder.RepeatRefusal},
 	}
+	ofService := func() int { return r.IntN(2)*leafs/2 + ownServiceIndex }
+	kinds = append(kinds, leafFaults{[]int{ofService()}, responder.AskForRest}, sayLeaving{ofService()})
 	plan := make([]step, len(kinds))
 	for i, f := range kinds {
 		plan[i] = step{
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -176,6 +176,18 @@
 	f.replaceInstance(s.newInstance(f.zone, instance.Service()))
 }
 
+// sayLeaving lets a leaf's instance say in its replies that it leaves, as while it can't tell the store, and
+// replaces it after that.
+func (s *Soak) sayLeaving(ctx context.Context, f *leaf) {
+	instance, draining, _ := f.current()
+	if instance == nil || draining {
+		return
+	}
+	instance.SetFaultMode(responder.SayLeaving)
+	sleep(ctx, drainingServeTime)
+	f.replaceInstance(s.newInstance(f.zone, instance.Service()))
+}
+
 // reuseAddress stops a leaf's instance without notice and has one of another service use the
 // address for a while, as when the platform assigns a freed address again.
 func (s *Soak) reuseAddress(ctx context.Context, f *leaf, otherService string, duration tier.Millis) {
