--- a/standin/soak.go
+++ b/standin/soak.go
@@ -32,7 +32,7 @@
 directory if a guarantee was violated.`
 
 func soakCommand() *cobra.Command {
-	var program, dir string
+	var program, earlier, dir string
 	var seed uint64
 	var runs, vms, faults, drills, callers int
 	var faultWindow, meanPause tier.Millis
@@ -52,6 +52,9 @@
 					soaker.WithVMs(vms), soaker.WithFaults(faults, faultWindow), soaker.WithDrills(drills), soaker.WithCallers(callers, meanPause),
 					soaker.WithLog(log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000"})),
 				}
+				if earlier != "" {
+					options = append(options, soaker.FromEarlier(earlier))
+				}
 				if untimed {
 					options = append(options, soaker.Untimed())
 				}
@@ -69,6 +72,7 @@
 	}
 	f := c.Flags()
 	f.StringVar(&program, "program", ".bin/cicadagraded", "path of the cicadagraded program")
+	f.StringVar(&earlier, "earlier", "", "program of an earlier build with which the VMs start; after a kill or stop they run the other one")
 	f.StringVar(&dir, "dir", "", "directory for settings and logs; a temporary one if empty")
 	f.Uint64Var(&seed, "seed", 1, "seed of the random faults and requests")
 	f.IntVar(&runs, "runs", 1, "number of runs, one after another, each with the next seed")
--- a/standin/soaker/fleet.go
+++ b/standin/soaker/fleet.go
@@ -79,13 +79,19 @@
 	if err != nil {
 		return errors.Wrap(err, "Soak.startProcess")
 	}
-	c := exec.Command(s.program, "front")
+	program := s.program
+	s.history.update(func() {
+		if len(s.history.starts[v.name]) == 0 && s.earlier != "" {
+			program = s.earlier
+		}
+		s.history.starts[v.name] = append(s.history.starts[v.name], time.Now())
+	})
+	c := exec.Command(program, "front")
 	c.Env = []string{"CICADAGRADE_CONFIG=" + filepath.Join(v.dir, "settings.toml"), "PATH=" + os.Getenv("PATH"), "HOME=" + v.dir}
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "Soak.startProcess")
 	}
-	s.history.update(func() { s.history.starts[v.name] = append(s.history.starts[v.name], time.Now()) })
 	exited := make(chan struct{})
 	v.process, v.exited, v.exitExpected = c, exited, false
 	s.group.Go(func() error {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -46,6 +46,7 @@
 // Soak is one run of the test.
 type Soak struct {
 	program     string
+	earlier     string // program of the first processes, or ""
 	dir         string
 	seed        uint64
 	vmCount     int
@@ -90,6 +91,10 @@
 	return func(s *Soak) { s.callerCount, s.meanPause = n, pause }
 }
 
+// FromEarlier starts the VMs with the program of an earlier build. Processes that take the place of others
+// run the new one, so that both run side by side, as during an upgrade.
+func FromEarlier(program string) Option { return func(s *Soak) { s.earlier = program } }
+
 // WithDrills sets how often the store returns from a copy after the last fault, each time in a calm time.
 func WithDrills(n int) Option { return func(s *Soak) { s.drillCount = n } }
 
