Name the time of a bucket's demand

Cause: a newcomer could not tell demandAt, the demand at a time, from the time of the demand. Change: the field is demandCountedAt, with a comment. Tests of tier/accountant as before.

--- a/tier/accountant/ledger.go
+++ b/tier/accountant/ledger.go
@@ -55,9 +55,9 @@
 	reporters       map[string]tier.Millis // by name of the VM, when it last reported
 	countedAt       tier.Millis            // when reporters was last cleared of old ones
 	demand          float64                // moving average of requests a second
-	countedDemandAt tier.Millis
-	tookOver        bool        // from another VM that may go on for a moment
-	hotAt           tier.Millis // when the organisation was last about to exceed its quota, or 0
+	demandCountedAt tier.Millis            // when demand was last computed
+	tookOver        bool                   // from another VM that may go on for a moment
+	hotAt           tier.Millis            // when the organisation was last about to exceed its quota, or 0
 }
 
 type reporterState struct {
@@ -212,7 +212,7 @@
 	if !ok {
 		return
 	}
-	b.demand, b.countedDemandAt = max(b.demand, heard.demand), now
+	b.demand, b.demandCountedAt = max(b.demand, heard.demand), now
 	b.level = min(b.level, heard.tokens)
 	b.hotAt = max(now, 1)
 	b.at, b.since, b.tookOver = now, now, true
@@ -246,13 +246,13 @@
 
 // demandAt is the moving average of requests at a time.
 func (b *bucket) demandAt(now tier.Millis) float64 {
-	return b.demand * math.Exp(-float64(max(0, now-b.countedDemandAt))/float64(demandTime))
+	return b.demand * math.Exp(-float64(max(0, now-b.demandCountedAt))/float64(demandTime))
 }
 
 // countDemand adds requests to the moving average, and decays it.
 func (b *bucket) countDemand(now tier.Millis, requests float64) {
 	b.demand = b.demandAt(now) + requests*float64(tier.Second)/float64(demandTime)
-	b.countedDemandAt = now
+	b.demandCountedAt = now
 }
 
 // noteHot remembers that an organisation uses its quota up. others is the rate of requests that other VMs
