Reckon a VM's share of a quota once, and find rivals by organisation

Cause: each report looked its organisation's rivals up three or four times, and each look-up, and each level heard from another VM, went through the levels of all organisations: with the 1,024 that one message may hold, a million steps under the entry's lock.

Change: News keeps levels by organisation, then by keeper; shareOf reckons what this VM lets through, once for each report.

--- a/tier/accountant/ledger.go
+++ b/tier/accountant/ledger.go
@@ -94,22 +94,25 @@
 	return t
 }
 
-// rivalsOf returns what rivals returns, if it is set.
-func (t Terms) rivalsOf(organisation string) (vms int, demand float64) {
-	if t.rivals == nil {
-		return 0, 0
-	}
-	return t.rivals(organisation)
+// share is what this VM lets through of an organisation's quota, beside others that keep its account too.
+type share struct {
+	rate, capacity float64 // fractions of the rate, and of the bucket
+	rivalVMs       int     // that report to the others
+	rivalDemand    float64 // the rate of their requests
 }
 
-// partOf is the part of the rate that this VM lets through of an organisation.
-func (t Terms) partOf(now tier.Millis, b *bucket) float64 {
-	_, others := t.rivalsOf(b.name)
-	if others <= 0 {
-		return t.part
+// shareOf returns the share of this VM, by the requests that it hears of itself.
+func (t Terms) shareOf(now tier.Millis, b *bucket) share {
+	s := share{rate: t.part, capacity: 1}
+	if t.rivals == nil {
+		return s
 	}
-	own := b.demandAt(now)
-	return min(t.part, own/(own+others))
+	if s.rivalVMs, s.rivalDemand = t.rivals(b.name); s.rivalDemand > 0 {
+		own := b.demandAt(now)
+		s.rate = min(s.rate, own/(own+s.rivalDemand))
+		s.capacity = s.rate
+	}
+	return s
 }
 
 // PassedOn returns the terms with a function that passes on a usage if this VM believes that
@@ -146,17 +149,16 @@
 				continue
 			}
 		}
-		b := l.bucket(now, u.organisation, q, terms)
+		b, part := l.bucket(now, u.organisation, q, terms)
 		b.reporters[r.name] = now
 		b.reportedAt = now
 		if !repeated {
 			b.level = min(l.bound.capacity(q), b.level-float64(u.requests))
 		}
 		b.countDemand(now, float64(max(u.requests, 0)+u.refused))
-		vms, demand := terms.rivalsOf(u.organisation)
-		l.noteHot(now, b, demand)
+		l.noteHot(now, b, part)
 		level := l.told(now, b)
-		level.vms, level.demand = level.vms+vms, level.demand+demand
+		level.vms, level.demand = level.vms+part.rivalVMs, level.demand+part.rivalDemand
 		levels = append(levels, level)
 	}
 	if now-l.sweptAt >= sweepInterval {
@@ -180,21 +182,22 @@
 	return false
 }
 
-// bucket returns the bucket of an organisation, filled up to now.
-func (l *Ledger) bucket(now tier.Millis, organisation string, q Quota, terms Terms) *bucket {
+// bucket returns the bucket of an organisation, filled up to now, and this VM's share.
+func (l *Ledger) bucket(now tier.Millis, organisation string, q Quota, terms Terms) (*bucket, share) {
 	b, ok := l.buckets[organisation]
 	if !ok {
 		b = &bucket{name: organisation, quota: q, level: l.bound.startLevel(q), at: terms.since, since: terms.since, reporters: map[string]tier.Millis{}}
 		l.buckets[organisation] = b
 	}
-	l.fill(now, b, terms)
+	part := terms.shareOf(now, b)
+	l.fill(now, b, part)
 	if !ok {
 		l.takeOver(now, b, organisation, terms)
 	}
 	if terms.since > b.since && now-b.reportedAt >= newsTTL {
 		// Another VM may have kept the account since the last report.
 		b.since = terms.since
-		b.level = min(b.level, l.bound.startLevel(q)+l.grown(b, terms.since, now, terms.partOf(now, b)))
+		b.level = min(b.level, l.bound.startLevel(q)+l.grown(b, terms.since, now, part.rate))
 		l.takeOver(now, b, organisation, terms)
 	}
 	if b.quota != q {
@@ -202,7 +205,7 @@
 		b.level = min(l.bound.capacity(q), b.level+max(0, q.burst-b.quota.burst))
 		b.quota = q
 	}
-	return b
+	return b, part
 }
 
 // takeOver lowers a level whose past is unknown to what this VM has heard of it. The VM that
@@ -219,12 +222,12 @@
 }
 
 // fill adds what the rate has left room for since the last time.
-func (l *Ledger) fill(now tier.Millis, b *bucket, terms Terms) {
-	part, capacity := terms.partOf(now, b), l.bound.capacity(b.quota)
-	if _, others := terms.rivalsOf(b.name); others > 0 {
-		capacity = max(1, capacity*part)
+func (l *Ledger) fill(now tier.Millis, b *bucket, part share) {
+	capacity := l.bound.capacity(b.quota)
+	if part.capacity < 1 {
+		capacity = max(1, capacity*part.capacity)
 	}
-	b.level = min(capacity, b.level+l.grown(b, b.at, now, part))
+	b.level = min(capacity, b.level+l.grown(b, b.at, now, part.rate))
 	b.at = max(b.at, now)
 }
 
@@ -255,10 +258,9 @@
 	b.demandCountedAt = now
 }
 
-// noteHot remembers that an organisation uses its quota up. others is the rate of requests that other VMs
-// hear of.
-func (l *Ledger) noteHot(now tier.Millis, b *bucket, others float64) {
-	if l.bound.exhausts(b.quota, b.level, b.demand+others) {
+// noteHot remembers that an organisation uses its quota up, by the requests of all VMs.
+func (l *Ledger) noteHot(now tier.Millis, b *bucket, part share) {
+	if l.bound.exhausts(b.quota, b.level, b.demand+part.rivalDemand) {
 		b.hotAt = max(now, 1)
 	}
 }
@@ -267,14 +269,14 @@
 // are told, also those that have had no request of them yet.
 func (l *Ledger) Hot(now tier.Millis, terms Terms) []Level {
 	var hot []Level
-	for name, b := range l.buckets {
+	for _, b := range l.buckets {
 		if b.hotAt == 0 || now-b.hotAt >= l.bound.window || now-b.reportedAt >= newsTTL {
 			continue
 		}
-		l.fill(now, b, terms)
+		part := terms.shareOf(now, b)
+		l.fill(now, b, part)
 		b.countDemand(now, 0)
-		_, others := terms.rivalsOf(name)
-		l.noteHot(now, b, others)
+		l.noteHot(now, b, part)
 		hot = append(hot, l.told(now, b))
 	}
 	slices.SortFunc(hot, func(a, b Level) int { return strings.Compare(a.organisation, b.organisation) })
@@ -298,7 +300,7 @@
 func (l *Ledger) sweep(now tier.Millis, terms Terms) {
 	l.sweptAt = now
 	for name, b := range l.buckets {
-		l.fill(now, b, terms)
+		l.fill(now, b, terms.shareOf(now, b))
 		if now-b.reportedAt >= idleBucketTTL && b.level >= l.bound.capacity(b.quota) {
 			delete(l.buckets, name)
 		}
--- a/tier/accountant/news.go
+++ b/tier/accountant/news.go
@@ -25,30 +25,32 @@
 // pass them on with their views, so that a VM knows them before it has a request. Where VMs don't agree on
 // which of them keeps an account, there are several levels of an organisation.
 type News struct {
-	levels map[newsKey]heardLevel
+	levels map[string]map[string]heardLevel // by organisation and keeper
 }
 
-type newsKey struct{ organisation, keeper string }
-
 type heardLevel struct {
 	level Level
 	at    tier.Millis // when the accountant told it, or later
 }
 
 // NewNews returns no news.
-func NewNews() *News { return &News{levels: map[newsKey]heardLevel{}} }
+func NewNews() *News { return &News{levels: map[string]map[string]heardLevel{}} }
 
 // Hear records levels and returns those that were news, and to be believed.
 func (n *News) Hear(now tier.Millis, levels []Level) []Level {
 	var news []Level
 	for _, level := range levels {
-		at, key := now-level.age, newsKey{level.organisation, level.keeper}
-		if old, ok := n.levels[key]; ok && at <= old.at {
+		at, known := now-level.age, n.levels[level.organisation]
+		if old, ok := known[level.keeper]; ok && at <= old.at {
 			continue
 		}
-		believed := !n.contradicted(level, at)
+		believed := !isContradicted(known, level, at)
 		if believed || level.keeper != "" {
-			n.levels[key] = heardLevel{level, at}
+			if known == nil {
+				known = map[string]heardLevel{}
+				n.levels[level.organisation] = known
+			}
+			known[level.keeper] = heardLevel{level, at}
 		}
 		if believed {
 			news = append(news, level)
@@ -57,14 +59,11 @@
 	return news
 }
 
-// contradicted reports whether a level probably comes from a former accountant: others are newer, or
-// have told of more demand.
-func (n *News) contradicted(level Level, at tier.Millis) bool {
-	for key, old := range n.levels {
-		if key.organisation != level.organisation {
-			continue
-		}
-		if key.keeper != level.keeper && at <= old.at || contradicts(level, old.level.demand, at-old.at) {
+// isContradicted reports whether a level probably comes from a former accountant: others that are known are
+// newer, or have told of more demand.
+func isContradicted(known map[string]heardLevel, level Level, at tier.Millis) bool {
+	for keeper, old := range known {
+		if keeper != level.keeper && at <= old.at || contradicts(level, old.level.demand, at-old.at) {
 			return true
 		}
 	}
@@ -79,8 +78,8 @@
 // Rivals returns how many VMs have reported on an organisation lately to VMs that keep its account beside
 // one, and the rate of these requests.
 func (n *News) Rivals(now tier.Millis, organisation, keeper string) (vms int, demand float64) {
-	for key, heard := range n.levels {
-		if key.organisation == organisation && key.keeper != keeper && key.keeper != "" && now-heard.at < rivalTTL {
+	for name, heard := range n.levels[organisation] {
+		if name != keeper && name != "" && now-heard.at < rivalTTL {
 			vms += heard.level.vms
 			demand += heard.level.demand
 		}
@@ -91,13 +90,18 @@
 // Levels lists the levels that are not older than a window, with their ages.
 func (n *News) Levels(now, window tier.Millis) []Level {
 	var list []Level
-	for key, heard := range n.levels {
-		level := heard.level
-		if level.age = now - heard.at; level.age >= window {
-			delete(n.levels, key)
-			continue
+	for organisation, known := range n.levels {
+		for keeper, heard := range known {
+			level := heard.level
+			if level.age = now - heard.at; level.age >= window {
+				delete(known, keeper)
+				continue
+			}
+			list = append(list, level)
+		}
+		if len(known) == 0 {
+			delete(n.levels, organisation)
 		}
-		list = append(list, level)
 	}
 	slices.SortFunc(list, func(a, b Level) int {
 		return cmp.Or(strings.Compare(a.organisation, b.organisation), strings.Compare(a.keeper, b.keeper))
