--- a/standin/soaker/drills.go
+++ b/standin/soaker/drills.go
@@ -46,18 +46,12 @@
 	killed      int         // VM that is killed and starts when the store has returned, or -1
 	next        tier.Millis // pause until the next configuration
 	versions    int         // configurations that follow in quick succession
-	beside      fault       // of the store, from its return on
+	beside      fault       // of the store, from its return on, or nil
 }
 
-// noFault stands for no fault of the store.
-type noFault struct{}
-
-func (noFault) isFault()       {}
-func (noFault) String() string { return "nothing" }
-
 func (d drill) String() string {
 	return fmt.Sprintf("the store returns from a copy %d ms old, without %d changes, newest configuration lost: %t (written again after %d ms), "+
-		"again after %d ms, VM %d frozen for %d ms, VM %d killed, beside it: %s, %d configurations after %d ms",
+		"again after %d ms, VM %d frozen for %d ms, VM %d killed, beside it: %v, %d configurations after %d ms",
 		d.age, d.lost, d.losesNewest, d.rewrite, d.again, d.frozen, d.frozenFor, d.killed, d.beside, d.versions, d.next)
 }
 
@@ -70,7 +64,7 @@
 		d := drill{
 			age: pause(minFaultDuration, maxFaultDuration), lost: r.IntN(maxLostChanges + 1), leafs: r.Perm(leafs)[:1+r.IntN(leafs/3)],
 			losesNewest: r.IntN(2) == 0, rewrite: pause(0, maxRewritePause), frozen: -1, killed: -1, next: pause(0, 3*tier.Second),
-			versions: 1, beside: noFault{},
+			versions: 1,
 		}
 		if r.IntN(2) == 0 {
 			d.again = pause(1, 1500*tier.Millisecond)
@@ -124,7 +118,7 @@
 	if err := s.returnFromCopy(ctx); err != nil {
 		return err
 	}
-	if _, ok := d.beside.(noFault); !ok {
+	if d.beside != nil {
 		others.Go(func() { s.breakStore(ctx, d.beside, minFaultDuration) })
 	}
 	if d.frozen >= 0 {
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -49,6 +49,11 @@
 	ofLeafLinks bool // of the links to a leaf: its replies may not arrive
 }
 
+// overlaps reports whether the disturbance was in effect at some time of a period.
+func (s disturbance) overlaps(from, to time.Time) bool {
+	return s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
+}
+
 // drainRecord is the time at which a leaf's draining state was first in the store.
 type drainRecord struct {
 	leaf string
@@ -144,8 +149,7 @@
 // between from and to. Planned disturbances count only if planned is set.
 func (h *history) disturbed(vm string, from, to time.Time, planned bool) bool {
 	return slices.ContainsFunc(h.disturbances, func(s disturbance) bool {
-		return (s.vm == "" || s.vm == vm || vm == anyVM) && (planned || !s.planned) && s.from.Before(to) &&
-			(s.to.IsZero() || s.to.After(from))
+		return (s.vm == "" || s.vm == vm || vm == anyVM) && (planned || !s.planned) && s.overlaps(from, to)
 	})
 }
 
--- a/standin/soaker/inject.go
+++ b/standin/soaker/inject.go
@@ -35,16 +35,16 @@
 		v.signal(syscall.SIGHUP)
 	case cutStore:
 		v := s.vms[f.vm]
-		s.degradeLink(ctx, v.name, f.String(), v.storeLink, relay.NewCondition(f.cut, 0, false), t.duration)
+		s.degradeLink(ctx, disturbance{vm: v.name, description: f.String()}, v.storeLink, relay.NewCondition(f.cut, 0, false), t.duration)
 	case cutPeer:
 		// Any VM may have had calls to this one in progress.
-		s.degradeLink(ctx, "", f.String(), s.vms[f.vm].peerLink, relay.NewCondition(f.cut, 0, false), t.duration)
+		s.degradeLink(ctx, disturbance{description: f.String()}, s.vms[f.vm].peerLink, relay.NewCondition(f.cut, 0, false), t.duration)
 	case loseReplies:
-		s.degradeLink(ctx, "", f.String(), s.vms[f.vm].peerLink, relay.NewCondition(relay.CutNone, 0, true), t.duration)
+		s.degradeLink(ctx, disturbance{description: f.String()}, s.vms[f.vm].peerLink, relay.NewCondition(relay.CutNone, 0, true), t.duration)
 	case cutLeaf:
-		s.degradeLeafLink(ctx, f, s.leafs[f.leaf].link, relay.NewCondition(f.cut, 0, false), t.duration)
+		s.degradeLink(ctx, disturbance{description: f.String(), ofLeafLinks: true}, s.leafs[f.leaf].link, relay.NewCondition(f.cut, 0, false), t.duration)
 	case delayLeaf:
-		s.degradeLeafLink(ctx, f, s.leafs[f.leaf].link, relay.NewCondition(relay.CutNone, f.delay, false), t.duration)
+		s.degradeLink(ctx, disturbance{description: f.String(), ofLeafLinks: true}, s.leafs[f.leaf].link, relay.NewCondition(relay.CutNone, f.delay, false), t.duration)
 	case leafFaults:
 		s.setFaultModes(ctx, f, t.duration)
 	case sayLeaving:
@@ -99,16 +99,8 @@
 
 // degradeLink puts a link into a condition for a while. If faults of one link overlap, the
 // latest one is in effect, and the first to end restores the link.
-func (s *Soak) degradeLink(ctx context.Context, vm, description string, l *relay.Link, c relay.Condition, duration tier.Millis) {
-	defer s.history.beginDisturbance(disturbance{vm: vm, description: description})()
-	l.SetCondition(c)
-	sleep(ctx, duration)
-	l.SetCondition(relay.NewCondition(relay.CutNone, 0, false))
-}
-
-// degradeLeafLink does so with the links to a leaf.
-func (s *Soak) degradeLeafLink(ctx context.Context, f fault, l *relay.Link, c relay.Condition, duration tier.Millis) {
-	defer s.history.beginDisturbance(disturbance{description: f.String(), ofLeafLinks: true})()
+func (s *Soak) degradeLink(ctx context.Context, d disturbance, l *relay.Link, c relay.Condition, duration tier.Millis) {
+	defer s.history.beginDisturbance(d)()
 	l.SetCondition(c)
 	sleep(ctx, duration)
 	l.SetCondition(relay.NewCondition(relay.CutNone, 0, false))
--- a/standin/soaker/notices.go
+++ b/standin/soaker/notices.go
@@ -71,7 +71,7 @@
 // mayHaveMissedReply reports whether a fault of a VM, or of the links to a leaf, overlaps a period.
 func (h *history) mayHaveMissedReply(vm string, from, to time.Time) bool {
 	return slices.ContainsFunc(h.disturbances, func(d disturbance) bool {
-		return (d.vm == vm || d.ofLeafLinks) && d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
+		return (d.vm == vm || d.ofLeafLinks) && d.overlaps(from, to)
 	})
 }
 
--- a/tier/accountant/accountant_test.go
+++ b/tier/accountant/accountant_test.go
@@ -186,3 +186,24 @@
 		t.Errorf("refused callers return after %d to %d ms", least, most)
 	}
 }
+
+// TestLevelsOfEarlierBuilds guards against an account that is divided with nobody: VMs of earlier builds pass levels
+// on without the name of the keeper, also those of this VM's own account.
+func TestLevelsOfEarlierBuilds(t *testing.T) {
+	n := NewNews()
+	own := NewLevel("o", 0, 3, 50, 0).KeptBy("vm-0")
+	passedOn := NewLevel("o", 0, 3, 50, 0)
+	other := NewLevel("o", 0, 4, 30, 0).KeptBy("vm-1")
+	n.Hear(1000, []Level{own})
+	n.Hear(1100, []Level{passedOn})
+	if vms, demand := n.Rivals(1200, "o", "vm-0"); vms != 0 || demand != 0 {
+		t.Errorf("rivals of %d VMs and %g requests a second, expected none", vms, demand)
+	}
+	n.Hear(1300, []Level{other})
+	if vms, demand := n.Rivals(1400, "o", "vm-0"); vms != 4 || demand != 30 {
+		t.Errorf("rivals of %d VMs and %g requests a second, expected 4 and 30", vms, demand)
+	}
+	if vms, _ := n.Rivals(1300+rivalTTL, "o", "vm-0"); vms != 0 {
+		t.Error("a rival that is not heard any more counts")
+	}
+}
