Show that a late copy without an id makes a request run twice

Cause: a reply without an Attempt-Id counts as that to the present request on a connection on which no reply has had one, though leafs always echo it.

--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -19,6 +19,7 @@
 	Target                time.Duration // its target latency
 	Weight                int           // how often clients use it
 	Contents              int           // how many different paths they ask for
+	Once                  bool          // requests may run once at most
 }
 
 // Client sends one request after another, and keeps its connection.
@@ -76,14 +77,18 @@
 	c.sent++
 	q := &Request{
 		Attempt: fmt.Sprintf("a%d-%d", c.number, c.sent), Route: route.Name, Method: http.MethodGet,
-		URI: route.Prefix + fmt.Sprintf("%x", rand.IntN(route.Contents)), Body: hashOf(nil), Machine: c.on.Name, Sent: time.Now(),
+		Once: route.Once, URI: route.Prefix + fmt.Sprintf("%x", rand.IntN(route.Contents)), Body: hashOf(nil), Machine: c.on.Name, Sent: time.Now(),
+	}
+	length := ""
+	if route.Once {
+		q.Method, length = http.MethodPost, "Content-Length: 0\r\n"
 	}
 	c.world.history.addRequest(q)
 	_ = c.conn.SetDeadline(q.Sent.Add(route.Limit))
-	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Remaining: %d\r\n\r\n", q.URI, host, q.Attempt, route.Limit.Milliseconds())
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Remaining: %d\r\n%s\r\n", q.Method, q.URI, host, q.Attempt, route.Limit.Milliseconds(), length)
 	var r *http.Response
 	if err == nil {
-		r, err = http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+		r, err = http.ReadResponse(c.reader, &http.Request{Method: q.Method})
 	}
 	var answer []byte
 	if err == nil {
--- a/review/rig-2/history.go
+++ b/review/rig-2/history.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +14,7 @@
 type Request struct {
 	Attempt, Route, Method, URI, Body string
 	Machine                           string
+	Once                              bool
 	Sent, Ended                       time.Time
 	Status                            int // 0 without an answer
 	Header                            http.Header
@@ -26,6 +28,7 @@
 	requests []*Request
 	runs     []*Run
 	notes    []string
+	copies   int // answers that servers have sent once more
 	start    time.Time
 }
 
@@ -83,6 +86,50 @@
 	return sent, served
 }
 
+// Once lists the requests that have run more often than once, or were refused and have run, though they may run
+// once at most and a refusal promises that they have not.
+func (h *History) Once() (twice, refused []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	runs := map[string][]string{}
+	for _, r := range h.runs {
+		runs[r.Attempt] = append(runs[r.Attempt], fmt.Sprintf("%s at %.3f", r.Leaf, h.seconds(r.At)))
+	}
+	for _, q := range h.requests {
+		list := runs[q.Attempt]
+		if !q.Once || len(list) == 0 {
+			continue
+		}
+		if len(list) > 1 {
+			twice = append(twice, fmt.Sprintf("TWICE %s, answered %d: %s", q.Attempt, q.Status, strings.Join(list, ", ")))
+		}
+		switch q.Status {
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			refused = append(refused, fmt.Sprintf("REFUSED %s, answered %d: %s", q.Attempt, q.Status, strings.Join(list, ", ")))
+		}
+	}
+	return twice, refused
+}
+
+// Foreign lists the requests that were answered with the success to another request.
+func (h *History) Foreign() (foreign []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	bySignature := map[string]*Run{}
+	for _, r := range h.runs {
+		bySignature[r.Signature] = r
+	}
+	for _, q := range h.requests {
+		if q.Status != http.StatusOK {
+			continue
+		}
+		if r, ok := bySignature[q.Header.Get("Response-Signature")]; ok && r.Attempt != q.Attempt {
+			foreign = append(foreign, fmt.Sprintf("MIXED %s, sent at %.3f, got the answer of %s to %s: %q", q.Attempt, h.seconds(q.Sent), r.Leaf, r.Attempt, q.Answer))
+		}
+	}
+	return foreign
+}
+
 // Write writes all that was seen to a file.
 func (h *History) Write(path string, verdict []string) error {
 	h.mu.Lock()
--- a/review/rig-2/leaf.go
+++ b/review/rig-2/leaf.go
@@ -32,6 +32,44 @@
 type Behaviour struct {
 	Work   time.Duration
 	Spread float64 // the part of Work by which it varies either way
+	Queue  int     // how many requests wait before it rejects further ones
+	Double *Double // sends some refusals twice; nil: none
+}
+
+// Double is a fault of a server: it spoils some answers and sends a second copy of them, late, before its next
+// answer on the same connection. One byte of the name of the header Attempt-Id is wrong.
+type Double struct {
+	mu      sync.Mutex
+	on      bool
+	share   float64 // of its answers
+	success bool    // it picks successes, and not refusals
+	answers int     // since it is on
+	copies  int
+}
+
+// Set begins or ends the fault.
+func (d *Double) Set(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.on, d.answers, d.copies = on, 0, 0
+}
+
+// answered counts an answer, and reports whether it is to be sent twice, if it may be.
+func (d *Double) answered(success, may bool) bool {
+	if d == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.on {
+		return false
+	}
+	d.answers++
+	if !may || success != d.success || float64(d.copies+1) > d.share*float64(d.answers) {
+		return false
+	}
+	d.copies++
+	return true
 }
 
 // Leaf is a stand-in of a server.
@@ -127,6 +165,9 @@
 		_ = c.Close()
 	}()
 	br := bufio.NewReader(c)
+	b := f.behaviour
+	named := false    // an answer on this connection has had an Attempt-Id
+	again := []byte{} // to be sent once more
 	for {
 		r, err := http.ReadRequest(br)
 		if err != nil {
@@ -136,6 +177,13 @@
 		if err != nil {
 			return
 		}
+		if len(again) > 0 {
+			f.history.update(func() { f.history.copies++ })
+			if _, err := c.Write(again); err != nil {
+				return
+			}
+			again = nil
+		}
 		attempt := r.Header.Get("Attempt-Id")
 		head := fmt.Sprintf("Attempt-Id: %s\r\n", attempt)
 		switch {
@@ -145,8 +193,17 @@
 		case r.Header.Get("Expected-Instance") != f.ID:
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", f.ID)
 			continue
-		case f.waiting.Load() > int64(f.Slots+queueLength):
-			_, _ = fmt.Fprintf(c, notExecuted, head)
+		case f.waiting.Load() >= int64(f.Slots+b.Queue):
+			refusal := fmt.Sprintf(notExecuted, head)
+			if b.Double.answered(false, !named) {
+				refusal = fmt.Sprintf(notExecuted, fmt.Sprintf("%s: %s\r\n", spoiltName, attempt))
+				again = []byte(refusal)
+			} else {
+				named = true
+			}
+			if _, err := io.WriteString(c, refusal); err != nil {
+				return
+			}
 			continue
 		}
 		gone, peeked := make(chan struct{}), make(chan struct{})
@@ -167,12 +224,12 @@
 		case <-timeout:
 			f.waiting.Add(-1)
 			_, _ = fmt.Fprintf(c, notExecuted, head)
+			named = true
 			<-peeked
 			continue
 		}
 		run := &Run{At: time.Now(), Leaf: f.ID, Service: f.Service, Attempt: attempt, Method: r.Method, URI: r.RequestURI, Body: hashOf(body)}
 		f.history.addRun(run)
-		b := f.behaviour
 		work := time.Duration(float64(b.Work) * (1 + b.Spread*(2*rand.Float64()-1)))
 		status := http.StatusOK
 		select {
@@ -191,15 +248,25 @@
 		answer := fmt.Appendf(nil, "%s %s %s\n", f.Service, attempt, f.ID)
 		signature := fmt.Sprintf("%s.%s.%s", f.ID, f.Service, attempt)
 		f.history.update(func() { run.Signature, run.Answer = signature, hashOf(answer) })
-		out := fmt.Appendf(nil, "HTTP/1.1 %d X\r\n%sResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n", status, head, signature, len(answer))
-		if _, err := c.Write(append(out, answer...)); err != nil {
+		name := "Attempt-Id"
+		if b.Double.answered(true, !named) {
+			name = spoiltName
+		}
+		out := fmt.Appendf(nil, "HTTP/1.1 %d X\r\n%s: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", status, name, attempt, signature, len(answer), answer)
+		if _, err := c.Write(out); err != nil {
 			return
 		}
+		if name == spoiltName {
+			again = out
+		} else {
+			named = true
+		}
 		<-peeked
 	}
 }
 
-// queueLength is how many requests wait at a server before it rejects further ones.
-const queueLength = 16
+// spoiltName is the name of the header Attempt-Id with a wrong byte.
+const spoiltName = "Attempt-Ie"
 
+// notExecuted is a refusal, with its further headers left out.
 const notExecuted = "HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,17 +12,29 @@
 	program := flag.String("program", "target/cicadagraded", "the daemon")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	os.Exit(play(*program, *record))
+	os.Exit(play(flag.Arg(0), *program, *record))
 }
 
-func play(program, record string) int {
+// play plays a case, "recover", "once" or "mixed".
+func play(name, program, record string) int {
 	w, err := NewWorld()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
 	trouble := os.Getenv("TROUBLE")
-	verdict, broken, err := playRecover(w, program, trouble != "0" && trouble != "final", trouble == "final")
+	var verdict []string
+	var broken bool
+	switch name {
+	case "recover":
+		verdict, broken, err = playRecover(w, program, trouble != "0" && trouble != "final", trouble == "final")
+	case "once":
+		verdict, broken, err = playOnce(w, program, trouble != "0")
+	case "mixed":
+		verdict, broken, err = playMixed(w, program, trouble != "0")
+	default:
+		err = fmt.Errorf("no case %q", name)
+	}
 	w.End()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/rig-2/recover.go
+++ b/review/rig-2/recover.go
@@ -25,7 +25,7 @@
 // processes of the machines are killed after a configuration was acknowledged. It reports whether RECOVER
 // is broken. Without trouble, neither happens; with finalOnly, only the final fault does.
 func playRecover(w *World, program string, trouble, finalOnly bool) (verdict []string, broken bool, err error) {
-	work := Behaviour{Work: 160 * time.Millisecond, Spread: 0.5}
+	work := Behaviour{Work: 160 * time.Millisecond, Spread: 0.5, Queue: 16}
 	if err := w.AddLeafs("frota", 3, 4, work); err != nil {
 		return nil, false, err
 	}
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -99,8 +99,12 @@
 func (w *World) Configure() {
 	routes, services := []map[string]any{}, []map[string]any{}
 	for k, r := range w.routes {
+		kind := "idempotent"
+		if r.Once {
+			kind = "non_idempotent"
+		}
 		routes = append(routes, map[string]any{
-			"name": r.Name, "host": host, "pathPrefix": r.Prefix, "kind": "idempotent", "timeoutMs": r.Limit.Milliseconds(),
+			"name": r.Name, "host": host, "pathPrefix": r.Prefix, "kind": kind, "timeoutMs": r.Limit.Milliseconds(),
 			"targetLatencyMs": r.Target.Milliseconds(), "priority": k, "maxAttempts": maxAttempts, "service": r.Service,
 		})
 		services = append(services, map[string]any{"name": r.Service, "healthCheckPath": "/health", "connectionLimit": 100, "protocol": "h1", "tls": false})
