Bound the memory of callers' bodies

What callers saw: a VM ended without memory, and all requests in flight at it with it, while other callers sent many large bodies of legal size.

Cause: each body was read by itself, up to the configuration's limit, and held until its request had ended. Nothing bounded all of them together: 3,900 connections of 256 KB are 1 GB on a VM of 284 MB. A body that stopped short of its end was held as long as its connection was open.

Change: callers' connections come through an acceptor, which reserves the memory of bodies beyond 4 KB, an eighth of the VM's memory in all. A body with a length reserves all of it at once, so that of many some come to their end. Where no memory is left, requests that come more slowly than 128 KB a second lose theirs, those first that have held the most for the longest time (tier/reserver); if there are none, the newcomer is refused. Both are answered 503 with Retry-After, which is true: nothing of such a request is sent to a leaf before its body is complete. What is being served is never taken.

--- /dev/null
+++ b/cicadagraded/acceptor/body.go
@@ -0,0 +1,96 @@
+package acceptor
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// uncountedBodyBytes is the part of each body that does not count towards the limit of bytes. The limit on
+	// connections bounds it.
+	uncountedBodyBytes = 4 << 10
+	// bodyGrowth is the factor by which the buffer of a body grows.
+	bodyGrowth = 4
+)
+
+// TooLargeError reports a body with more bytes than allowed.
+type TooLargeError struct{ limit int64 }
+
+func (e *TooLargeError) Error() string { return "the body has more bytes than the limit" }
+
+// Limit is the most bytes that a body may have.
+func (e *TooLargeError) Limit() int64 { return e.limit }
+
+// NoRoomError reports that there is no memory for a body, or that others needed it more.
+type NoRoomError struct{ evicted bool }
+
+func (e *NoRoomError) Error() string {
+	if e.evicted {
+		return "the body's memory went to other callers"
+	}
+	return "there is no memory for the body"
+}
+
+// ReadBody reads the complete body of a request, of maxBytes at most. The error is a *TooLargeError, a *NoRoomError
+// or one of the connection.
+func ReadBody(r *http.Request, maxBytes int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > maxBytes {
+		return nil, errors.WithStack(&TooLargeError{limit: maxBytes})
+	}
+	c := connOf(r)
+	if c != nil {
+		c.acceptor.receive(c)
+		c.setReadingBody(true)
+		defer c.setReadingBody(false)
+	}
+	body, err := readAll(c, r.Body, r.ContentLength, maxBytes)
+	switch {
+	case err == nil && (c == nil || c.acceptor.serve(c)):
+		return body, nil
+	case c != nil && c.isEvicted():
+		return nil, errors.WithStack(&NoRoomError{evicted: true})
+	}
+	return nil, errors.Wrap(err, "ReadBody")
+}
+
+// readAll reads a body into a buffer that grows with the bytes that have come. It reserves the memory of a body whose
+// length is announced at once, so that of many large bodies some come to their end, and otherwise as the buffer grows.
+// length is -1 if it was not announced.
+func readAll(c *conn, from io.Reader, length, maxBytes int64) ([]byte, error) {
+	limit := maxBytes
+	if length >= 0 {
+		limit = length
+	}
+	reserved := int64(uncountedBodyBytes)
+	body := make([]byte, 0, min(limit, uncountedBodyBytes)+1)
+	for {
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > maxBytes:
+			return nil, &TooLargeError{limit: maxBytes}
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		}
+		grown := min(limit, int64(cap(body))*bodyGrowth)
+		needed := grown
+		if length >= 0 {
+			needed = length
+		}
+		if needed > reserved && c != nil && !c.acceptor.grow(c, needed-reserved) {
+			c.acceptor.refused.Add(1)
+			return nil, &NoRoomError{}
+		}
+		reserved = max(reserved, needed)
+		body = append(make([]byte, 0, grown+1), body...)
+	}
+}
--- /dev/null
+++ b/cicadagraded/entry/body.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"math"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"cicadagrade.example/cicadagraded/acceptor"
+	"cicadagrade.example/platform"
+)
+
+const (
+	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
+	defaultBodyBytes = 1 << 20
+	// requestMemoryFraction is the part of the VM's memory that callers' requests may hold.
+	requestMemoryFraction = 8
+)
+
+// newAcceptor returns the acceptor of callers' connections of a VM with these settings.
+func (e *Entry) newAcceptor(s *platform.Settings) *acceptor.Acceptor {
+	limits := acceptor.NewLimits(math.MaxInt, int64(s.MemoryMB())<<20/requestMemoryFraction)
+	return acceptor.New(e.clock, limits, acceptor.WithEvictionHandler(func(v acceptor.Eviction) {
+		e.log.RateLimitedInfo("caller-evicted", "caller", v.Address(), "bytes", v.Bytes())
+	}))
+}
+
+// readBody reads a request's body. If that fails, it responds and returns false.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, bool) {
+	maxBytes := int64(q.table.Limits().MaxBodyBytes())
+	if maxBytes <= 0 {
+		maxBytes = defaultBodyBytes
+	}
+	body, err := acceptor.ReadBody(r, maxBytes)
+	if err == nil {
+		return body, true
+	}
+	w.Header().Set("Connection", "close")
+	var tooLarge *acceptor.TooLargeError
+	var noRoom *acceptor.NoRoomError
+	switch {
+	case errors.As(err, &tooLarge):
+		e.refuseRequest(w, q, http.StatusRequestEntityTooLarge, "bad-body", 0)
+	case errors.As(err, &noRoom):
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, "no-memory-for-body", overloadRetryAfter)
+	default:
+		e.refuseRequest(w, q, http.StatusBadRequest, "bad-body", 0)
+	}
+	return nil, false
+}
--- a/cicadagraded/entry/callers.go
+++ b/cicadagraded/entry/callers.go
@@ -54,9 +54,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		conn, accepted := c.entry.acceptor.Accept(conn)
+		if !accepted {
+			continue
+		}
 		s := c.currentServer()
 		if s == nil || !s.handOver(conn) {
 			_ = conn.Close()
+			c.entry.acceptor.ConnState(conn, http.StateClosed)
 		}
 	}
 }
@@ -136,7 +141,7 @@
 		close: sync.OnceFunc(func() { close(closed) }),
 	}
 	s.http = &http.Server{
-		Handler: e, ConnContext: e.ConnContext,
+		Handler: e, ConnContext: e.ConnContext, ConnState: e.acceptor.ConnState,
 		MaxHeaderBytes:    limits.MaxHeaderBytes(), // 0 selects the default of net/http
 		ReadHeaderTimeout: valueOrDefault(limits.HeaderTimeout(), defaultHeaderTimeout).Duration(),
 		IdleTimeout:       valueOrDefault(limits.IdleTimeout(), defaultIdleTimeout).Duration(),
--- a/cicadagraded/entry/connection.go
+++ b/cicadagraded/entry/connection.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -39,17 +40,18 @@
 	if err != nil && !e.rttFaultLogged.Swap(true) {
 		e.log.Warn("round-trips-not-known", "error", err)
 	}
+	ctx = e.acceptor.ConnContext(ctx, c)
 	return context.WithValue(ctx, connectionKey{}, &connection{expiresAt: expiresAt, timing: delayestimator.NewConnection(now, rtt)})
 }
 
 // roundTripTime returns the kernel's estimate of a connection's round-trip time, which for
 // a new connection comes from the TCP handshake. It returns 0 if the connection is not TCP.
 func roundTripTime(c net.Conn) (tier.Millis, error) {
-	t, ok := c.(*net.TCPConn)
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, nil
 	}
-	raw, err := t.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return 0, errors.Wrap(err, "roundTripTime")
 	}
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadagrade.example/cicadagraded/acceptor"
 	"cicadagrade.example/cicadagraded/eventlog"
 	"cicadagrade.example/cicadagraded/leafclient"
 	"cicadagrade.example/cicadagraded/meter"
@@ -36,6 +37,7 @@
 	clock            *tier.Clock
 	log              *eventlog.Log
 	leafClient       *leafclient.Client
+	acceptor         *acceptor.Acceptor // of callers' connections
 	store            *platform.Store
 	table            inForce
 	keySecret        []byte       // of the authenticators
@@ -127,6 +129,7 @@
 		peerLevels: map[bool]*shedder.Peers{false: shedder.NewPeers(), true: shedder.NewPeers()},
 	}
 	e.settings.Store(s)
+	e.acceptor = e.newAcceptor(s)
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout), platform.WithValueBytes(s.ValueBytes()))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -34,8 +33,6 @@
 	signatureBytes = 40
 	// defaultCallerTimeout applies to callers that do not say how long they wait.
 	defaultCallerTimeout = 30 * tier.Second
-	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
-	defaultBodyBytes = 1 << 20
 	// refusalRetryAfter is the shortest Retry-After of refusals whose cause should end with
 	// the next read of the store or the restart of a leaf.
 	refusalRetryAfter = 250 * tier.Millisecond
@@ -129,9 +126,8 @@
 		return
 	}
 	defer e.returnQuota(q)
-	body, status := readBody(w, r, table.Limits())
-	if status != 0 {
-		e.refuseRequest(w, q, status, "bad-body", 0)
+	body, ok := e.readBody(w, r, q)
+	if !ok {
 		return
 	}
 	q.body, q.arrival, q.fingerprints = body, e.recordArrival(r.Context(), start, route, attempt), newFingerprints(r, path, body)
@@ -160,28 +156,6 @@
 	e.refuse(w, attempt, status, cause, version, retryAfter, e.describeView()...)
 }
 
-// readBody reads a request's body. The second result is the status of the response if that
-// fails, or 0.
-func readBody(w http.ResponseWriter, r *http.Request, limits router.Limits) ([]byte, int) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
-	}
-	maxBytes := int64(limits.MaxBodyBytes())
-	if maxBytes <= 0 {
-		maxBytes = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // refuse responds to a request that was not sent to any leaf. The caller may return after
 // retryAfter and up to refusalRetryAfter more, unless it is 0. attrs are further keys and
 // values of the log line.
