Answer refused callers at once, and do not wait for their body

What callers saw: a caller that was refused before its body had been read, such as on a path without a route, got no answer until it had sent the whole body. One that stopped short of its end held its connection, a goroutine and the refusal for as long as it stayed.

Cause: net/http reads up to 256 KB of an unread body before it writes a response, and after the handler, without a deadline. Refusals for keys and quotas answered first (refuseUnread), but then also discarded the body without a deadline.

Change: the acceptor's handler lets all responses to unread bodies out at once and discards the rest for 1 s at most; if it does not come, the connection is closed, as what follows is no request. refuseUnread goes, as this is done for all refusals. Callers that wait for leave (Expect) get the deadline too.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	log              *eventlog.Log
 	leafClient       *leafclient.Client
 	acceptor         *acceptor.Acceptor // of callers' connections
+	callers          http.Handler       // of callers' requests
 	store            *platform.Store
 	table            inForce
 	keySecret        []byte       // of the authenticators
@@ -130,6 +132,7 @@
 	}
 	e.settings.Store(s)
 	e.acceptor = e.newAcceptor(s)
+	e.callers = e.acceptor.Handler(http.HandlerFunc(e.serveCaller))
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout), platform.WithValueBytes(s.ValueBytes()))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
 		tier.WithIncarnation(tier.Incarnation(rand.Uint64())), tier.WithVMState(tier.VMLive))
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -84,7 +84,10 @@
 const minCores = 0.05
 
 // ServeHTTP serves a caller's request.
-func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.callers.ServeHTTP(w, r) }
+
+// serveCaller serves a caller's request, whose body may not be read.
+func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	start := e.clock.Now()
 	if e.stopping.Load() || e.isolated.Load() || connectionExpired(r.Context(), start) {
 		w.Header().Set("Connection", "close")
@@ -122,7 +125,7 @@
 		e.refuseRequest(w, q, http.StatusServiceUnavailable, cause, overloadRetryAfter)
 		return
 	}
-	if !e.admit(w, r, q) {
+	if !e.admit(w, q) {
 		return
 	}
 	defer e.returnQuota(q)
@@ -164,10 +167,10 @@
 	e.writeRefusal(w, attempt, status, cause, version, attrs...)
 }
 
-// refuseRequest is refuse for a request whose caller has been identified.
-func (e *Entry) refuseRequest(w http.ResponseWriter, q *request, status int, cause string, retryAfter tier.Millis) {
+// refuseRequest is refuse for a request whose route is known.
+func (e *Entry) refuseRequest(w http.ResponseWriter, q *request, status int, cause string, retryAfter tier.Millis, attrs ...any) {
 	e.recordOrganisationRefusal(q.organisationName(), cause)
-	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter, withOrganisation(q.organisationName())...)
+	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter, withOrganisation(q.organisationName(), attrs...)...)
 }
 
 // writeRetryAfter tells the caller to return after retryAfter and up to refusalRetryAfter more,
--- a/cicadagraded/entry/organisations.go
+++ b/cicadagraded/entry/organisations.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"io"
 	"net/http"
 	"sync/atomic"
 
@@ -111,7 +110,7 @@
 		if q.route.IsPublic() {
 			return true
 		}
-		e.refuseUnread(w, r, q, http.StatusServiceUnavailable, causeViewTooOldForKeys, refusalRetryAfter)
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, causeViewTooOldForKeys, refusalRetryAfter, "route", q.route.Name())
 		return false
 	}
 	key, err := platform.ParseKey(r.Header)
@@ -131,43 +130,14 @@
 		problem = unreadable.Problem()
 	}
 	if err == nil && age > staleViewAge {
-		e.refuseUnread(w, r, q, http.StatusServiceUnavailable, causeUnknownKey, refusalRetryAfter, "problem", problem)
+		e.refuseRequest(w, q, http.StatusServiceUnavailable, causeUnknownKey, refusalRetryAfter, "route", q.route.Name(), "problem", problem)
 		return false
 	}
 	platform.RequestKey(w.Header())
-	e.refuseUnread(w, r, q, http.StatusUnauthorized, causeUnknownKey, 0, "problem", problem)
+	e.refuseRequest(w, q, http.StatusUnauthorized, causeUnknownKey, 0, "route", q.route.Name(), "problem", problem)
 	return false
 }
 
-// maxDiscardedBytes bounds the body of a refused request that is discarded so that the
-// connection stays open.
-const maxDiscardedBytes = 256 << 10
-
-// refuseUnread responds to a request whose body has not been read, without waiting for the
-// body, as net/http does by default. It discards the body afterwards, because the next request
-// of the connection follows it. The connection is closed if the body is long, or if the caller
-// waits for leave to send it and may do so or not.
-func (e *Entry) refuseUnread(w http.ResponseWriter, r *http.Request, q *request, status int, cause string, retryAfter tier.Millis, attrs ...any) {
-	control := http.NewResponseController(w)
-	discard := r.Body != nil && r.Body != http.NoBody && r.Header.Get("Expect") == "" && control.EnableFullDuplex() == nil
-	if r.ContentLength > maxDiscardedBytes {
-		w.Header().Set("Connection", "close")
-		discard = false
-	}
-	e.recordOrganisationRefusal(q.organisationName(), cause)
-	e.refuse(w, q.attempt, status, cause, q.table.Version(), retryAfter,
-		append([]any{"route", q.route.Name(), "organisation", q.organisationName()}, attrs...)...)
-	if !discard {
-		return
-	}
-	if err := control.Flush(); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1)); err != nil || n > maxDiscardedBytes {
-		panic(http.ErrAbortHandler) // closes the connection: what follows is no request
-	}
-}
-
 // leafHeader returns the headers of a caller's request that are forwarded to leafs.
 func (q *request) leafHeader(h http.Header) http.Header {
 	if !q.needsKeys {
--- a/cicadagraded/entry/quota.go
+++ b/cicadagraded/entry/quota.go
@@ -83,7 +83,7 @@
 
 // admit decides whether a request is within the quota of its organisation. If not, it responds
 // and returns false.
-func (e *Entry) admit(w http.ResponseWriter, r *http.Request, q *request) bool {
+func (e *Entry) admit(w http.ResponseWriter, q *request) bool {
 	if q.organisation == nil {
 		return true
 	}
@@ -102,7 +102,7 @@
 		q.counted = true
 		return true
 	}
-	e.refuseUnread(w, r, q, http.StatusTooManyRequests, causeQuotaExceeded, decision.RetryAfter(),
+	e.refuseRequest(w, q, http.StatusTooManyRequests, causeQuotaExceeded, decision.RetryAfter(), "route", q.route.Name(),
 		"room", math.Round(decision.Room()), "per-second", quota.PerSecond(), "demand-per-second", math.Round(decision.Demand()),
 		"level-age-ms", int64(decision.Age()), "retry-after-ms", int64(decision.RetryAfter()))
 	return false
