End requests whose body does not come in time

What callers saw: a caller that stopped sending its body got no answer, and held its connection and goroutine as long as it stayed.

Cause: nothing bounded how long a body may take. The configuration's timeout is for the header only.

Change: a body has until its caller's own time (Time-Remaining), its route's timeout or the last answers of a planned stop, whichever comes first; the request can't be served after that. The caller gets 408, which is true, as the request was not sent to any leaf, and the connection is closed. No new setting.

--- a/cicadagraded/acceptor/body.go
+++ b/cicadagraded/acceptor/body.go
@@ -3,8 +3,12 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"cicadagrade.example/tier"
 )
 
 const (
@@ -33,9 +37,17 @@
 	return "there is no memory for the body"
 }
 
-// ReadBody reads the complete body of a request, of maxBytes at most. The error is a *TooLargeError, a *NoRoomError
-// or one of the connection.
-func ReadBody(r *http.Request, maxBytes int64) ([]byte, error) {
+// TimeoutError reports a body that has not come completely in time.
+type TimeoutError struct{ after tier.Millis }
+
+func (e *TimeoutError) Error() string { return "the body has not come completely in time" }
+
+// After is how long the process has waited.
+func (e *TimeoutError) After() tier.Millis { return e.after }
+
+// ReadBody reads the complete body of a request, of maxBytes at most, within timeout. The error is a *TooLargeError,
+// a *NoRoomError, a *TimeoutError or one of the connection.
+func ReadBody(w http.ResponseWriter, r *http.Request, maxBytes int64, timeout tier.Millis) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -48,12 +60,18 @@
 		c.setReadingBody(true)
 		defer c.setReadingBody(false)
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration())) // not supported by test recorders
 	body, err := readAll(c, r.Body, r.ContentLength, maxBytes)
 	switch {
 	case err == nil && (c == nil || c.acceptor.serve(c)):
+		// The deadline would end the request's context while it is being served.
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	case c != nil && c.isEvicted():
 		return nil, errors.WithStack(&NoRoomError{evicted: true})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errors.WithStack(&TimeoutError{after: timeout})
 	}
 	return nil, errors.Wrap(err, "ReadBody")
 }
--- a/cicadagraded/entry/body.go
+++ b/cicadagraded/entry/body.go
@@ -8,6 +8,7 @@
 
 	"cicadagrade.example/cicadagraded/acceptor"
 	"cicadagrade.example/platform"
+	"cicadagrade.example/tier"
 )
 
 const (
@@ -25,24 +26,33 @@
 	}))
 }
 
+// bodyTimeout is how long a request's body may take: until its caller gives up, its route's timeout has passed, or
+// this VM gives its last answers. The request can't be served after that.
+func (e *Entry) bodyTimeout(q *request) tier.Millis {
+	return e.limitToStop(q.start+q.longestTime()) - e.clock.Now()
+}
+
 // readBody reads a request's body. If that fails, it responds and returns false.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, bool) {
 	maxBytes := int64(q.table.Limits().MaxBodyBytes())
 	if maxBytes <= 0 {
 		maxBytes = defaultBodyBytes
 	}
-	body, err := acceptor.ReadBody(r, maxBytes)
+	body, err := acceptor.ReadBody(w, r, maxBytes, e.bodyTimeout(q))
 	if err == nil {
 		return body, true
 	}
 	w.Header().Set("Connection", "close")
 	var tooLarge *acceptor.TooLargeError
 	var noRoom *acceptor.NoRoomError
+	var late *acceptor.TimeoutError
 	switch {
 	case errors.As(err, &tooLarge):
 		e.refuseRequest(w, q, http.StatusRequestEntityTooLarge, "bad-body", 0)
 	case errors.As(err, &noRoom):
 		e.refuseRequest(w, q, http.StatusServiceUnavailable, "no-memory-for-body", overloadRetryAfter)
+	case errors.As(err, &late):
+		e.refuseRequest(w, q, http.StatusRequestTimeout, "late-body", 0, "waited-ms", int64(late.After()))
 	default:
 		e.refuseRequest(w, q, http.StatusBadRequest, "bad-body", 0)
 	}
