Bound the connections of callers

What callers saw: callers that open connections and send nothing took all descriptors of a VM, which it also needs for leafs, other VMs and the store.

Cause: every connection was accepted; the settings' fileDescriptors was read and not used.

Change: callers get half of the descriptors without 200 for files and listeners, and no more connections than fit a quarter of the memory with 32 KB each: 1,950 on a VM of 284 MB and 4,100 descriptors. Beyond that the one is closed for which the VM has waited longest, never one whose request is being served. A request that came on a connection which has just been closed this way is not run.

--- a/cicadagraded/acceptor/acceptor.go
+++ b/cicadagraded/acceptor/acceptor.go
@@ -21,9 +21,22 @@
 	bytes       int64
 }
 
-// NewLimits returns limits on the number of connections and on the bytes of requests.
-func NewLimits(connections int, bytes int64) Limits {
-	return Limits{connections: connections, bytes: bytes}
+const (
+	// bodyMemoryFraction and connectionMemoryFraction are the parts of a process's memory that the requests' bodies
+	// and the connections may take, and connectionBytes what a connection takes besides.
+	bodyMemoryFraction       = 8
+	connectionMemoryFraction = 4
+	connectionBytes          = 32 << 10
+	// fileDescriptors are those for files, listeners and the store. Callers get half of the others; the rest is for
+	// backend servers and other VMs.
+	fileDescriptors = 200
+	minConnections  = 16
+)
+
+// LimitsFor returns the limits of a process that may use so much memory, in bytes, and so many file descriptors.
+func LimitsFor(memory int64, descriptors int) Limits {
+	connections := min(int64(descriptors-fileDescriptors)/2, memory/connectionMemoryFraction/connectionBytes)
+	return Limits{connections: max(int(connections), minConnections), bytes: memory / bodyMemoryFraction}
 }
 
 // Connections is the most connections.
--- a/cicadagraded/acceptor/handler.go
+++ b/cicadagraded/acceptor/handler.go
@@ -34,6 +34,9 @@
 func (a *Acceptor) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body == nil || r.Body == http.NoBody {
+			if c := connOf(r); c != nil && !a.serve(c) {
+				panic(http.ErrAbortHandler) // the connection was evicted
+			}
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/cicadagraded/entry/body.go
+++ b/cicadagraded/entry/body.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -11,17 +10,16 @@
 	"cicadagrade.example/tier"
 )
 
-const (
-	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
-	defaultBodyBytes = 1 << 20
-	// requestMemoryFraction is the part of the VM's memory that callers' requests may hold.
-	requestMemoryFraction = 8
-)
+// defaultBodyBytes bounds a request's body if the configuration sets no limit.
+const defaultBodyBytes = 1 << 20
 
 // newAcceptor returns the acceptor of callers' connections of a VM with these settings.
 func (e *Entry) newAcceptor(s *platform.Settings) *acceptor.Acceptor {
-	limits := acceptor.NewLimits(math.MaxInt, int64(s.MemoryMB())<<20/requestMemoryFraction)
-	return acceptor.New(e.clock, limits, acceptor.WithEvictionHandler(func(v acceptor.Eviction) {
+	descriptors := s.FileDescriptors()
+	if descriptors <= 0 {
+		descriptors = acceptor.DescriptorLimit()
+	}
+	return acceptor.New(e.clock, acceptor.LimitsFor(int64(s.MemoryMB())<<20, descriptors), acceptor.WithEvictionHandler(func(v acceptor.Eviction) {
 		e.log.RateLimitedInfo("caller-evicted", "caller", v.Address(), "bytes", v.Bytes())
 	}))
 }
