Cut off callers that do not read their answers

What callers saw: none of it before; with the bound on connections, callers that send requests and read no answer kept all places for themselves, and ordinary callers were closed.

Cause: a connection counted as being served until its answer was written, and the write of an answer that nobody reads had no end.

Change: from the first byte of its answer on a connection may be closed for others like one that is waited for, and a caller has a minute to read an answer. Answers go out as before otherwise, also late.

--- a/cicadagraded/acceptor/acceptor.go
+++ b/cicadagraded/acceptor/acceptor.go
@@ -176,6 +176,13 @@
 	return a.reserver.Serve(c.id)
 }
 
+// answer says that the process waits for the caller to read its answer.
+func (a *Acceptor) answer(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Answer(a.clock.Now(), c.id)
+}
+
 // ConnState is the ConnState hook of an http.Server whose connections come from Accept.
 func (a *Acceptor) ConnState(raw net.Conn, state http.ConnState) {
 	c, ok := raw.(*conn)
--- a/cicadagraded/acceptor/handler.go
+++ b/cicadagraded/acceptor/handler.go
@@ -13,8 +13,42 @@
 	// open, and discardTimeout the wait for it.
 	maxDiscardedBytes = 256 << 10
 	discardTimeout    = tier.Second
+	// answerTimeout bounds how long a caller may take to read an answer.
+	answerTimeout = tier.Minute
 )
 
+// answerWriter notes when an answer begins.
+type answerWriter struct {
+	http.ResponseWriter
+	conn    *conn
+	started bool
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the status and the header.
+func (w *answerWriter) WriteHeader(status int) {
+	w.start()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes to the body.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.start()
+	return w.ResponseWriter.Write(p)
+}
+
+// start lets the connection be evicted from now on, and bounds the time for the answer: the caller may not read it.
+func (w *answerWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	w.conn.acceptor.answer(w.conn)
+	_ = w.conn.SetWriteDeadline(time.Now().Add(answerTimeout.Duration())) // a closed connection fails the write
+}
+
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
@@ -33,10 +67,14 @@
 // it, because the connection's next request follows. If it does not come, the connection is closed.
 func (a *Acceptor) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
-			if c := connOf(r); c != nil && !a.serve(c) {
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if c := connOf(r); c != nil {
+			if !hasBody && !a.serve(c) {
 				panic(http.ErrAbortHandler) // the connection was evicted
 			}
+			w = &answerWriter{ResponseWriter: w, conn: c}
+		}
+		if !hasBody {
 			next.ServeHTTP(w, r)
 			return
 		}
