Bound the memory of requests' headers

What callers saw: nothing yet; found while looking for paths related to the bodies that ended a process. Legal headers with thousands of short lines, sent by many callers at once and not ended, or followed by a part of a body, take the memory of a VM in the same way.

Cause: net/http needs some 100 bytes for each line, so that a header of 16 KB takes 240 KB, and nothing bounded all of them together.

Change: what a connection reads before its request's handler starts is reserved like a body, with 128 bytes for each line; the first 8 KB do not count. Where no memory is left, the connection is closed; nothing of such a request has been read to its end.

TestSingleRequestsAtTheLimits has such a header too and passes.

--- a/cicadagraded/acceptor/acceptor.go
+++ b/cicadagraded/acceptor/acceptor.go
@@ -110,6 +110,7 @@
 	a.mu.Lock()
 	a.lastID++
 	c := &conn{Conn: raw, acceptor: a, id: a.lastID}
+	c.beginHeader()
 	d := a.reserver.Open(a.clock.Now(), c.id)
 	victims := a.takeVictims(d)
 	if d.Granted() {
--- a/cicadagraded/acceptor/conn.go
+++ b/cicadagraded/acceptor/conn.go
@@ -1,6 +1,8 @@
 package acceptor
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,9 @@
 	id       reserver.Holder
 	held     atomic.Int64 // bytes reserved for the request
 
+	inHeader    atomic.Bool // what is read belongs to a request's header
+	headerBytes int64       // memory of the header, used by Read only
+
 	mu       sync.Mutex
 	readBody bool // the handler reads the request's body, and can answer if that ends
 	evicted  bool
@@ -53,8 +58,40 @@
 	c.readBody = reading
 }
 
-// beginHeader says that the next bytes are those of a request's header.
-func (c *conn) beginHeader() { c.held.Store(0) }
+// beginHeader says that the next bytes are those of a request's header. Nothing is being read meanwhile.
+func (c *conn) beginHeader() {
+	c.held.Store(0)
+	c.headerBytes = 0
+	c.inHeader.Store(true)
+}
+
+const (
+	// uncountedHeaderBytes is the part of each header's memory that does not count towards the limit of bytes. The
+	// limit on connections bounds it.
+	uncountedHeaderBytes = 8 << 10
+	// headerLineBytes is what net/http needs for a line of a header, besides its bytes.
+	headerLineBytes = 128
+)
+
+// Read reads from the connection. It reserves the memory of headers, and ends the connection if there is none: many
+// short lines take far more than their bytes.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n <= 0 || !c.inHeader.Load() {
+		return n, err
+	}
+	before := max(c.headerBytes, uncountedHeaderBytes)
+	c.headerBytes += int64(n) + int64(bytes.Count(p[:n], []byte{'\n'}))*headerLineBytes
+	if before == uncountedHeaderBytes && c.headerBytes > before {
+		c.acceptor.receive(c)
+	}
+	if !c.acceptor.grow(c, c.headerBytes-before) {
+		c.acceptor.refused.Add(1)
+		_ = c.Close()
+		return 0, io.EOF
+	}
+	return n, err
+}
 
 // SetReadDeadline sets the deadline of reads, unless the connection has been evicted.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/cicadagraded/acceptor/handler.go
+++ b/cicadagraded/acceptor/handler.go
@@ -69,6 +69,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		hasBody := r.Body != nil && r.Body != http.NoBody
 		if c := connOf(r); c != nil {
+			c.inHeader.Store(false)
 			if !hasBody && !a.serve(c) {
 				panic(http.ErrAbortHandler) // the connection was evicted
 			}
