Bound the memory of other VMs' shares

What callers saw: nothing yet; found beside the bodies that ended a process.

Cause: each message of up to 32 MB was read and decoded, and nothing bounded all of them together.

Change: what is read of shares' requests beyond 4 KB each is reserved, twice, as it is held as it came and decoded; an eighth of the VM's memory in all. Where there is none, the call ends with resource-exhausted before the request is decoded, so that nothing of it runs, and the other VM treats the share as refused by an overloaded VM.

--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -64,6 +64,7 @@
 	shutdown         chan struct{} // closed when the VM begins to shut down
 	lastAnswers      chan struct{} // closed when the last requests are answered
 	peers            *peerClients
+	shareMemory      shareMemory // of other VMs' requests
 	meter            *meter.Meter
 	leafCalls        atomic.Int64   // calls to leafs
 	extraCalls       atomic.Int64   // hedges and retries among leafCalls
@@ -131,6 +132,7 @@
 		peerLevels: map[bool]*shedder.Peers{false: shedder.NewPeers(), true: shedder.NewPeers()},
 	}
 	e.settings.Store(s)
+	e.shareMemory.limit = int64(s.MemoryMB()) << 20 / shareMemoryFraction
 	e.acceptor = e.newAcceptor(s)
 	e.callers = e.acceptor.Handler(http.HandlerFunc(e.serveCaller))
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout), platform.WithValueBytes(s.ValueBytes()))
--- a/cicadagraded/entry/gather.go
+++ b/cicadagraded/entry/gather.go
@@ -128,8 +128,11 @@
 		if err := r.readShareReplies(ctx, searchCtx, a, request); err != nil && ctx.Err() == nil {
 			r.entry.log.RateLimitedInfo("share-failed", "request", r.attemptID, "peer", a.Member.VM().Name(), "error", err)
 			r.post(searchCtx, func(s *searcher.Search, now tier.Millis) []searcher.Action {
-				if connect.CodeOf(err) == connect.CodeUnimplemented {
-					return s.ShareDeclined(now, a.Share) // a VM of an earlier version
+				switch connect.CodeOf(err) {
+				case connect.CodeUnimplemented: // a VM of an earlier version
+					return s.ShareDeclined(now, a.Share)
+				case connect.CodeResourceExhausted: // a VM without memory for the request's body
+					return s.ShareRefused(now, a.Share)
 				}
 				return s.ShareFailed(now, a.Share)
 			})
@@ -243,7 +246,10 @@
 // PeerHandler returns the handler of calls from other VMs.
 func (e *Entry) PeerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(gatherv1connect.NewGatherServiceHandler(&peerService{entry: e}, connect.WithReadMaxBytes(maxPeerMessageBytes)))
+	path, service := gatherv1connect.NewGatherServiceHandler(&peerService{entry: e}, connect.WithReadMaxBytes(maxPeerMessageBytes))
+	m.Handle(path, service)
+	m.Handle(gatherv1connect.GatherServiceGatherProcedure, e.shareMemory.handler(service))
+	m.Handle(gatherv1connect.GatherServiceRelayProcedure, e.shareMemory.handler(service))
 	return m
 }
 
