Let all calls of a request share its body

What callers saw: nothing yet; found beside the bodies that ended a process. A body of 256 KB to a route over 80 shards was copied into each call, 20 MB for each request in flight, where leafs take their time to read it.

Cause: Template.Render made one piece of header and body for each call.

Change: bodies over 4 KB are written after the header from the one copy that the request holds; shorter ones are copied and written in one piece as before.

Not counted: the copy that each share of a request that goes to another VM has until it is written.

--- a/cicadagraded/entry/run.go
+++ b/cicadagraded/entry/run.go
@@ -172,7 +172,8 @@
 	ctx, cancel := context.WithTimeout(searchCtx, a.TimeLeft.Duration())
 	r.cancelCall[a.Call] = cancel
 	headers := platform.LeafCallHeaders(a.Leaf.ID(), a.TimeLeft)
-	call := leafclient.Call{Method: r.template.Method(), Request: r.template.Render(headers[:]...), ID: r.attemptID, EchoedID: platform.EchoedAttemptID}
+	call := r.template.Call(headers[:]...)
+	call.ID, call.EchoedID = r.attemptID, platform.EchoedAttemptID
 	if !r.idempotent {
 		call.MaxIdle = nonIdempotentMaxIdle
 	}
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -147,8 +147,8 @@
 type Call struct {
 	// Method is the request's method; a reply to HEAD has no body.
 	Method string
-	// Request is the complete request as it is sent.
-	Request []byte
+	// Request is the request as it is sent, and Rest the rest of its body, which calls may share.
+	Request, Rest []byte
 	// ID is the request's id, which servers echo, and EchoedID returns the id from a reply's
 	// header, or "". A request that is sent again has the same id. If EchoedID is nil, any reply
 	// is accepted.
@@ -170,7 +170,7 @@
 		_ = cn.SetDeadline(at)
 	}
 	stopWatching := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	if written, err := cn.Write(call.Request); err != nil {
+	if written, err := cn.writeRequest(call); err != nil {
 		stopWatching()
 		_ = cn.Close()
 		if written == 0 {
@@ -198,6 +198,16 @@
 	return r, nil
 }
 
+// writeRequest writes a request. The first result is 0 if nothing of it was sent.
+func (cn *conn) writeRequest(call Call) (int, error) {
+	n, err := cn.Write(call.Request)
+	if err != nil || len(call.Rest) == 0 {
+		return n, err
+	}
+	more, err := cn.Write(call.Rest)
+	return n + more, err
+}
+
 // Accepts reports whether a server accepts a connection before ctx ends. One that has ended
 // refuses it, or nothing answers at its address.
 func (c *Client) Accepts(ctx context.Context, address string) bool {
--- a/cicadagraded/leafclient/client_test.go
+++ b/cicadagraded/leafclient/client_test.go
@@ -83,11 +83,9 @@
 }
 
 func newCall(id string) Call {
-	template := NewTemplate(http.MethodGet, "/x", "h", http.Header{"Id": {id}}, nil)
-	return Call{
-		Method: http.MethodGet, Request: template.Render(),
-		ID: id, EchoedID: func(h http.Header) string { return h.Get("Id") },
-	}
+	call := NewTemplate(http.MethodGet, "/x", "h", http.Header{"Id": {id}}, nil).Call()
+	call.ID, call.EchoedID = id, func(h http.Header) string { return h.Get("Id") }
+	return call
 }
 
 func do(t *testing.T, c *Client, s *server, id string) (string, error) {
--- a/cicadagraded/leafclient/template.go
+++ b/cicadagraded/leafclient/template.go
@@ -50,9 +50,17 @@
 // Method is the request's method.
 func (t *Template) Method() string { return t.method }
 
-// Render returns the complete request, with the given headers added.
-func (t *Template) Render(headers ...[2]string) []byte {
-	n := len(t.head) + len(t.body) + 2
+// copiedBodyBytes is the longest body that is copied into each call, to be written at once with its header. Calls share
+// longer ones.
+const copiedBodyBytes = 4 << 10
+
+// Call returns the call of the request, with the given headers added.
+func (t *Template) Call(headers ...[2]string) Call {
+	copied, rest := t.body, []byte(nil)
+	if len(t.body) > copiedBodyBytes {
+		copied, rest = nil, t.body
+	}
+	n := len(t.head) + len(copied) + 2
 	for _, h := range headers {
 		n += len(h[0]) + len(h[1]) + 4
 	}
@@ -65,7 +73,7 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	return append(b, t.body...)
+	return Call{Method: t.method, Request: append(b, copied...), Rest: rest}
 }
 
 // keepAliveTimeout returns how long an idle connection may be reused: a fraction of the
