Bound what callers of the product's own interface hold

Cause: the limit of requests in flight counts a request only once its body has been read; connections and the bytes of bodies had no limit, only 10 s a body.

Change: serve accepts callers by the same acceptor. A body without memory is refused with 429 and too-many-requests; a booking whose body was not read says "unknown", as its key may have come before.

--- a/cicadagraded/acceptor/acceptor.go
+++ b/cicadagraded/acceptor/acceptor.go
@@ -126,6 +126,28 @@
 	return c, true
 }
 
+// Listener returns a listener whose connections come from Accept.
+func (a *Acceptor) Listener(l net.Listener) net.Listener { return listener{l, a} }
+
+// listener accepts callers' connections.
+type listener struct {
+	net.Listener
+	acceptor *Acceptor
+}
+
+// Accept returns the next connection for which there is a place.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, accepted := l.acceptor.Accept(raw); accepted {
+			return c, nil
+		}
+	}
+}
+
 // takeVictims returns the connections that a decision takes. The caller holds the lock.
 func (a *Acceptor) takeVictims(d reserver.Decision) []*conn {
 	victims := make([]*conn, 0, len(d.Evicted()))
--- a/cicadagraded/acceptor/body.go
+++ b/cicadagraded/acceptor/body.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -22,7 +23,9 @@
 // TooLargeError reports a body with more bytes than allowed.
 type TooLargeError struct{ limit int64 }
 
-func (e *TooLargeError) Error() string { return "the body has more bytes than the limit" }
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the body has more than %d bytes", e.limit)
+}
 
 // Limit is the most bytes that a body may have.
 func (e *TooLargeError) Limit() int64 { return e.limit }
--- a/cicadagraded/daemon.go
+++ b/cicadagraded/daemon.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"cicadagrade.example/cicadagraded/acceptor"
 	"cicadagrade.example/cicadagraded/booker"
 	"cicadagrade.example/cicadagraded/coordinator"
 	"cicadagrade.example/cicadagraded/exchanger"
@@ -42,6 +45,7 @@
 	registry    *owner.Registry
 	control     *control
 	peerClient  *messenger.Client
+	callers     *acceptor.Acceptor
 	apiServer   *http.Server
 	peerServer  *http.Server
 	replacedBy  *queue.Queue[tier.VM] // the VM that took this VM's name, if any
@@ -168,6 +172,7 @@
 		return errors.Wrap(err, "buildServers")
 	}
 	d.meter = m
+	d.callers = d.newAcceptor()
 	if err := d.registerGauges(); err != nil {
 		return errors.Wrap(err, "buildServers")
 	}
@@ -180,7 +185,11 @@
 		handler.WithMetrics(m.Handler()),
 		handler.WithRequestObserver(m.RecordRequest),
 		handler.WithMaxBodyBytes(int64(d.settings.maxBodyBytes)))
-	d.apiServer = &http.Server{Addr: d.settings.apiAddress, Handler: h.Routes(), ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration()}
+	d.apiServer = &http.Server{
+		Addr: d.settings.apiAddress, Handler: d.callers.Handler(h.Routes()),
+		ConnContext: d.callers.ConnContext, ConnState: d.callers.ConnState,
+		ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -188,6 +197,15 @@
 	return nil
 }
 
+// newAcceptor returns the acceptor of callers' connections.
+func (d *daemon) newAcceptor() *acceptor.Acceptor {
+	descriptors := d.settings.descriptors
+	if descriptors == 0 {
+		descriptors = acceptor.DescriptorLimit()
+	}
+	return acceptor.New(d.clock, acceptor.LimitsFor(int64(d.settings.memoryMB)<<20, descriptors))
+}
+
 // Timeouts of the servers' connections.
 const (
 	headerTimeout = 5 * tier.Second // for reading a request's header
@@ -197,14 +215,15 @@
 // run runs all components until the graceful shutdown is finished or one of them fails.
 func (d *daemon) run() error {
 	defer d.cancel()
+	debug.SetMemoryLimit(int64(float64(d.settings.memoryMB) * memoryLimitRatio * (1 << 20)))
 	var g run.Group
 	d.addTask(&g, d.gossip.Run)
 	d.addTask(&g, d.seeder.Run)
 	d.addTask(&g, d.config.Run)
 	d.addTask(&g, d.booker.Run)
 	d.addTask(&g, d.control.Run)
-	d.addServer(&g, d.apiServer)
-	d.addServer(&g, d.peerServer)
+	d.addServer(&g, d.apiServer, d.callers.Listener)
+	d.addServer(&g, d.peerServer, func(l net.Listener) net.Listener { return l })
 	s := &stopper{
 		logger: d.logger, clock: d.clock, gossip: d.gossip, inflight: d.inflight, booker: d.booker,
 		servers:     []*http.Server{d.apiServer, d.peerServer},
@@ -236,12 +255,16 @@
 	g.Add(func() error { return task(ctx) }, func(error) { cancel() })
 }
 
-// addServer adds an HTTP server to the run group. The server's function returns only when the
-// group ends: a graceful shutdown closes the server before that.
-func (d *daemon) addServer(g *run.Group, h *http.Server) {
+// addServer adds an HTTP server to the run group, which accepts connections from what wrap returns. The server's
+// function returns only when the group ends: a graceful shutdown closes the server before that.
+func (d *daemon) addServer(g *run.Group, h *http.Server, wrap func(net.Listener) net.Listener) {
 	stopped := make(chan struct{})
 	g.Add(func() error {
-		err := h.ListenAndServe()
+		l, err := net.Listen("tcp", h.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		err = h.Serve(wrap(l))
 		if errors.Is(err, http.ErrServerClosed) {
 			<-stopped
 			return nil
--- a/cicadagraded/gauges.go
+++ b/cicadagraded/gauges.go
@@ -33,6 +33,7 @@
 	return []gauge{
 		{"cicadagrade.members", "known VMs, by data centre and state", (*gaugeReader).members},
 		{"cicadagrade.inflight", "requests in flight, from callers and from other VMs", (*gaugeReader).inflight},
+		{"cicadagrade.callers", "callers' connections, and the bytes held for their requests; those closed so that others get their place or memory, and those refused", (*gaugeReader).callers},
 		{"cicadagrade.owned", "1 for each set that this VM considers itself the owner of, 0 for other sets that it still runs", perOwner(ownedValue)},
 		{"cicadagrade.parts", "queued and running parts of searches and bookings, by set", perOwner(partsValue)},
 		{"cicadagrade.queue", "queued parts, by set and rank", perRank(queuedValue)},
@@ -189,6 +190,16 @@
 	}
 }
 
+func (gr *gaugeReader) callers() []meter.Point {
+	c := gr.daemon.callers.Counts()
+	return []meter.Point{
+		meter.NewPoint(int64(c.Connections), "which", "connections"),
+		meter.NewPoint(c.Bytes, "which", "bytes"),
+		meter.NewPoint(c.Evicted, "which", "evicted"),
+		meter.NewPoint(c.Refused, "which", "refused"),
+	}
+}
+
 func (gr *gaugeReader) backends() []meter.Point {
 	var out []meter.Point
 	for _, s := range gr.owners() {
--- a/cicadagraded/handler/book.go
+++ b/cicadagraded/handler/book.go
@@ -12,6 +12,7 @@
 func (h *Handler) book(c echo.Context) error {
 	started := h.clock.Now()
 	var q bookRequest
+	c.Set(earlierSendingKey, true) // until the body tells
 	if err := h.readBody(c, &q); err != nil {
 		return err
 	}
--- a/cicadagraded/handler/errors.go
+++ b/cicadagraded/handler/errors.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"os"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"cicadagrade.example/cicadagraded/acceptor"
 	"cicadagrade.example/cicadagraded/coordinator"
 	"cicadagrade.example/tier"
 )
@@ -59,7 +59,9 @@
 		invalid   *tier.InvalidError
 		malformed *malformedError
 		notFound  *notFoundError
-		tooLarge  *http.MaxBytesError
+		tooLarge  *acceptor.TooLargeError
+		late      *acceptor.TimeoutError
+		noRoom    *acceptor.NoRoomError
 		reused    *coordinator.KeyReusedError
 		noConfig  *noConfigurationError
 		overload  *overloadError
@@ -75,7 +77,12 @@
 	case errors.As(err, &tooLarge):
 		w.Error.Code = "body-too-large"
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.As(err, &noRoom):
+		w.Error.Code = "too-many-requests"
+		w.Reason = string(tier.RefuseOverload)
+		w.RetryAfterMs = overloadRetryAfter
+		return http.StatusTooManyRequests
+	case errors.As(err, &late):
 		w.Error.Code = "body-too-slow"
 		w.Error.Message = "the body did not come in time"
 		return http.StatusRequestTimeout
--- a/cicadagraded/handler/handler.go
+++ b/cicadagraded/handler/handler.go
@@ -6,11 +6,11 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"cicadagrade.example/cicadagraded/acceptor"
 	"cicadagrade.example/cicadagraded/coordinator"
 	"cicadagrade.example/tier"
 )
@@ -118,19 +118,20 @@
 	return c.String(http.StatusOK, "ready\n")
 }
 
-// readBody decodes the request's body into a wire type. It clears the connection's read
-// deadline after the body has been read: otherwise the server would cancel the request's
-// context when the deadline passes, as if the caller had disconnected.
+// readBody decodes the request's body into a wire type.
 func (h *Handler) readBody(c echo.Context, into any) error {
-	r := c.Request()
-	conn := http.NewResponseController(c.Response())
-	_ = conn.SetReadDeadline(time.Now().Add(h.bodyTimeout.Duration()))
-	r.Body = http.MaxBytesReader(c.Response(), r.Body, h.maxBodyBytes)
-	if err := decode(r.Body, into); err != nil {
+	body, err := acceptor.ReadBody(c.Response(), c.Request(), h.maxBodyBytes, h.bodyTimeout)
+	if err == nil {
+		return errors.Wrap(decode(body, into), "Handler.readBody")
+	}
+	var tooLarge *acceptor.TooLargeError
+	var late *acceptor.TimeoutError
+	var noRoom *acceptor.NoRoomError
+	if errors.As(err, &tooLarge) || errors.As(err, &late) || errors.As(err, &noRoom) {
+		c.Response().Header().Set("Connection", "close")
 		return errors.Wrap(err, "Handler.readBody")
 	}
-	_ = conn.SetReadDeadline(time.Time{})
-	return nil
+	return errors.WithStack(&malformedError{cause: err}) // framing, or a body that ends early
 }
 
 // absoluteDeadline returns the time by which a request has to be answered. requested is the
--- a/cicadagraded/handler/wire.go
+++ b/cicadagraded/handler/wire.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net/http"
-	"os"
 
 	"github.com/pkg/errors"
 
@@ -104,18 +102,8 @@
 	Allowed string `json:"allowed"`
 }
 
-// decode reads exactly one JSON object without unknown fields. It returns the read error for
-// a body that is too long or arrives too slowly, and a *malformedError for any other failure,
-// such as invalid framing, a truncated body or invalid JSON.
-func decode(r io.Reader, into any) error {
-	body, err := io.ReadAll(r)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large), errors.Is(err, os.ErrDeadlineExceeded):
-		return errors.Wrap(err, "decode")
-	case err != nil:
-		return errors.WithStack(&malformedError{cause: err})
-	}
+// decode decodes exactly one JSON object without unknown fields. The error is a *malformedError.
+func decode(body []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
--- a/cicadagraded/settings.go
+++ b/cicadagraded/settings.go
@@ -21,6 +21,10 @@
 	maxStopLimit        = 30 * tier.Minute
 	defaultMaxBodyBytes = 64 << 10
 	maxMaxBodyBytes     = 1 << 20
+	defaultMemoryMB     = 1024
+	minMemoryMB         = 32
+	maxMemoryMB         = 1 << 20
+	maxFileDescriptors  = 1 << 20
 	defaultMaxRequests  = 4096
 	maxMaxRequests      = 1 << 20
 	envPrefix           = "CICADAGRADED_"
@@ -41,6 +45,8 @@
 	stopLimit     tier.Millis
 	maxBodyBytes  int
 	maxRequests   int
+	memoryMB      int
+	descriptors   int
 	logLevel      log.Level
 }
 
@@ -74,6 +80,8 @@
 		{"stop-limit-ms", "how long a graceful shutdown waits for requests in flight, in milliseconds", formatMillis(defaultStopLimit), "1000 to 1800000", setMillis(tier.Second, maxStopLimit, func(s *settings) *tier.Millis { return &s.stopLimit })},
 		{"max-body-bytes", "maximum size of the body of a caller's request, in bytes", strconv.Itoa(defaultMaxBodyBytes), "1024 to 1048576", setInt(1024, maxMaxBodyBytes, func(s *settings) *int { return &s.maxBodyBytes })},
 		{"max-requests", "maximum number of callers' requests in flight at once", strconv.Itoa(defaultMaxRequests), "1 to 1048576", setInt(1, maxMaxRequests, func(s *settings) *int { return &s.maxRequests })},
+		{"memory-mb", "memory that the process may use, in MB; callers' connections get a quarter of it, and the bodies of their requests an eighth", strconv.Itoa(defaultMemoryMB), "32 to 1048576", setInt(minMemoryMB, maxMemoryMB, func(s *settings) *int { return &s.memoryMB })},
+		{"file-descriptors", "number of file descriptors that the process may open, of which callers' connections get half; 0: as many as the operating system allows", "0", "0 to 1048576", setInt(0, maxFileDescriptors, func(s *settings) *int { return &s.descriptors })},
 		{"log-level", "minimum level that is logged", "info", "debug, info, warn or error", setLogLevel},
 	}
 }
