Lose replies whose status is none of HTTP

Here no caller gets it as an answer, but the leaf client took 000 to 099 for an interim reply and waited for the next one: until the deadline if none came, and else it took whatever came next for the answer. 600 to 999 counted as replies, and as "not run" with Not-Executed, which would have been passed on as 503 although nothing shows that the request has not run.

Cause: only the lower bound of a final status was compared, and with 200.

Change: a status outside 100 to 599 is an error of the call, which closes its connection and loses the reply; such a reply of another VM neither succeeds, fails nor promises anything.

--- a/cicadagraded/leafclient/answered_test.go
+++ b/cicadagraded/leafclient/answered_test.go
@@ -1,6 +1,7 @@
 package leafclient
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -52,3 +53,21 @@
 		})
 	}
 }
+
+// Guards against a reply of a leaf in trouble whose status is none, such as 000, that passes for an answer, or for an
+// interim reply, after which whatever comes next on the connection is taken for the answer.
+func TestRepliesWithoutAStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		for name, next := range map[string]string{"alone": "", "followed by another": newReply("1", "next")} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				spoilt := strings.Replace(newReply("1", "spoilt"), "200 OK", status+" OK", 1)
+				s := startServer(t, spoilt+next)
+				got, err := do(t, newTestClient(t), s, "1")
+				var lost *NoReplyError
+				if !errors.As(err, &lost) || errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("got %q, %v", got, err)
+				}
+			})
+		}
+	}
+}
--- a/cicadagraded/leafclient/client.go
+++ b/cicadagraded/leafclient/client.go
@@ -242,6 +242,9 @@
 			return nil, false, errors.Wrap(err, "Client.readReply")
 		}
 		cn.limiter.unlimit()
+		if response.StatusCode < 100 || response.StatusCode > 599 {
+			return nil, false, errors.Errorf("Client.readReply: the reply's status %03d is none of HTTP", response.StatusCode)
+		}
 		body, err := c.readBody(call.Method, response)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "Client.readReply")
