Leave places for other routes where the leafs of one are slow

What callers saw: with the bound on connections, callers of a route whose leafs are slow took all places, as what is being served is not evicted; new callers of other routes were closed without an answer.

Cause: the bound protects requests that are being served, without a limit on their number.

A request counts from the end of its body to the beginning of its answer.

--- a/cicadagraded/entry/body.go
+++ b/cicadagraded/entry/body.go
@@ -13,13 +13,18 @@
 // defaultBodyBytes bounds a request's body if the configuration sets no limit.
 const defaultBodyBytes = 1 << 20
 
-// newAcceptor returns the acceptor of callers' connections of a VM with these settings.
-func (e *Entry) newAcceptor(s *platform.Settings) *acceptor.Acceptor {
+// callerLimits are the limits on what callers hold at a VM with these settings.
+func callerLimits(s *platform.Settings) acceptor.Limits {
 	descriptors := s.FileDescriptors()
 	if descriptors <= 0 {
 		descriptors = acceptor.DescriptorLimit()
 	}
-	return acceptor.New(e.clock, acceptor.LimitsFor(int64(s.MemoryMB())<<20, descriptors), acceptor.WithEvictionHandler(func(v acceptor.Eviction) {
+	return acceptor.LimitsFor(int64(s.MemoryMB())<<20, descriptors)
+}
+
+// newAcceptor returns the acceptor of callers' connections.
+func (e *Entry) newAcceptor(limits acceptor.Limits) *acceptor.Acceptor {
+	return acceptor.New(e.clock, limits, acceptor.WithEvictionHandler(func(v acceptor.Eviction) {
 		e.log.RateLimitedInfo("caller-evicted", "caller", v.Address(), "bytes", v.Bytes())
 	}))
 }
--- a/cicadagraded/entry/entry.go
+++ b/cicadagraded/entry/entry.go
@@ -40,6 +40,7 @@
 	leafClient       *leafclient.Client
 	acceptor         *acceptor.Acceptor // of callers' connections
 	callers          http.Handler       // of callers' requests
+	routeLoad        *routeLoad
 	store            *platform.Store
 	table            inForce
 	keySecret        []byte       // of the authenticators
@@ -133,7 +134,8 @@
 	}
 	e.settings.Store(s)
 	e.shareMemory.limit = int64(s.MemoryMB()) << 20 / shareMemoryFraction
-	e.acceptor = e.newAcceptor(s)
+	limits := callerLimits(s)
+	e.acceptor, e.routeLoad = e.newAcceptor(limits), newRouteLoad(limits.Connections())
 	e.callers = e.acceptor.Handler(http.HandlerFunc(e.serveCaller))
 	e.store = platform.NewStore(s.StoreAddress(), platform.WithTimeout(storeCallTimeout), platform.WithValueBytes(s.ValueBytes()))
 	vm := tier.NewVM(s.Name(), s.DataCentre(), s.PeerAddress(),
--- a/cicadagraded/entry/handler.go
+++ b/cicadagraded/entry/handler.go
@@ -62,6 +62,7 @@
 	organisation *router.Organisation // of the caller, or nil
 	counted      bool                 // within a quota
 	reachedLeaf  bool                 // leafs may have got it
+	leaveRoute   func()               // ends its count among its route's requests
 	weight       float64              // of the organisation's requests, relative to those of others
 
 	fingerprints func() []quarantiner.Fingerprint
@@ -139,6 +140,10 @@
 		e.refuseRequest(w, q, http.StatusServiceUnavailable, string(searcher.Quarantined), left)
 		return
 	}
+	if !e.enterRoute(w, q) {
+		return
+	}
+	defer q.leaveRoute()
 	e.recordOrganisationRequest(q)
 	q.cautious = e.wantsCaution(q)
 	template := leafclient.NewTemplate(r.Method, path, r.Host, q.leafHeader(r.Header), body)
@@ -221,6 +226,7 @@
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.leaveRoute() // the caller may take its time to read the answer
 	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
@@ -270,6 +276,7 @@
 	run.leafEnded = func(ended searcher.LeafEnded) { e.checkEndedLeafs(q, []lister.Leaf{ended.Leaf}, ended.Alone) }
 	q.reachedLeaf = true // until the outcome is known
 	outcome, callerGone := run.execute(r.Context())
+	q.leaveRoute() // the caller may take its time to read the answer
 	q.noteReached(outcome)
 	if callerGone {
 		e.recordOutcome(q, outcome, 0, string(outcome.Cause()))
--- a/standin/crowder/crowder_test.go
+++ b/standin/crowder/crowder_test.go
@@ -37,3 +37,5 @@
 func TestAnswersThatNobodyReads(t *testing.T) { play(t, "answers-unread.txt") }
 
 func TestSingleRequestsAtTheLimits(t *testing.T) { play(t, "calm.txt") }
+
+func TestRequestsToASlowLeaf(t *testing.T) { play(t, "requests-held.txt") }
