Let crowds of callers that don't behave come in the soak

Cause: the soak's callers kept to all limits, and its VMs had 284 MB, far more than they use.

Change: in each run 1,500 callers of one VM send the largest legal body without its last byte, stay for 4 s and return up to three times; VMs have 96 MB, and the check of memory takes the peak, not samples.

--- a/standin/crowder/crowder.go
+++ b/standin/crowder/crowder.go
@@ -59,6 +59,7 @@
 	conns    []net.Conn
 	statuses map[string]int // of responses, by path
 	ended    int            // callers that have been answered or have lost their connection
+	left     bool
 }
 
 // Option configures a Crowd.
@@ -133,9 +134,10 @@
 	sent.Wait()
 }
 
-// Leave closes the connections.
+// Leave closes the connections, and ends Send.
 func (c *Crowd) Leave() {
 	c.mu.Lock()
+	c.left = true
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
@@ -162,16 +164,33 @@
 		c.end("", 0)
 		return false
 	}
-	c.mu.Lock()
-	c.conns = append(c.conns, conn)
-	c.mu.Unlock()
+	if !c.enter(conn, i) {
+		_ = conn.Close()
+		return true
+	}
 	_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout.Duration()))
 	if c.unread > 0 {
 		return c.sendUnread(conn, i)
 	}
-	path := fmt.Sprintf("%s%s-%d", c.path, c.prefix, i)
-	c.group.Go(func() { c.readResponse(conn, path) })
-	return c.silent || c.write(conn, path, i) == nil
+	return c.silent || c.write(conn, c.pathOf(i), i) == nil
+}
+
+// pathOf is the path of the i-th caller's request.
+func (c *Crowd) pathOf(i int) string { return fmt.Sprintf("%s%s-%d", c.path, c.prefix, i) }
+
+// enter notes the connection of the i-th caller, and reads what comes on it unless the caller doesn't. It returns
+// false once the crowd has left.
+func (c *Crowd) enter(conn net.Conn, i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		return false
+	}
+	c.conns = append(c.conns, conn)
+	if c.unread == 0 {
+		c.group.Go(func() { c.readResponse(conn, c.pathOf(i)) })
+	}
+	return true
 }
 
 // sendUnread sends requests until the VM takes no more of them, and reads no answer.
--- a/standin/soaker/checks.go
+++ b/standin/soaker/checks.go
@@ -20,7 +20,7 @@
 	budgetWindow  = 10 * tier.Second
 	budgetRatio   = 0.2
 	budgetSlack   = 54
-	memoryLimitMB = 284
+	memoryLimitMB = 96
 	minShardShare = 0.75
 	topRecords    = 5
 	maxAttempts   = 2
--- a/standin/soaker/fleet.go
+++ b/standin/soaker/fleet.go
@@ -157,8 +157,8 @@
 	return s.startProcess(v)
 }
 
-// residentMB is the resident memory of the VM's process, in MB, or 0 if it has exited.
-func (v *vm) residentMB() int {
+// peakMB is the most resident memory that the VM's process has had, in MB, or 0 if it has exited.
+func (v *vm) peakMB() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.process == nil {
@@ -169,7 +169,7 @@
 		return 0 // it has exited
 	}
 	for line := range strings.Lines(string(status)) {
-		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmHWM:" {
 			kb, _ := strconv.Atoi(f[1]) // always a number
 			return kb >> 10
 		}
--- a/standin/soaker/inject.go
+++ b/standin/soaker/inject.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"cicadagrade.example/standin/crowder"
 	"cicadagrade.example/standin/relay"
 	"cicadagrade.example/standin/responder"
 	"cicadagrade.example/tier"
@@ -26,6 +28,8 @@
 	case freezeVM:
 		v := s.vms[f.vm]
 		s.freeze(ctx, v, t.duration)
+	case crowd:
+		s.sendCrowd(ctx, s.vms[f.vm], t.duration)
 	case reloadVM:
 		v := s.vms[f.vm]
 		defer s.history.beginDisturbance(disturbance{vm: v.name, description: f.String(), planned: true})()
@@ -157,3 +161,22 @@
 
 // allReplies has the store lose the replies to all writes.
 const allReplies = -1
+
+// crowdSize is the number of callers of a crowd. Their bodies exceed the memory of a VM.
+const crowdSize = 1500
+
+// sendCrowd lets many callers of a VM send the largest legal body without its last byte, stay for a while, and
+// come again if they are cut off.
+func (s *Soak) sendCrowd(ctx context.Context, v *vm, duration tier.Millis) {
+	defer s.history.beginDisturbance(disturbance{vm: v.name, description: "crowd"})()
+	c := crowder.New(v.endpoint(callerPort), host, http.MethodPost, "/"+routeLine+"/", "crowd", crowdSize,
+		crowder.WithBody(maxBodyBytes), crowder.ShortBy(1, 0), crowder.Returning(crowdReturns))
+	var sent sync.WaitGroup
+	sent.Go(c.Send)
+	sleep(ctx, duration)
+	c.Leave()
+	sent.Wait()
+}
+
+// crowdReturns is how often a caller of a crowd comes again.
+const crowdReturns = 3
--- a/standin/soaker/plan.go
+++ b/standin/soaker/plan.go
@@ -20,6 +20,7 @@
 	killVMs  struct{ vms []int } // SIGKILL, and a new process after a pause
 	stopVM   struct{ vm int }    // SIGTERM, a planned stop, and a new process
 	freezeVM struct{ vm int }    // SIGSTOP, then SIGCONT
+	crowd    struct{ vm int }    // callers that send large bodies and not to their end
 	reloadVM struct{ vm int }    // the settings file is written again, then SIGHUP
 	cutStore struct {
 		vm  int
@@ -58,6 +59,7 @@
 func (killVMs) isFault()             {}
 func (stopVM) isFault()              {}
 func (freezeVM) isFault()            {}
+func (crowd) isFault()               {}
 func (reloadVM) isFault()            {}
 func (cutStore) isFault()            {}
 func (cutPeer) isFault()             {}
@@ -80,6 +82,7 @@
 func (f killVMs) String() string  { return fmt.Sprintf("kill VMs %v", f.vms) }
 func (f stopVM) String() string   { return fmt.Sprintf("stop VM %d as planned", f.vm) }
 func (f freezeVM) String() string { return fmt.Sprintf("freeze VM %d", f.vm) }
+func (f crowd) String() string    { return fmt.Sprintf("a crowd at VM %d", f.vm) }
 func (f reloadVM) String() string { return fmt.Sprintf("reload VM %d", f.vm) }
 func (f cutStore) String() string { return fmt.Sprintf("%s VM %d's link to the store", f.cut, f.vm) }
 
@@ -128,6 +131,8 @@
 	// delayRangeMs is the width of the range from which the delay of a link or the store
 	// is drawn, in milliseconds; the range starts at 50 ms.
 	delayRangeMs = 400
+	// crowdStream is the stream of random numbers of crowds.
+	crowdStream = 7
 )
 
 // makePlan draws faults that start within a period; the same seed gives the same plan.
@@ -142,7 +147,15 @@
 			fault:    drawFault(r, vms, leafs),
 		})
 	}
-	return append(plan, drawLateFaults(seed, leafs, period)...)
+	return append(append(plan, drawLateFaults(seed, leafs, period)...), drawCrowd(seed, vms, period))
+}
+
+// drawCrowd draws a crowd of callers that don't behave, apart from the other faults.
+func drawCrowd(seed uint64, vms int, period tier.Millis) step {
+	r := rand.New(rand.NewPCG(seed, crowdStream))
+	return step{
+		at: warmUp + tier.Millis(r.Int64N(int64(period))), duration: maxFaultDuration, fault: crowd{r.IntN(vms)},
+	}
 }
 
 // drawLateFaults draws one fault of each kind that came to the soak later, apart from the others, so
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -231,7 +231,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, checkInterval)
 		for _, v := range s.vms {
-			mb := v.residentMB()
+			mb := v.peakMB()
 			s.history.update(func() { s.history.peakMemoryMB[v.name] = max(s.history.peakMemoryMB[v.name], mb) })
 		}
 		for _, v := range s.history.runChecks(s.timed) {
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -33,6 +33,8 @@
 )
 
 const (
+	// maxBodyBytes is the largest body that callers may send.
+	maxBodyBytes = 64 << 10
 	// shardCount is how many shards an index has.
 	shardCount = 4
 	// leafServiceTime is how long a leaf works on a request.
@@ -238,7 +240,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"version": number, "routes": routeList, "tenants": organisationList(number),
 		"services": []map[string]any{{"name": coldService, "coldStartS": coldStart / tier.Second, "coldPerS": coldPerSecond}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 	})
 	return raw, routes, errors.Wrap(err, "configuration")
 }
