Refuse a body whose connection is evicted as its last byte comes

What callers saw: nothing yet; found in the last reading of the diff.

Change: a body counts only if the acceptor says that it is served; else the caller gets 503.

--- a/cicadagraded/acceptor/acceptor.go
+++ b/cicadagraded/acceptor/acceptor.go
@@ -27,15 +27,15 @@
 	bodyMemoryFraction       = 8
 	connectionMemoryFraction = 4
 	connectionBytes          = 32 << 10
-	// fileDescriptors are those for files, listeners and the store. Callers get half of the others; the rest is for
+	// reservedDescriptors are for files, listeners and the store. Callers get half of the others; the rest is for
 	// backend servers and other VMs.
-	fileDescriptors = 200
-	minConnections  = 16
+	reservedDescriptors = 200
+	minConnections      = 16
 )
 
 // LimitsFor returns the limits of a process that may use so much memory, in bytes, and so many file descriptors.
 func LimitsFor(memory int64, descriptors int) Limits {
-	connections := min(int64(descriptors-fileDescriptors)/2, memory/connectionMemoryFraction/connectionBytes)
+	connections := min(int64(descriptors-reservedDescriptors)/2, memory/connectionMemoryFraction/connectionBytes)
 	return Limits{connections: max(int(connections), minConnections), bytes: memory / bodyMemoryFraction}
 }
 
--- a/cicadagraded/acceptor/acceptor_test.go
+++ b/cicadagraded/acceptor/acceptor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -181,3 +182,25 @@
 		s.await("the memory is back", func(c Counts) bool { return c.Bytes == 0 && c.Connections == 0 })
 	}
 }
+
+// A body whose connection is evicted just as its last byte comes must not pass for an empty one.
+func TestBodyOfAnEvictedConnectionIsNoBody(t *testing.T) {
+	s := startTestServer(t, Limits{connections: 10, bytes: 2 * bodyBytes})
+	raw, peer := net.Pipe()
+	t.Cleanup(func() { _, _ = raw.Close(), peer.Close() })
+	accepted, ok := s.acceptor.Accept(raw)
+	if !ok {
+		t.Fatal("the connection was not accepted")
+	}
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body"))
+	r = r.WithContext(s.acceptor.ConnContext(r.Context(), accepted))
+	// The acceptor has decided, and not yet ended the connection.
+	s.acceptor.mu.Lock()
+	s.acceptor.reserver.Close(accepted.(*conn).id)
+	s.acceptor.mu.Unlock()
+	body, err := ReadBody(httptest.NewRecorder(), r, bodyBytes, tier.Minute)
+	var noRoom *NoRoomError
+	if !errors.As(err, &noRoom) {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
--- a/cicadagraded/acceptor/body.go
+++ b/cicadagraded/acceptor/body.go
@@ -67,12 +67,12 @@
 	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration())) // not supported by test recorders
 	body, err := readAll(c, r.Body, r.ContentLength, maxBytes)
 	switch {
-	case err == nil && (c == nil || c.acceptor.serve(c)):
+	case err == nil && c != nil && !c.acceptor.serve(c), c != nil && c.isEvicted():
+		return nil, errors.WithStack(&NoRoomError{evicted: true})
+	case err == nil:
 		// The deadline would end the request's context while it is being served.
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
-	case c != nil && c.isEvicted():
-		return nil, errors.WithStack(&NoRoomError{evicted: true})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errors.WithStack(&TimeoutError{after: timeout})
 	}
--- a/cicadagraded/acceptor/descriptors.go
+++ b/cicadagraded/acceptor/descriptors.go
@@ -2,8 +2,12 @@
 
 import "golang.org/x/sys/unix"
 
-// defaultDescriptors is assumed if the limit can't be read.
-const defaultDescriptors = 1024
+const (
+	// defaultDescriptors is assumed if the limit can't be read.
+	defaultDescriptors = 1024
+	// maxDescriptors bounds what a process without a limit counts on.
+	maxDescriptors = 1 << 20
+)
 
 // DescriptorLimit returns how many file descriptors the process may open.
 func DescriptorLimit() int {
@@ -13,6 +17,3 @@
 	}
 	return int(min(limit.Cur, maxDescriptors))
 }
-
-// maxDescriptors bounds what a process without a limit counts on.
-const maxDescriptors = 1 << 20
