--- a/standin/crowder/crowder.go
+++ b/standin/crowder/crowder.go
@@ -21,8 +21,8 @@
 
 // Names and times of the requests.
 const (
-	// defaultTimeLeftMs is how long each caller says that it waits, in milliseconds.
-	defaultTimeLeftMs = 60_000
+	// defaultTimeLeft is how long each caller says that it waits.
+	defaultTimeLeft = tier.Minute
 	// sendTimeout bounds how long a caller tries to send.
 	sendTimeout = tier.Minute
 	// unreadTimeout bounds how long a caller that reads no answer tries to send, and unreadWindowBytes is its
@@ -44,11 +44,11 @@
 	pieceBytes  int // 0: it is sent in one piece
 	pause       tier.Millis
 	shortBytes  int // that are missing at its end
-	wholeShare  int // each so manieth caller sends its request whole; 0: none
+	wholeEvery  int // the first of so many callers sends its request whole; 0: none does
 	headerLines int
 	headerShort bool
 	silent      bool
-	timeLeftMs  int
+	timeLeft    tier.Millis
 	bodyStart   string
 	returns     int // how often a caller that was cut off comes again
 	unread      int // requests that a caller sends, of which it reads no answer; 0: one, and it reads
@@ -76,9 +76,9 @@
 	return func(c *Crowd) { c.pieceBytes, c.pause = bytes, pause }
 }
 
-// ShortBy leaves out the last bytes of each body. Each wholeShare-th caller sends all; 0 is none.
-func ShortBy(bytes, wholeShare int) Option {
-	return func(c *Crowd) { c.shortBytes, c.wholeShare = bytes, wholeShare }
+// ShortBy leaves out the last bytes of each body. One in wholeEvery callers sends its body whole, or none if that is 0.
+func ShortBy(bytes, wholeEvery int) Option {
+	return func(c *Crowd) { c.shortBytes, c.wholeEvery = bytes, wholeEvery }
 }
 
 // WithHeaderLines adds short lines to each request's header. If unfinished is set, the empty line that ends
@@ -99,11 +99,11 @@
 // Silent makes the callers open a connection only.
 func Silent() Option { return func(c *Crowd) { c.silent = true } }
 
-// WaitingFor sets how long each caller says that it waits, in milliseconds; 0 selects a minute.
-func WaitingFor(milliseconds int) Option {
+// WaitingFor sets how long each caller says that it waits; 0 selects a minute.
+func WaitingFor(m tier.Millis) Option {
 	return func(c *Crowd) {
-		if milliseconds > 0 {
-			c.timeLeftMs = milliseconds
+		if m > 0 {
+			c.timeLeft = m
 		}
 	}
 }
@@ -111,7 +111,10 @@
 // New returns a crowd that sends requests with a method to the paths below path. The name is part of the
 // attempts' ids and paths.
 func New(address, host, method, path, name string, members int, options ...Option) *Crowd {
-	c := &Crowd{address: address, host: host, method: method, path: path, prefix: name, members: members, timeLeftMs: defaultTimeLeftMs, statuses: map[string]int{}}
+	c := &Crowd{
+		address: address, host: host, method: method, path: path, prefix: name, members: members,
+		timeLeft: defaultTimeLeft, statuses: map[string]int{},
+	}
 	for _, o := range options {
 		o(c)
 	}
@@ -233,7 +236,7 @@
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, path, c.host)
 	h := http.Header{}
-	responder.SetCallerHeaders(h, fmt.Sprintf("%s-%d", c.prefix, i), c.timeLeftMs)
+	responder.SetCallerHeaders(h, fmt.Sprintf("%s-%d", c.prefix, i), int(c.timeLeft))
 	if err := h.Write(&head); err != nil {
 		return errors.Wrap(err, "Crowd.write")
 	}
@@ -250,7 +253,7 @@
 		fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n", c.bodyBytes)
 	}
 	body := c.encodedBody()
-	if c.wholeShare == 0 || i%c.wholeShare != 0 {
+	if c.wholeEvery == 0 || i%c.wholeEvery != 0 {
 		body = body[:len(body)-c.shortBytes]
 	}
 	if _, err := conn.Write(head.Bytes()); err != nil {
--- a/standin/crowder/script_test.go
+++ b/standin/crowder/script_test.go
@@ -46,7 +46,7 @@
 //	pause-ms N              wait
 //	hold, release           let all leafs keep requests unanswered, and answer them
 //	hold-unread             the same, without reading the requests' bodies
-//	crowd N VM METHOD PATH [body=BYTES] [chunk=BYTES] [piece=BYTES] [pause-ms=N] [short=BYTES] [whole-share=N]
+//	crowd N VM METHOD PATH [body=BYTES] [chunk=BYTES] [piece=BYTES] [pause-ms=N] [short=BYTES] [whole-every=N]
 //	      [time-left-ms=N] [header-lines=N] [header-short=1] [returns=N] [unread=REQUESTS]
 //	                        N callers send a request each, as the options of package crowder say, and stay
 //	silent N VM             N callers open a connection and send nothing
@@ -175,7 +175,7 @@
 		n, _ := strconv.Atoi(plain[0])
 		s.send(s.newCrowd(plain[1], plain[2], plain[3], n,
 			WithBody(named["body"]), InChunks(named["chunk"]), InPieces(named["piece"], tier.Millis(named["pause-ms"])),
-			ShortBy(named["short"], named["whole-share"]), WaitingFor(named["time-left-ms"]),
+			ShortBy(named["short"], named["whole-every"]), WaitingFor(tier.Millis(named["time-left-ms"])),
 			Returning(named["returns"]), NotReading(named["unread"]),
 			WithHeaderLines(named["header-lines"], named["header-short"] > 0)))
 	case "silent":
@@ -251,7 +251,7 @@
 		s.t.Fatal(err)
 	}
 	request.Host = host
-	responder.SetCallerHeaders(request.Header, fmt.Sprint("ordinary-", s.next), defaultTimeLeftMs)
+	responder.SetCallerHeaders(request.Header, fmt.Sprint("ordinary-", s.next), int(defaultTimeLeft))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
